core: add the shared frame, messages and design page

Cause: the repository was empty; every program needs the same ids, faults, sessions, settings frame and configuration view before it can be written. Ruled out: one subscription of every process to the state cluster (5,030 subscribers) and gossip (no proof that a change is in force); the reasons are in docs/design.md. Change: workspace with one module per program, core packages ident, fault, conf, wire, link, group, chart, server and the first types of policy. No behaviour is measured yet. Conclusion: the programs can now be written against these interfaces.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,44 @@
+# All targets run on a fresh machine with Go, gcc and make; modules are fetched by the go command.
+SHELL := /bin/bash
+GO ?= go
+MODULES := core gate side state ctl stub demo tools
+PACKAGES := $(addsuffix /...,$(addprefix ./,$(MODULES)))
+SOURCES = $(shell git ls-files -co --exclude-standard '*.go' | grep -v '\.pb\.go$$')
+
+.PHONY: all build demo test check format lint vet race bench measure fuzz clean
+
+all: build
+
+build: ## build all programs into bin/
+	@mkdir -p bin
+	$(GO) build -o bin/ ./gate/cmd/gate ./side/cmd/side ./state/cmd/state ./ctl/cmd/ctl ./stub/cmd/stub ./demo/cmd/demo
+
+demo: build ## start the whole system on loopback, send requests, print answers, bills and audit trail
+	./bin/demo --bin bin
+
+test: ## run every test
+	./tools/test.sh $(GO) test -timeout 8m $(PACKAGES)
+
+race: ## run every test under the race detector
+	./tools/test.sh $(GO) test -race -timeout 12m $(PACKAGES)
+
+format: ## rewrite the sources with gofumpt
+	$(GO) tool gofumpt -w $(SOURCES)
+
+lint: ## fail on unformatted files and on findings of revive
+	@unformatted=$$($(GO) tool gofumpt -l $(SOURCES)); if [ -n "$$unformatted" ]; then echo "run make format for:"; echo "$$unformatted"; exit 1; fi
+	@$(GO) tool revive -set_exit_status -config tools/revive.toml $(PACKAGES)
+
+vet:
+	$(GO) vet $(PACKAGES)
+
+check: lint vet build race test ## everything that CI runs
+
+bench: build ## performance figures; not part of the tests
+	./tools/bench.sh
+
+measure: ## one line for each measure of the decisions; minutes
+	$(GO) test ./core/policy -run '^TestMeasure' -count=1 -v -measure | grep '^measure='
+
+clean:
+	rm -rf bin
--- /dev/null
+++ b/core/ident/ident.go
@@ -0,0 +1,151 @@
+// Package ident defines the named types for identities and units that every
+// program of citronledge shares. Read it first.
+package ident
+
+import (
+	"fmt"
+	"strings"
+	"time"
+)
+
+// Names given by operators in the settings folder.
+type (
+	// Customer names a tenant; every request belongs to exactly one.
+	Customer string
+	// Model names a family of versions, for example "small".
+	Model string
+	// Version names one version of a model, for example "v2".
+	Version string
+	// Cascade names an ordered list of models from cheap to strong.
+	Cascade string
+	// Route names one route to a plain service.
+	Route string
+	// Service names a plain service.
+	Service string
+)
+
+// Names given by the platform.
+type (
+	// Backend is the name of a backend server: a model runner or an instance
+	// of a plain service.
+	Backend string
+	// Zone is the name of an availability zone.
+	Zone string
+	// Region is the name of a region; a region holds several zones.
+	Region string
+)
+
+// Identities of requests and their parts.
+type (
+	// Request identifies one request of a caller. It is unique over all gates.
+	Request string
+	// Session identifies a caller's session within one customer.
+	Session string
+	// Incarnation is the number of one run of a gate. The ledger gives each
+	// number once; zero means that none has been given yet.
+	Incarnation uint64
+	// Sequence numbers the billable requests of one incarnation from 1.
+	Sequence uint64
+	// Attempt numbers the attempts of one request from 1: cascade steps,
+	// retries and hedges count alike.
+	Attempt uint32
+	// Fence is a fencing number. A holder with a lower number is refused.
+	Fence uint64
+	// Revision numbers the states of the configuration; each accepted change
+	// adds one.
+	Revision uint64
+)
+
+// Units.
+type (
+	// Tokens counts input or output tokens.
+	Tokens int64
+	// Price is the price of one token in micro-units of the billing currency.
+	Price float64
+	// Cost is an amount in micro-units of the billing currency.
+	Cost float64
+	// Quality is the expected rating of an answer, from 0 (useless) to 1.
+	Quality float64
+	// Share is a fraction of traffic from 0 to 1.
+	Share float64
+)
+
+// Times that several programs must agree on.
+const (
+	// LeaseTime is how long one grant of the configuration lease lasts.
+	LeaseTime = 2 * time.Second
+	// RenewEvery is the interval between two renewals of a lease.
+	RenewEvery = 500 * time.Millisecond
+	// LoadEvery is the interval between two load reports of a side process.
+	LoadEvery = 250 * time.Millisecond
+	// SilentAfter is the time without a load report after which a gate sends
+	// a backend server no new work.
+	SilentAfter = 1500 * time.Millisecond
+	// HandTime bounds the time between sending a Hand command and calling
+	// the service. Operators may settle an operation only after it has passed.
+	HandTime = 2 * time.Second
+	// ClockError is the largest relative error of a VM's clock rate.
+	ClockError = 0.01
+)
+
+// LeaseGuard is how long the granter of a lease waits before it treats the
+// lease as expired: the lease time plus the allowed clock-rate error.
+const LeaseGuard = LeaseTime + LeaseTime/100
+
+// Target is a model with one of its versions. The zero Version stands for any
+// version where a setting allows it, never in a request that is being run.
+type Target struct {
+	Model   Model
+	Version Version
+}
+
+// String returns "model/version", or only the model if the version is empty.
+func (t Target) String() string {
+	if t.Version == "" {
+		return string(t.Model)
+	}
+	return string(t.Model) + "/" + string(t.Version)
+}
+
+// ParseTarget parses "model" or "model/version".
+func ParseTarget(s string) (Target, error) {
+	model, version, found := strings.Cut(s, "/")
+	if model == "" || (found && version == "") || strings.Contains(version, "/") {
+		return Target{}, fmt.Errorf("%q is not a model or model/version", s)
+	}
+	return Target{Model: Model(model), Version: Version(version)}, nil
+}
+
+// Billing is the key of a bill: one for each request, whatever the number of
+// its attempts.
+type Billing struct {
+	Incarnation Incarnation
+	Sequence    Sequence
+}
+
+// Kind is the kind of work of a request. It decides about its expected length
+// and about the rules that apply to it.
+type Kind uint8
+
+// Kinds of work.
+const (
+	// Chat is a short, interactive request to a model.
+	Chat Kind = iota + 1
+	// Report is a long request to a model.
+	Report
+	// Call is a request to a plain service.
+	Call
+)
+
+// String returns the name used in settings, logs and metrics.
+func (k Kind) String() string {
+	switch k {
+	case Chat:
+		return "chat"
+	case Report:
+		return "report"
+	case Call:
+		return "call"
+	}
+	return "unknown"
+}
--- /dev/null
+++ b/core/server/server.go
@@ -0,0 +1,178 @@
+// Package server is the frame that all long-running programs share: settings,
+// logs, health pages, metrics, signals and graceful shutdown.
+package server
+
+import (
+	"context"
+	_ "embed" // for the state chart
+	"encoding/json"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/julienschmidt/httprouter"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/rotisserie/eris"
+	"k8s.io/klog/v2"
+
+	"citronledge.example/core/chart"
+)
+
+//go:embed chart.yaml
+var chartFile []byte
+
+var life = chart.MustParse(chartFile)
+
+const headerTime = 5 * time.Second // limit for reading the header of a request
+
+// Server is the frame of one program.
+type Server struct {
+	// Registry collects the metrics of the program.
+	Registry *prometheus.Registry
+
+	set    Settings
+	status func() any
+
+	mu    sync.Mutex
+	state chart.State
+}
+
+// New returns the frame of a program that has read its settings. The status
+// function gives the content of the status page; it may be nil.
+func New(set Settings, status func() any) *Server {
+	s := &Server{Registry: prometheus.NewRegistry(), set: set, status: status, state: life.Start()}
+	s.Registry.MustRegister(
+		collectors.NewGoCollector(),
+		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
+	)
+	return s
+}
+
+// Part is what a program runs inside the frame.
+type Part interface {
+	// Run works until ctx ends. It calls ready once it can serve.
+	Run(ctx context.Context, ready func()) error
+	// Drain stops accepting new work and returns when all accepted work has
+	// ended, or when ctx ends; then it returns the list of what was cut.
+	Drain(ctx context.Context) (cut []string)
+}
+
+// Run runs the program until a signal or a failure. After the first SIGTERM
+// or SIGINT readiness fails, the grace time passes so that load balancers
+// notice, and the part drains. A second signal or the deadline ends the
+// drain. It returns an error if work was cut.
+func (s *Server) Run(ctx context.Context, part Part) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	defer signal.Stop(signals)
+
+	admin, err := s.admin()
+	if err != nil {
+		return err
+	}
+	defer func() { _ = admin.Close() }()
+
+	failed := make(chan error, 1)
+	go func() { failed <- part.Run(ctx, func() { s.move("up") }) }()
+	select {
+	case err := <-failed:
+		return err
+	case sig := <-signals:
+		klog.InfoS("Graceful shutdown started", "signal", sig.String(), "grace", s.set.Grace, "deadline", s.set.Deadline)
+	case <-ctx.Done():
+	}
+	s.move("signal")
+	cut := s.drain(ctx, part, signals)
+	cancel()
+	if err := <-failed; err != nil {
+		return err
+	}
+	if len(cut) > 0 {
+		klog.ErrorS(nil, "Shutdown cut running work", "cut", cut)
+		return eris.Errorf("shutdown cut %d items; raise --deadline to let them finish", len(cut))
+	}
+	klog.InfoS("Shutdown complete")
+	klog.Flush()
+	return nil
+}
+
+func (s *Server) drain(ctx context.Context, part Part, signals <-chan os.Signal) []string {
+	ctx, cancel := context.WithTimeout(ctx, s.set.Deadline)
+	defer cancel()
+	go func() {
+		select {
+		case <-signals:
+			s.move("signal")
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	select {
+	case <-time.After(s.set.Grace):
+	case <-ctx.Done():
+	}
+	cut := part.Drain(ctx)
+	if ctx.Err() == nil {
+		s.move("idle")
+	} else {
+		s.move("deadline")
+	}
+	return cut
+}
+
+func (s *Server) move(e chart.Event) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if next, ok := life.Next(s.state, e); ok {
+		s.state = next
+	}
+}
+
+// State returns the state of the program: starting, ready, draining, cut or stopped.
+func (s *Server) State() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return string(s.state)
+}
+
+// admin serves /livez, /readyz, /status and /metrics on the admin address.
+func (s *Server) admin() (*http.Server, error) {
+	ln, err := net.Listen("tcp", s.set.Admin)
+	if err != nil {
+		return nil, eris.Wrap(err, "cannot listen on the admin address; set --admin to a free one")
+	}
+	r := httprouter.New()
+	r.GET("/livez", func(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+		_, _ = w.Write([]byte("ok\n"))
+	})
+	r.GET("/readyz", func(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+		state := s.State()
+		if state != "ready" {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+		_, _ = w.Write([]byte(state + "\n"))
+	})
+	r.GET("/status", func(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) { s.writeStatus(w) })
+	r.Handler(http.MethodGet, "/metrics", promhttp.HandlerFor(s.Registry, promhttp.HandlerOpts{}))
+	srv := &http.Server{Handler: r, ReadHeaderTimeout: headerTime}
+	go func() { _ = srv.Serve(ln) }()
+	return srv, nil
+}
+
+func (s *Server) writeStatus(w http.ResponseWriter) {
+	page := map[string]any{"name": s.set.Name, "zone": s.set.Zone, "state": s.State()}
+	if s.status != nil {
+		page["detail"] = s.status()
+	}
+	w.Header().Set("Content-Type", "application/json")
+	// The reader may be gone; there is nobody left to tell.
+	_ = json.NewEncoder(w).Encode(page)
+}
--- /dev/null
+++ b/core/server/settings.go
@@ -0,0 +1,84 @@
+package server
+
+import (
+	"errors"
+	"flag"
+	"fmt"
+	"net"
+	"os"
+	"time"
+
+	"github.com/peterbourgon/ff/v3"
+	"github.com/peterbourgon/ff/v3/ffyaml"
+	"github.com/rotisserie/eris"
+	"k8s.io/klog/v2"
+)
+
+// Settings are the settings that all programs have.
+type Settings struct {
+	Name     string
+	Zone     string
+	Admin    string
+	Keys     string
+	Grace    time.Duration
+	Deadline time.Duration
+	Check    bool
+}
+
+const (
+	defaultGrace    = 3 * time.Second
+	defaultDeadline = 300 * time.Second
+)
+
+// Register adds the flags of the settings to a flag set.
+func (s *Settings) Register(fs *flag.FlagSet) {
+	fs.StringVar(&s.Name, "name", "", "name of this process, unique in the system")
+	fs.StringVar(&s.Zone, "zone", "", "availability zone of this VM")
+	fs.StringVar(&s.Admin, "admin", "127.0.0.1:0", "address of the health, status and metrics pages")
+	fs.StringVar(&s.Keys, "keys", "", "file with the session keys between processes")
+	fs.DurationVar(&s.Grace, "grace", defaultGrace, "time between failing readiness and refusing new work at shutdown")
+	fs.DurationVar(&s.Deadline, "deadline", defaultDeadline, "time after which a shutdown cuts running work")
+	fs.BoolVar(&s.Check, "check", false, "check the settings and exit")
+	fs.String("config", "", "YAML file with the same settings")
+	klog.InitFlags(fs)
+}
+
+// Parse reads flags, environment variables with a prefix and the YAML file
+// named by --config; flags win over the environment, which wins over the file.
+func Parse(fs *flag.FlagSet, args []string, prefix string) error {
+	err := ff.Parse(fs, args,
+		ff.WithEnvVarPrefix(prefix),
+		ff.WithConfigFileFlag("config"),
+		ff.WithConfigFileParser(ffyaml.Parser),
+	)
+	return eris.Wrap(err, "cannot read the settings; see --help")
+}
+
+// Validate returns all faults of the common settings at once.
+func (s *Settings) Validate() error {
+	var errs []error
+	if s.Name == "" {
+		errs = append(errs, errors.New("--name is empty; set a name that is unique in the system"))
+	}
+	if s.Zone == "" {
+		errs = append(errs, errors.New("--zone is empty; set the availability zone of this VM"))
+	}
+	if s.Keys == "" {
+		errs = append(errs, errors.New("--keys is empty; set the file with the session keys"))
+	} else if _, err := os.Stat(s.Keys); err != nil {
+		errs = append(errs, fmt.Errorf("--keys: %w; set it to a readable file", err))
+	}
+	errs = append(errs, CheckAddr("admin", s.Admin))
+	if s.Grace < 0 || s.Deadline <= 0 {
+		errs = append(errs, errors.New("--grace must not be negative and --deadline must be positive"))
+	}
+	return errors.Join(errs...)
+}
+
+// CheckAddr returns an error unless addr is HOST:PORT.
+func CheckAddr(name, addr string) error {
+	if _, _, err := net.SplitHostPort(addr); err != nil {
+		return fmt.Errorf("--%s: %q is not an address; use HOST:PORT", name, addr)
+	}
+	return nil
+}
--- /dev/null
+++ b/tools/doc.go
@@ -0,0 +1,2 @@
+// Package tools pins the formatter and the linter of the build in its go.mod.
+package tools
