ledger: add the replicated state machine

Hand and Abort therefore carry a nonce of the try; wire.Batch joins bills and pins of several senders.

Before: no state machine.

--- /dev/null
+++ b/core/ledger/ledger_test.go
@@ -0,0 +1,364 @@
+package ledger
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"citronledge.example/core/fault"
+	"citronledge.example/core/wire"
+)
+
+// rig applies commands with a time that the test moves.
+type rig struct {
+	t     testing.TB
+	l     *Ledger
+	index uint64
+	now   uint64
+}
+
+func newRig(t testing.TB) *rig { return &rig{t: t, l: New(), now: 1_700_000_000_000} }
+
+func (r *rig) do(c *wire.Command) *wire.Result {
+	r.index++
+	c.Time = r.now
+	if c.Actor == "" {
+		c.Actor = "tester"
+	}
+	data, err := proto.Marshal(c)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	var res wire.Result
+	if err := proto.Unmarshal(r.l.Apply(r.index, data), &res); err != nil {
+		r.t.Fatal(err)
+	}
+	return &res
+}
+
+func (r *rig) pass(d time.Duration) { r.now += uint64(d / time.Millisecond) }
+
+// want fails the test unless the result carries a fault of the kind, or none
+// for the empty kind.
+func (r *rig) want(c *wire.Command, kind fault.Kind) *wire.Result {
+	r.t.Helper()
+	res := r.do(c)
+	if got := res.GetFault().GetKind(); got != string(kind) {
+		r.t.Fatalf("%T: got fault %q (%s), want %q", c.GetKind(), got, res.GetFault().GetMessage(), kind)
+	}
+	return res
+}
+
+func change(n uint64, entries ...*wire.Entry) *wire.Command {
+	return &wire.Command{Kind: &wire.Command_Change{Change: &wire.Change{Number: n, Digest: Digest(entries), Entries: entries}}}
+}
+
+func set(key, value string) *wire.Entry { return &wire.Entry{Key: key, Value: []byte(value)} }
+func gone(key string) *wire.Entry       { return &wire.Entry{Key: key, Gone: true} }
+
+func enroll() *wire.Command {
+	return &wire.Command{Kind: &wire.Command_Enroll{Enroll: &wire.Enroll{Name: "gate"}}}
+}
+
+func retire(id uint64) *wire.Command {
+	return &wire.Command{Kind: &wire.Command_Retire{Retire: &wire.Retire{Incarnation: id}}}
+}
+
+func begin(run uint64, key, business, digest, request string) *wire.Command {
+	return &wire.Command{Kind: &wire.Command_Begin{Begin: &wire.Begin{
+		Customer: "acme", Route: "pay", Key: key, Business: business, Digest: digest, Incarnation: run, Request: request,
+	}}}
+}
+
+func hand(key string, fence uint64, backend string, nonce uint64) *wire.Command {
+	return &wire.Command{Kind: &wire.Command_Hand{Hand: &wire.Hand{Operation: "acme/pay/" + key, Fence: fence, Backend: backend, Nonce: nonce}}}
+}
+
+func finish(key string, fence uint64, status uint32) *wire.Command {
+	f := &wire.Finish{Operation: "acme/pay/" + key, Fence: fence, Status: status, Unknown: status == 0}
+	return &wire.Command{Kind: &wire.Command_Finish{Finish: f}}
+}
+
+func abort(key string, fence uint64, backend string, nonce uint64) *wire.Command {
+	return &wire.Command{Kind: &wire.Command_Abort{Abort: &wire.Abort{Operation: "acme/pay/" + key, Fence: fence, Backend: backend, Nonce: nonce}}}
+}
+
+func settle(key string, ran bool) *wire.Command {
+	return &wire.Command{Kind: &wire.Command_Settle{Settle: &wire.Settle{Operation: "acme/pay/" + key, Ran: ran, Status: 200}}}
+}
+
+func bill(run uint64, sequences ...uint64) *wire.Command {
+	b := &wire.Bills{}
+	for _, n := range sequences {
+		b.Bills = append(b.Bills, &wire.Bill{
+			Incarnation: run, Sequence: n, Customer: "acme",
+			Usages: []*wire.Usage{{Model: "small", Version: "v1", Input: 100, Output: 20, Cost: 3}},
+		})
+	}
+	return &wire.Command{Kind: &wire.Command_Bills{Bills: b}}
+}
+
+func pin(session, version, replaces string) *wire.Command {
+	return &wire.Command{Kind: &wire.Command_Pin{Pin: &wire.Pin{Customer: "acme", Session: session, Model: "small", Version: version, Replaces: replaces}}}
+}
+
+// step is one command of a table, after a pause, with the expected fault.
+type step struct {
+	pause time.Duration
+	c     *wire.Command
+	want  fault.Kind
+}
+
+// TestRules guards each refusal that the design page names: a command that
+// breaks a rule must be refused with the kind that the asker acts on.
+func TestRules(t *testing.T) {
+	tests := map[string][]step{
+		"a gap in the numbers": {{0, change(2, set("limits", "{}")), fault.Conflict}},
+		"equal number, same digest": {
+			{0, change(1, set("limits", "{}")), ""},
+			{0, change(1, set("limits", "{}")), ""},
+		},
+		"equal number, other digest": {
+			{0, change(1, set("limits", "{}")), ""},
+			{0, change(1, set("limits", `{"body":5}`)), fault.Conflict},
+		},
+		"wrong digest": {{0, &wire.Command{Kind: &wire.Command_Change{Change: &wire.Change{
+			Number: 1, Digest: "00", Entries: []*wire.Entry{set("limits", "{}")},
+		}}}, fault.Invalid}},
+		"folder and command keys mixed": {{0, change(1, set("limits", "{}"), gone("withdrawn/small/v1")), fault.Invalid}},
+		"members by a change":           {{0, change(1, set("members/a", "{}")), fault.Invalid}},
+		"value that gates cannot read":  {{0, change(1, set("customers/a", `{"weight":"x"}`)), fault.Invalid}},
+		"withdrawal without a version":  {{0, change(1, set("withdrawn/small", `{}`)), fault.Invalid}},
+		"the key twice":                 {{0, change(1, set("limits", "{}"), gone("limits")), fault.Invalid}},
+		"folder key by members": {{0, &wire.Command{Kind: &wire.Command_Members{Members: &wire.Members{
+			Entries: []*wire.Entry{gone("customers/a")},
+		}}}, fault.Invalid}},
+		"begin of a retired incarnation": {{0, retire(1), ""}, {0, begin(1, "k", "", "d", "r"), fault.Stale}},
+		"begin twice by other requests": {
+			{0, begin(1, "k", "", "d", "r"), ""},
+			{0, begin(1, "k", "", "d", "r"), ""},
+			{0, begin(1, "k", "", "d", "other"), fault.Busy},
+			{0, begin(2, "k", "", "d", "r"), fault.Busy},
+		},
+		"same key, other body": {{0, begin(1, "k", "", "d", "r"), ""}, {0, begin(1, "k", "", "e", "r"), fault.Conflict}},
+		"same business key": {
+			{0, begin(1, "k", "b", "d", "r"), ""},
+			{0, begin(1, "l", "b", "d", "s"), fault.Conflict},
+			{0, abort("k", 1, "", 0), ""},
+			{0, begin(1, "l", "b", "d", "s"), ""},
+			{0, begin(1, "k", "b", "d", "r"), fault.Conflict},
+		},
+		"take-over of a gone incarnation": {
+			{0, begin(1, "k", "", "d", "r"), ""},
+			{0, retire(1), ""},
+			{0, begin(2, "k", "", "d", "s"), ""},
+			{0, hand("k", 1, "b1", 7), fault.Stale},
+			{0, hand("k", 2, "b1", 7), ""},
+		},
+		"no take-over once handed": {
+			{0, begin(1, "k", "", "d", "r"), ""},
+			{0, hand("k", 1, "b1", 7), ""},
+			{0, retire(1), ""},
+			{0, begin(2, "k", "", "d", "s"), fault.Busy},
+		},
+		"hand twice": {
+			{0, begin(1, "k", "", "d", "r"), ""},
+			{0, hand("k", 1, "b1", 7), ""},
+			{0, hand("k", 1, "b1", 7), ""},
+			{0, hand("k", 1, "b1", 8), fault.Stale},
+			{0, hand("k", 1, "b2", 7), fault.Stale},
+		},
+		"hand twice without a nonce": {
+			{0, begin(1, "k", "", "d", "r"), ""}, {0, hand("k", 1, "b1", 0), ""}, {0, hand("k", 1, "b1", 0), fault.Stale},
+		},
+		"abort after the hand-over": {
+			{0, begin(1, "k", "", "d", "r"), ""},
+			{0, hand("k", 1, "b1", 7), ""},
+			{0, abort("k", 1, "", 0), fault.Conflict},
+			{0, abort("k", 1, "b1", 8), fault.Conflict},
+			{0, abort("k", 1, "b1", 7), ""},
+			{0, begin(1, "k", "", "other", "r"), ""},
+			{0, finish("k", 1, 200), fault.Stale},
+		},
+		"finish before the hand-over": {{0, begin(1, "k", "", "d", "r"), ""}, {0, finish("k", 1, 200), fault.Conflict}},
+		"done is replayed and stays done": {
+			{0, begin(1, "k", "b", "d", "r"), ""},
+			{0, hand("k", 1, "b1", 7), ""},
+			{0, finish("k", 1, 200), ""},
+			{0, finish("k", 1, 0), ""},
+			{0, begin(2, "k", "b", "d", "s"), ""},
+			{0, hand("k", 1, "b1", 7), fault.Stale},
+			{0, settle("k", false), fault.Conflict},
+			{KeepOperations - time.Hour, begin(2, "k", "b", "d", "s"), ""},
+			{time.Hour, hand("k", 1, "b1", 7), fault.Missing},
+		},
+		"settle too early": {
+			{0, begin(1, "k", "", "d", "r"), ""},
+			{0, hand("k", 1, "b1", 7), ""},
+			{0, settle("k", false), fault.Conflict},
+			{0, finish("k", 1, 0), ""},
+			{0, begin(1, "k", "", "d", "r"), fault.Unknown},
+			{2019 * time.Millisecond, settle("k", false), fault.Busy},
+			{time.Millisecond, settle("k", false), ""},
+			{0, begin(1, "k", "", "d", "r"), ""},
+			{0, hand("k", 1, "b1", 7), fault.Stale},
+		},
+		"handed without word": {
+			{0, begin(1, "k", "", "d", "r"), ""},
+			{0, hand("k", 1, "b1", 7), ""},
+			{HandedTime, begin(1, "k", "", "d", "r"), fault.Unknown},
+			{0, finish("k", 1, 200), ""},
+			{0, begin(1, "k", "", "d", "r"), ""},
+		},
+		"bill without an incarnation": {{0, bill(9, 1), fault.Invalid}},
+		"bill of a retired one":       {{0, retire(1), ""}, {0, bill(1, 1), ""}},
+		"pin of a withdrawn version":  {{0, change(1, set("withdrawn/small/v1", "{}")), ""}, {0, pin("s", "v1", ""), fault.Stale}},
+		"batch of bills and pins": {{0, &wire.Command{Kind: &wire.Command_Batch{Batch: &wire.Batch{
+			Commands: []*wire.Command{bill(1, 1), pin("s", "v1", "")},
+		}}}, ""}},
+		"no kind": {{0, &wire.Command{}, fault.Invalid}},
+	}
+	for name, steps := range tests {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t)
+			r.want(enroll(), "")
+			r.want(enroll(), "")
+			for _, s := range steps {
+				r.pass(s.pause)
+				r.want(s.c, s.want)
+			}
+			roundTrip(t, r.l)
+		})
+	}
+}
+
+// failer is the common part of testing.TB and rapid.T.
+type failer interface {
+	Helper()
+	Fatal(args ...any)
+}
+
+// roundTrip fails unless a restored ledger has the same snapshot.
+func roundTrip(t failer, l *Ledger) {
+	t.Helper()
+	one, err := l.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	other := New()
+	if err := other.Restore(one); err != nil {
+		t.Fatal(err)
+	}
+	two, err := other.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !bytes.Equal(one, two) {
+		t.Fatal("the snapshot of a restored ledger differs")
+	}
+}
+
+// TestConflictNamesWinner guards against a refusal that leaves the operator
+// guessing which of two equal numbers won.
+func TestConflictNamesWinner(t *testing.T) {
+	r := newRig(t)
+	first := change(1, set("limits", "{}"))
+	first.Actor = "amina"
+	r.want(first, "")
+	res := r.want(change(1, set("limits", `{"body":5}`)), fault.Conflict)
+	message := res.GetFault().GetMessage()
+	for _, want := range []string{"amina", Digest([]*wire.Entry{set("limits", "{}")}), "number 2"} {
+		if !strings.Contains(message, want) {
+			t.Errorf("got message %q, want it to name %q", message, want)
+		}
+	}
+	if got := r.do(change(1, set("limits", "{}"))).GetChanged(); !got.GetRepeat() || got.GetActor() != "amina" || got.GetRevision() != 1 {
+		t.Errorf("got %v, want the first answer again", got)
+	}
+}
+
+// TestPins guards rule 3: the first pin wins until its version is withdrawn
+// or the session was silent for a day.
+func TestPins(t *testing.T) {
+	r := newRig(t)
+	version := func(c *wire.Command, want string) {
+		t.Helper()
+		if got := r.want(c, "").GetPinned().GetVersion(); got != want {
+			t.Fatalf("got version %s, want %s", got, want)
+		}
+	}
+	version(pin("s", "v1", ""), "v1")
+	version(pin("s", "v2", ""), "v1")
+	version(pin("s", "v2", "v1"), "v1") // not withdrawn
+	r.want(change(1, set("withdrawn/small/v1", "{}")), "")
+	version(pin("s", "v3", "v1"), "v3")
+	version(pin("s", "v2", "v1"), "v3") // a second gate comes later
+	r.pass(PinTime - time.Second)
+	version(pin("s", "v2", ""), "v3")
+	r.pass(PinTime - time.Second)
+	version(pin("t", "v2", ""), "v2")
+	roundTrip(t, r.l)
+	r.pass(time.Second)
+	version(pin("s", "v2", ""), "v2")
+}
+
+// TestDeltas guards against receivers that miss an entry: any starting
+// revision plus its delta gives the same keys.
+func TestDeltas(t *testing.T) {
+	r := newRig(t)
+	r.want(change(1, set("limits", "{}"), set("customers/a", "{}")), "")
+	r.want(change(2, gone("customers/a")), "")
+	r.want(change(3, set("customers/b", "{}")), "")
+	tests := map[string]struct {
+		from    uint64
+		full    bool
+		entries int
+	}{
+		"from nothing":         {0, true, 2},
+		"over a deleted key":   {1, false, 2},
+		"one change":           {2, false, 1},
+		"up to date":           {3, false, 0},
+		"from another history": {4, true, 2},
+	}
+	for name, tt := range tests {
+		d := r.l.Delta(tt.from)
+		if d.GetFull() != tt.full || len(d.GetEntries()) != tt.entries || d.GetRevision() != 3 {
+			t.Errorf("%s: got %v, want full=%v with %d entries", name, d, tt.full, tt.entries)
+		}
+	}
+	for i := range uint64(KeepGone + 1) {
+		r.want(change(4+2*i, set("customers/c", "{}")), "")
+		key := "customers/n" + strings.Repeat("x", int(i%7)) + string(rune('a'+i%26)) + time.Duration(i).String()
+		r.want(change(5+2*i, gone(key)), "")
+	}
+	if d := r.l.Delta(2); !d.GetFull() {
+		t.Error("got a delta from below the floor, want a full one: it would miss deleted keys")
+	}
+	roundTrip(t, r.l)
+}
+
+// TestOpen guards the list that shows requests without a bill.
+func TestOpen(t *testing.T) {
+	r := newRig(t)
+	r.want(enroll(), "")
+	for _, n := range []uint64{5, 2, 3, 9, 3} {
+		r.want(bill(1, n), "")
+	}
+	r.want(&wire.Command{Kind: &wire.Command_Retire{Retire: &wire.Retire{Incarnation: 1, Last: 12}}}, "")
+	want := [][2]uint64{{1, 1}, {4, 4}, {6, 8}, {10, 12}}
+	got := r.l.Open()
+	if len(got) != len(want) {
+		t.Fatalf("got %v, want %v", got, want)
+	}
+	for i, b := range got {
+		if b.GetFirst() != want[i][0] || b.GetLast() != want[i][1] {
+			t.Errorf("got %v, want %v", b, want[i])
+		}
+	}
+	if got := r.l.Totals()[0]; got.GetRequests() != 4 || got.GetInput() != 400 {
+		t.Errorf("got totals %v, want 4 requests with 400 tokens", got)
+	}
+}
