--- /dev/null
+++ b/state/raft/doc.go
@@ -0,0 +1,3 @@
+package raft
+
+//go:generate protoc --go_out=.. --go_opt=paths=source_relative -I .. raft/raft.proto
--- /dev/null
+++ b/state/raft/fault.go
@@ -0,0 +1,63 @@
+package raft
+
+import "fmt"
+
+// NotLeader refuses a call that only the leader can serve; it had no effect.
+type NotLeader struct {
+	// Leader is the known leader; its Name is empty when there is none.
+	Leader Member
+}
+
+// Error implements error.
+func (e NotLeader) Error() string {
+	if e.Leader.Name == "" {
+		return "this member is not the leader and knows none; retry after an election timeout"
+	}
+	return fmt.Sprintf("this member is not the leader; retry at %s (%s)", e.Leader.Name, e.Leader.Addr)
+}
+
+// Lost says that the outcome of a command is unknown: leadership was lost,
+// the context ended or the node stopped before the commit was known.
+type Lost struct {
+	// Cause is the error of the context, if that ended the wait.
+	Cause error
+}
+
+// Error implements error.
+func (e Lost) Error() string {
+	const text = "the outcome is unknown, the command may yet be applied; ask the leader for the state before repeating it"
+	if e.Cause != nil {
+		return text + ": " + e.Cause.Error()
+	}
+	return text
+}
+
+// Unwrap returns the cause.
+func (e Lost) Unwrap() error { return e.Cause }
+
+// Full refuses a command because the disk of this member, or the disks of a
+// majority, are full; the command was not accepted.
+type Full struct {
+	// Member whose disk is full; empty if those of a majority are.
+	Member string
+}
+
+// Error implements error.
+func (e Full) Error() string {
+	if e.Member == "" {
+		return "the disks of a majority are full; the command was not accepted; free space on them"
+	}
+	return fmt.Sprintf("the disk of %s is full; the command was not accepted; free space on it", e.Member)
+}
+
+// Stopped refuses a call because the node does not run; it had no effect.
+type Stopped struct{}
+
+// Error implements error.
+func (Stopped) Error() string { return "this member has stopped; retry at another member" }
+
+// Refused says why a membership change or transfer was not started.
+type Refused struct{ Reason string }
+
+// Error implements error.
+func (e Refused) Error() string { return e.Reason }
--- /dev/null
+++ b/state/raft/option.go
@@ -0,0 +1,100 @@
+package raft
+
+import (
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"citronledge.example/state/store"
+)
+
+// Timings are the durations of the protocol.
+type Timings struct {
+	// Heartbeat is the time between two messages to an idle follower.
+	Heartbeat time.Duration
+	// Election is the shortest election timeout; the actual one is drawn
+	// between it and its double. It is also the length of the leader lease
+	// and of check-quorum.
+	Election time.Duration
+}
+
+// DefaultTimings are the values of the design page.
+var DefaultTimings = Timings{Heartbeat: 50 * time.Millisecond, Election: 300 * time.Millisecond}
+
+type options struct {
+	name, addr  string
+	initial     []Member
+	store       *store.Store
+	transport   Transport
+	machine     Machine
+	timings     Timings
+	seed        uint64
+	snapEntries uint64
+	snapBytes   int64
+	retain      uint64
+}
+
+// Option configures a node.
+type Option func(*options)
+
+// WithName sets the name of this member. It must be that of the store.
+func WithName(name string) Option { return func(o *options) { o.name = name } }
+
+// WithAddress sets the address at which other members reach this one.
+func WithAddress(addr string) Option { return func(o *options) { o.addr = addr } }
+
+// WithMembers sets the initial members. They form a new cluster once all of
+// them run on blank disks; when one of them already belongs to a cluster, a
+// blank disk waits to be added by AddLearner. On a disk that belongs to a
+// cluster they have no effect.
+func WithMembers(members ...Member) Option { return func(o *options) { o.initial = members } }
+
+// WithStore sets the durable log. The caller closes it after Run returns.
+func WithStore(s *store.Store) Option { return func(o *options) { o.store = s } }
+
+// WithTransport sets the transport.
+func WithTransport(t Transport) Option { return func(o *options) { o.transport = t } }
+
+// WithMachine sets the state machine.
+func WithMachine(m Machine) Option { return func(o *options) { o.machine = m } }
+
+// WithTimings sets the durations; the default is DefaultTimings.
+func WithTimings(t Timings) Option { return func(o *options) { o.timings = t } }
+
+// WithSeed sets the seed of the election timeouts, to make tests repeatable.
+// By default it is drawn from the disk identity and the clock.
+func WithSeed(seed uint64) Option { return func(o *options) { o.seed = seed } }
+
+// WithSnapshots sets when a snapshot is written: after a number of entries
+// with at least as many bytes as the last snapshot, or after a number of
+// bytes that is also more than the last snapshot. Behind a snapshot, retain
+// entries are kept for followers that lag a little.
+func WithSnapshots(entries uint64, bytes int64, retain uint64) Option {
+	return func(o *options) { o.snapEntries, o.snapBytes, o.retain = entries, bytes, retain }
+}
+
+func newOptions(opts []Option) (options, error) {
+	// 10,000 entries replay in well under a second, so a restart stays short
+	// while the cost of encoding the state is spread over many commands.
+	o := options{timings: DefaultTimings, snapEntries: 10_000, snapBytes: 16 << 20, retain: 1000}
+	for _, f := range opts {
+		f(&o)
+	}
+	switch {
+	case o.name == "":
+		return o, eris.New("no member name; set it with WithName")
+	case o.store == nil || o.transport == nil || o.machine == nil:
+		return o, eris.New("a node needs WithStore, WithTransport and WithMachine")
+	case o.store.Name() != o.name:
+		return o, eris.Errorf("the data folder belongs to member %s, not %s; set the right folder or name", o.store.Name(), o.name)
+	case o.timings.Heartbeat <= 0 || o.timings.Election < 3*o.timings.Heartbeat:
+		return o, eris.New("the election timeout must be at least three heartbeats")
+	}
+	if o.seed == 0 {
+		o.seed = uint64(time.Now().UnixNano())
+		for _, b := range []byte(o.store.Disk()) {
+			o.seed = o.seed*31 + uint64(b)
+		}
+	}
+	return o, nil
+}
