node, client: serve leases, commands and queries of the state cluster

Cause: gates need the configuration under a lease, and a way to the leader.

Ruled out: a lease on a view older than what is in force (a returning gate would serve a withdrawn version for a moment), a holder that renews without acknowledging (it would hold up changes for ever), judging each step of a roll-out by the whole sum (it would pass all steps within seconds).

Change: state/node serves CONTROL, COMMAND, QUERY and hands RAFT streams on; it polls the list of members, retires silent incarnations and judges roll-outs. core/client proposes, queries and holds the lease.

Before: no server.

Conclusion: all time-related tests run in synctest bubbles over pipes with a latency; the consensus in them is a stand-in of one member.

--- /dev/null
+++ b/state/node/lease_test.go
@@ -0,0 +1,270 @@
+package node
+
+import (
+	"context"
+	"slices"
+	"testing"
+	"time"
+
+	"citronledge.example/core/client"
+	"citronledge.example/core/ident"
+	"citronledge.example/core/wire"
+)
+
+var old = ident.Target{Model: "small", Version: "v1"}
+
+// serves tells whether a gate would still start work on the version.
+func serves(c *client.Client) bool {
+	_, gone := c.View().Withdrawn[old]
+	return c.Valid(time.Now()) && !gone
+}
+
+// TestWithdrawalInForce guards rules 2 and 10: when a withdrawal is declared
+// in force, which takes less than 3 s, no gate serves the version, whatever
+// part of its connection fails.
+func TestWithdrawalInForce(t *testing.T) {
+	tests := map[string]struct {
+		up, down bool
+		limit    time.Duration
+		expired  []string
+	}{
+		"connected":       {true, true, 100 * time.Millisecond, nil},
+		"cut off":         {false, false, 3 * time.Second, []string{"gate"}},
+		"renewals arrive": {true, false, 3 * time.Second, []string{"gate"}},
+		"grants arrive":   {false, true, 3 * time.Second, []string{"gate"}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			bubble(t, func(r *rig) {
+				c, p, _ := r.hold()
+				time.Sleep(1234 * time.Millisecond)
+				p.set(tt.up, tt.down)
+				start := time.Now()
+				revision := r.commit(change(1, "withdrawn/small/v1", "{}"))
+				w := r.force(revision)
+				if serves(c) {
+					t.Error("the version is withdrawn in force and still served")
+				}
+				if took := time.Since(start); took >= tt.limit {
+					t.Errorf("got in force after %s, want under %s", took, tt.limit)
+				}
+				if !slices.Equal(w.GetExpired(), tt.expired) {
+					t.Errorf("got expired %v, want %v", w.GetExpired(), tt.expired)
+				}
+			})
+		})
+	}
+}
+
+// TestLeaseEndsBeforeServerExpiry guards the margin for clocks: a gate whose
+// clock runs up to 1 % slower or faster than the leader's stops before the
+// leader counts its lease as expired.
+func TestLeaseEndsBeforeServerExpiry(t *testing.T) {
+	bubble(t, func(r *rig) {
+		c, p, _ := r.hold()
+		time.Sleep(5 * time.Second)
+		p.set(false, false)
+		for len(r.node.Status().GetHolders()) > 0 {
+			time.Sleep(time.Millisecond)
+		}
+		expired := time.Now()
+		sent := c.Lease().Add(-ident.LeaseTime)
+		for _, slow := range []float64{1 - ident.ClockError, 1, 1 + ident.ClockError} {
+			stop := sent.Add(time.Duration(float64(ident.LeaseTime) * slow))
+			if !stop.Before(expired) {
+				t.Errorf("clock slower by factor %v: the gate stops at %s, %s after the leader counts it as expired", slow, stop, stop.Sub(expired))
+			}
+		}
+		// The lease counts from the renewal: the answer came two latencies later.
+		if limit := expired.Add(-ident.LeaseGuard - latency); sent.After(limit.Add(10 * time.Millisecond)) {
+			t.Errorf("lease counted from %s, want from the sending of the renewal, before %s", sent, limit)
+		}
+	})
+}
+
+// TestReturnAfterCut guards against a gate that returns after a change came
+// into force without it and serves by its old view for a moment.
+func TestReturnAfterCut(t *testing.T) {
+	bubble(t, func(r *rig) {
+		c, p, _ := r.hold()
+		p.set(false, false)
+		r.force(r.commit(change(1, "withdrawn/small/v1", "{}")))
+		p.set(true, true)
+		for range 3000 {
+			time.Sleep(time.Millisecond)
+			if serves(c) {
+				t.Fatal("a returning gate has a lease on a view without the withdrawal")
+			}
+		}
+		if !c.Valid(time.Now()) {
+			t.Error("the gate got no lease after its return")
+		}
+	})
+}
+
+// TestStaleRenewalIsNotGranted guards the same at the leader, whatever the
+// client does: a renewal at a revision below the one in force gets no time.
+func TestStaleRenewalIsNotGranted(t *testing.T) {
+	bubble(t, func(r *rig) {
+		r.commit(&wire.Command{Kind: &wire.Command_Enroll{Enroll: &wire.Enroll{Name: "gate"}}})
+		r.force(r.commit(change(1, "limits", "{}")))
+		e, err := r.node.leading(r.ctx)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for revision, want := range map[uint64]uint32{0: 0, 1: 2000} {
+			if got := r.node.renew(e, &wire.Renew{Incarnation: 1, Revision: revision}).GetTtl(); got != want {
+				t.Errorf("renewal at revision %d: got %d ms, want %d", revision, got, want)
+			}
+		}
+		// The next leader cannot know what its predecessor declared.
+		r.cons.elect(time.Now())
+		if e, err = r.node.leading(r.ctx); err != nil {
+			t.Fatal(err)
+		}
+		if got := r.node.renew(e, &wire.Renew{Incarnation: 1}).GetTtl(); got != 0 {
+			t.Errorf("stale renewal with a new leader: got %d ms, want 0", got)
+		}
+	})
+}
+
+// TestNoAcknowledgement guards against a gate that holds up a change for
+// ever: it renews its lease and does not apply the delta.
+func TestNoAcknowledgement(t *testing.T) {
+	bubble(t, func(r *rig) {
+		r.commit(&wire.Command{Kind: &wire.Command_Enroll{Enroll: &wire.Enroll{Name: "gate"}}})
+		ctx, cancel := context.WithCancel(r.ctx)
+		defer cancel()
+		e, err := r.node.leading(ctx)
+		if err != nil {
+			t.Fatal(err)
+		}
+		r.wg.Go(func() {
+			for ctx.Err() == nil {
+				r.node.renew(e, &wire.Renew{Name: "gate", Incarnation: 1})
+				time.Sleep(ident.RenewEvery)
+			}
+		})
+		time.Sleep(2 * time.Second)
+		start := time.Now()
+		r.force(r.commit(change(1, "limits", "{}")))
+		if took := time.Since(start); took >= 3*time.Second {
+			t.Errorf("got in force after %s, want under 3 s", took)
+		}
+	})
+}
+
+// TestNewLeaderWaits guards against a new leader that declares a change in
+// force while a gate it has never heard of still holds a lease from the
+// predecessor.
+func TestNewLeaderWaits(t *testing.T) {
+	bubble(t, func(r *rig) {
+		c, p, _ := r.hold()
+		time.Sleep(2 * time.Second)
+		p.set(false, false)
+		elected := time.Now()
+		r.cons.elect(elected)
+		w := r.force(r.commit(change(1, "withdrawn/small/v1", "{}")))
+		if serves(c) {
+			t.Error("the version is withdrawn in force and still served")
+		}
+		if got := time.Since(elected); got < ident.LeaseGuard || got >= 2500*time.Millisecond {
+			t.Errorf("got in force %s after the election, want %s", got, ident.LeaseGuard)
+		}
+		if !slices.Equal(w.GetExpired(), []string{"gate"}) {
+			t.Errorf("got expired %v, want the gate named", w.GetExpired())
+		}
+	})
+}
+
+// TestDeposedLeader guards against grants and decisions by a process whose
+// leader lease ended.
+func TestDeposedLeader(t *testing.T) {
+	bubble(t, func(r *rig) {
+		c, _, _ := r.hold()
+		r.cons.elect(time.Time{})
+		time.Sleep(ident.LeaseGuard)
+		if c.Valid(time.Now()) {
+			t.Error("the gate has a lease from a deposed leader")
+		}
+		if _, err := r.node.wait(r.ctx, &wire.WaitQuery{Timeout: 100}); err == nil {
+			t.Error("a deposed leader declared a revision in force")
+		}
+		r.cons.elect(time.Now())
+		time.Sleep(2 * time.Second)
+		if !c.Valid(time.Now()) {
+			t.Error("the gate got no lease from the next leader")
+		}
+	})
+}
+
+// TestLeaving guards against changes that wait for a gate that has stopped.
+func TestLeaving(t *testing.T) {
+	bubble(t, func(r *rig) {
+		c, _, stop := r.hold(client.WithLast(func(ident.Incarnation) ident.Sequence { return 7 }))
+		stop()
+		time.Sleep(200 * time.Millisecond)
+		if c.Valid(time.Now()) || len(r.node.Status().GetHolders()) > 0 {
+			t.Error("the lease outlives its holder")
+		}
+		if got := r.node.ledger.Open(); len(got) != 1 || got[0].GetLast() != 7 {
+			t.Errorf("got open %v, want the numbers up to 7", got)
+		}
+	})
+}
+
+// TestRetired guards against a gate that goes on under an incarnation whose
+// operations others may have taken over.
+func TestRetired(t *testing.T) {
+	bubble(t, func(r *rig) {
+		c, p, _ := r.hold()
+		first := c.Incarnation()
+		p.set(false, false)
+		time.Sleep(retireAfter + 4*time.Second)
+		p.set(true, true)
+		time.Sleep(2 * time.Second)
+		if got := c.Incarnation(); got == first || got == 0 || !c.Valid(time.Now()) {
+			t.Errorf("got incarnation %d after %d, valid %v; want a new one with a lease", got, first, c.Valid(time.Now()))
+		}
+	})
+}
+
+// TestResend guards rules 4 and 7 against lost answers: resent commands give
+// the first answer, and an enrolment is not resent.
+func TestResend(t *testing.T) {
+	bubble(t, func(r *rig) {
+		c, _ := r.client()
+		ctx, cancel := context.WithTimeout(r.ctx, 10*time.Second)
+		defer cancel()
+		defer func() { _ = c.Close() }()
+		enroll := &wire.Command{Kind: &wire.Command_Enroll{Enroll: &wire.Enroll{Name: "gate"}}}
+		if _, err := c.Propose(ctx, enroll); err != nil {
+			t.Fatal(err)
+		}
+		r.cons.loseNext(1)
+		if _, err := c.Propose(ctx, enroll); err == nil {
+			t.Error("got no error for an enrolment whose answer was lost")
+		}
+		steps := []*wire.Command{
+			change(1, "limits", "{}"),
+			{Kind: &wire.Command_Begin{Begin: &wire.Begin{Customer: "a", Route: "r", Key: "k", Incarnation: 1, Request: "q"}}},
+			{Kind: &wire.Command_Hand{Hand: &wire.Hand{Operation: "a/r/k", Fence: 1, Backend: "b", Nonce: 5}}},
+			{Kind: &wire.Command_Finish{Finish: &wire.Finish{Operation: "a/r/k", Fence: 1, Status: 200}}},
+			{Kind: &wire.Command_Bills{Bills: &wire.Bills{Bills: []*wire.Bill{{Incarnation: 1, Sequence: 1, Customer: "a"}}}}},
+			{Kind: &wire.Command_Pin{Pin: &wire.Pin{Customer: "a", Session: "s", Model: "m", Version: "v"}}},
+		}
+		for _, s := range steps {
+			r.cons.loseNext(2)
+			res, err := c.Propose(ctx, s)
+			if err != nil || res.GetFault() != nil {
+				t.Errorf("%s: got %v, %v", kindOf(s), res, err)
+			}
+			if hand := s.GetHand(); hand != nil && !res.GetOperation().GetGranted() {
+				t.Error("the resent hand-over is not granted")
+			}
+		}
+		if got := r.node.ledger.Totals()[0].GetRequests(); got != 1 {
+			t.Errorf("got %d bills, want 1", got)
+		}
+	})
+}
--- /dev/null
+++ b/state/node/work_test.go
@@ -0,0 +1,212 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"citronledge.example/core/client"
+	"citronledge.example/core/conf"
+	"citronledge.example/core/fault"
+	"citronledge.example/core/ident"
+	"citronledge.example/core/link"
+	"citronledge.example/core/policy"
+	"citronledge.example/core/wire"
+)
+
+// TestEqualNumbers guards against two operators who both believe that their
+// change with the same number was accepted.
+func TestEqualNumbers(t *testing.T) {
+	bubble(t, func(r *rig) {
+		var won, lost atomic.Int32
+		var wg sync.WaitGroup
+		for _, value := range []string{`{"body":1}`, `{"body":2}`, `{"body":3}`} {
+			c, _ := r.client()
+			wg.Go(func() {
+				defer func() { _ = c.Close() }()
+				_, err := c.Propose(r.ctx, change(1, "limits", value))
+				switch f := fault.From(err); {
+				case err == nil:
+					won.Add(1)
+				case f.Kind == fault.Conflict && strings.Contains(f.Message, "made by op"):
+					lost.Add(1)
+				}
+			})
+		}
+		wg.Wait()
+		if won.Load() != 1 || lost.Load() != 2 {
+			t.Errorf("got %d accepted and %d refused changes, want 1 and 2", won.Load(), lost.Load())
+		}
+	})
+}
+
+// TestBatch guards the answers of joined commands: each sender gets its own.
+func TestBatch(t *testing.T) {
+	bubble(t, func(r *rig) {
+		r.commit(&wire.Command{Kind: &wire.Command_Enroll{Enroll: &wire.Enroll{Name: "gate"}}})
+		r.cons.slow = time.Millisecond // the others arrive while the first commits
+		var wg sync.WaitGroup
+		for i := range 50 {
+			wg.Go(func() {
+				session := string(rune('a' + i%5))
+				res, err := r.node.command(r.ctx, link.Peer{Role: link.Process}, &wire.Command{Kind: &wire.Command_Pin{
+					Pin: &wire.Pin{Customer: "c", Session: session, Model: "m", Version: "v" + session},
+				}})
+				if got := res.GetPinned().GetVersion(); err != nil || got != "v"+session {
+					t.Errorf("session %s: got version %q, %v", session, got, err)
+				}
+			})
+		}
+		wg.Wait()
+		if got := len(r.cons.log); got > 3 {
+			t.Errorf("got %d log records for 50 pins, want the enrolment and two batches", got)
+		}
+	})
+}
+
+// TestRoles guards the commands that an operator's key must not allow.
+func TestRoles(t *testing.T) {
+	bubble(t, func(r *rig) {
+		peer := link.Peer{Role: operatorKeys.Signer().Role}
+		for name, c := range map[string]*wire.Command{
+			"bills":   {Kind: &wire.Command_Bills{Bills: &wire.Bills{}}},
+			"members": {Kind: &wire.Command_Members{Members: &wire.Members{}}},
+			"begin":   {Kind: &wire.Command_Begin{Begin: &wire.Begin{}}},
+		} {
+			if _, err := r.node.command(r.ctx, peer, c); fault.From(err) == nil || fault.From(err).Kind != fault.Forbidden {
+				t.Errorf("%s: got %v, want it forbidden", name, err)
+			}
+		}
+		if _, err := r.node.command(r.ctx, peer, change(1, "limits", "{}")); err != nil {
+			t.Errorf("change: got %v, want it accepted", err)
+		}
+	})
+}
+
+// TestMembers guards against a faulty list that takes backend servers out of
+// use: a failed or empty list changes nothing, and a missing member is gone
+// only after 10 s.
+func TestMembers(t *testing.T) {
+	body := atomic.Pointer[string]{}
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if *body.Load() == "" {
+			w.WriteHeader(http.StatusInternalServerError)
+		}
+		_, _ = w.Write([]byte(*body.Load()))
+	}))
+	defer srv.Close()
+	a, b := `{"name":"a","addr":"h:1","zone":"z","state":"live"}`, `{"name":"b","addr":"h:2","zone":"z","state":"live"}`
+	leaving := strings.Replace(a, "live", "leaving", 1)
+	m := NewMachine()
+	n, err := New(WithConsensus(&alone{m: m}), WithMachine(m), WithLink(link.Config{Name: "s1", Keys: processKeys}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	e := newEpoch(time.Now(), 0)
+	now := time.Now()
+	steps := []struct {
+		body  string
+		pause time.Duration
+		want  string
+	}{
+		{"[" + a + "," + b + "]", 0, "+members/a +members/b"},
+		{"[" + leaving + "]", time.Second, "+members/a"},
+		{"[]", 20 * time.Second, "error"},
+		{"", 0, "error"},
+		{"null", 0, "error"},
+		{"[" + leaving + "," + b + "]", 0, ""},
+		{"[" + leaving + "]", time.Second, ""},
+		{"[" + leaving + "]", goneAfter - time.Millisecond, ""},
+		{"[" + strings.Replace(a, "live", "odd", 1) + "]", time.Millisecond, "-members/b"},
+	}
+	for i, s := range steps {
+		body.Store(&s.body)
+		now = now.Add(s.pause)
+		var got []string
+		list, err := fetch(context.Background(), srv.URL)
+		if err != nil {
+			got = []string{"error"}
+		} else {
+			entries := n.differences(e, list, now)
+			for _, x := range entries {
+				got = append(got, map[bool]string{true: "-", false: "+"}[x.GetGone()]+x.GetKey())
+			}
+			n.epoch = e
+			apply(t, m, &wire.Command{Kind: &wire.Command_Members{Members: &wire.Members{Entries: entries}}})
+		}
+		if strings.Join(got, " ") != s.want {
+			t.Errorf("step %d: got %q, want %q", i, strings.Join(got, " "), s.want)
+		}
+	}
+}
+
+func apply(t *testing.T, m *Machine, c *wire.Command) {
+	t.Helper()
+	a := &alone{m: m, elected: time.Now()}
+	data, err := proto.Marshal(c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := a.Propose(context.Background(), data); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// TestRollout guards the sums that decide about a roll-out: all gates count,
+// also one that is retired, and a step needs answers of its own.
+func TestRollout(t *testing.T) {
+	judge := func(_, next policy.Stats) (policy.Verdict, policy.Reason) {
+		switch {
+		case next.Failures >= 10:
+			return policy.Halt, "errors"
+		case next.Answers >= 100:
+			return policy.Advance, "enough"
+		}
+		return policy.Continue, "more"
+	}
+	bubble(t, func(r *rig) {
+		var answers, failures atomic.Int64
+		tallies := client.WithTallies(func() []*wire.Tally {
+			return []*wire.Tally{{Model: "small", Version: "v2", Answers: answers.Load(), Failures: failures.Load()}}
+		})
+		_, _, stop := r.hold(tallies)
+		r.hold(tallies)
+		r.commit(change(1, "rollouts/small", `{"from":"v1","to":"v2","steps":[0.1,0.5],"step":0,"phase":"running","auto":true}`))
+		steps := []struct {
+			answers, failures int64
+			step              int
+			phase             conf.Phase
+		}{
+			{49, 0, 0, conf.Running},
+			{50, 0, 1, conf.Running},
+			{99, 0, 1, conf.Running},
+			{99, 4, 1, conf.Running},
+			{99, 6, 1, conf.Halted}, // 4 of the retired one and 6 of the other
+		}
+		for i, s := range steps {
+			if i == 4 {
+				stop()
+			}
+			time.Sleep(time.Second)
+			answers.Store(s.answers)
+			failures.Store(s.failures)
+			time.Sleep(4 * time.Second)
+			got := r.node.rollouts()[ident.Model("small")]
+			if got.Step != s.step || got.Phase != s.phase {
+				t.Errorf("step %d: got step %d %s (%s), want %d %s", i, got.Step, got.Phase, got.Reason, s.step, s.phase)
+			}
+		}
+		entry, _ := json.Marshal(r.node.rollouts()["small"])
+		if !strings.Contains(string(entry), "errors") {
+			t.Errorf("got %s, want the reason of the halt", entry)
+		}
+	}, WithJudge(judge))
+}
