--- /dev/null
+++ b/core/policy/budget.go
@@ -0,0 +1,31 @@
+package policy
+
+// Budget limits the extra work of retries and hedges to a share of the
+// requests, so that it cannot grow when every backend server is slow or fails.
+type Budget struct {
+	share, burst, have float64
+}
+
+// NewBudget returns a budget that gains share for each request and holds at
+// most burst; it starts full, so burst is the extra work allowed above share
+// in total. A share of zero or less, or a burst under one, allows none.
+func NewBudget(share, burst float64) *Budget {
+	share, burst = max(0, share), max(0, burst)
+	b := &Budget{share: share, burst: burst}
+	if share > 0 {
+		b.have = burst
+	}
+	return b
+}
+
+// Earn counts one request; retries and hedges do not earn.
+func (b *Budget) Earn() { b.have = min(b.burst, b.have+b.share) }
+
+// Spend takes one retry or hedge from the budget and tells whether it may run.
+func (b *Budget) Spend() bool {
+	if b.have < 1 {
+		return false
+	}
+	b.have--
+	return true
+}
--- a/core/policy/policy.go
+++ b/core/policy/policy.go
@@ -17,6 +17,63 @@
 // record and to metrics.
 type Reason string
 
+// Reasons of all decisions.
+const (
+	// None: nothing fits.
+	None Reason = "none"
+	// Least: the lower load and latency of two random candidates.
+	Least Reason = "least"
+	// Prefix: the candidate holds the prefix of the request.
+	Prefix Reason = "prefix"
+	// Floor: every candidate is ejected, so ejection is ignored.
+	Floor Reason = "floor"
+
+	// Preferred: no roll-out, the preferred version.
+	Preferred Reason = "preferred"
+	// Rolled: in the share of the roll-out.
+	Rolled Reason = "rollout"
+	// Kept: outside the share of the roll-out.
+	Kept Reason = "previous"
+	// Other: the roll-out's versions are not allowed to the customer.
+	Other Reason = "other"
+
+	// Free: a slot is free.
+	Free Reason = "free"
+	// Queued: waits, and is expected to meet its deadline.
+	Queued Reason = "queued"
+	// Late: would miss its deadline.
+	Late Reason = "late"
+	// Full: the queue is full and the customer uses its share of it.
+	Full Reason = "full"
+	// Duplicate: the ticket's id is already known.
+	Duplicate Reason = "duplicate"
+
+	// Sure: the estimate is at the target even at its lower bound.
+	Sure Reason = "sure"
+	// Likely: the estimate is at the target, its lower bound is not.
+	Likely Reason = "likely"
+	// Cheaper: trying and checking first costs less on average.
+	Cheaper Reason = "cheaper"
+	// Stronger: starting with a stronger model costs less on average.
+	Stronger Reason = "stronger"
+	// Last: no step reaches the target; the strongest is used.
+	Last Reason = "last"
+	// Probe: a small share of requests tries a cheaper step for its ratings.
+	Probe Reason = "probe"
+	// Rated: the rating came in time and decided.
+	Rated Reason = "rated"
+	// Below: the estimate is below the target.
+	Below Reason = "below"
+
+	// Failures, Slowness and Ratings: the measure that halts a roll-out, or
+	// that is not yet certain enough to go on.
+	Failures Reason = "failures"
+	Slowness Reason = "slowness"
+	Ratings  Reason = "ratings"
+	// Safe: no measure is worse by more than its tolerance.
+	Safe Reason = "safe"
+)
+
 // Candidate is one backend server that can serve a target, as one gate sees it.
 type Candidate struct {
 	Backend ident.Backend
--- a/core/policy/trial.go
+++ b/core/policy/trial.go
@@ -1,5 +1,7 @@
 package policy
 
+import "math"
+
 // Stats sums up what was seen of one version during a roll-out.
 type Stats struct {
 	// Answers counts finished attempts, Failures the failed ones and Slow the
@@ -23,6 +25,18 @@
 	}
 }
 
+// Sub returns what was seen since an earlier sum.
+func (s Stats) Sub(o Stats) Stats {
+	return Stats{
+		Answers:  s.Answers - o.Answers,
+		Failures: s.Failures - o.Failures,
+		Slow:     s.Slow - o.Slow,
+		Rated:    s.Rated - o.Rated,
+		Quality:  s.Quality - o.Quality,
+		Squares:  s.Squares - o.Squares,
+	}
+}
+
 // Verdict is the outcome of a look at a roll-out.
 type Verdict uint8
 
@@ -35,3 +49,180 @@
 	// Halt stops the roll-out.
 	Halt
 )
+
+const (
+	// haltError bounds the probability that a roll-out of a version that is
+	// no worse is ever halted, however often Judge looks.
+	haltError = 0.01
+	// tests is the number of measures; each gets an equal part of haltError.
+	tests = 3
+	// baseError is the part of a test's error that goes to the uncertainty
+	// about the base version. It is small because the base has most of the
+	// answers, so a wide bound costs little.
+	baseError = 0.1
+	// advanceError bounds the error that a step is called safe.
+	advanceError = 0.05
+)
+
+// measure is a mean of values from 0 to 1, of which more is worse.
+type measure struct {
+	reason Reason
+	// ignore is the difference that does not halt: versions are never quite
+	// equal, and the two do not see exactly the same conditions.
+	ignore float64
+	// accept is the largest difference at which the next step is safe.
+	accept     float64
+	base, next sums
+}
+
+// Judge compares a version under trial with its base. It may be called on the
+// growing sums as often as wanted: Halt comes with a probability of at most
+// 1 % over a whole roll-out if the version is no worse than its base. Advance
+// tells that each measure is known to be worse by no more than its tolerance;
+// it holds for the sums given, so for one step pass the differences since the
+// step began, and for Halt the whole sums. Without ratings of both versions it
+// never says Advance, because nothing is known about the quality.
+func Judge(base, next Stats) (Verdict, Reason) {
+	list := measures(base, next)
+	for i := range list {
+		if list[i].harmful() {
+			return Halt, list[i].reason
+		}
+	}
+	for i := range list {
+		if !list[i].harmless() {
+			return Continue, list[i].reason
+		}
+	}
+	return Advance, Safe
+}
+
+func measures(base, next Stats) [tests]measure {
+	return [tests]measure{
+		{Failures, 0.002, 0.02, count(base.Failures, base.Answers), count(next.Failures, next.Answers)},
+		{Slowness, 0.01, 0.05, count(base.Slow, base.Answers), count(next.Slow, next.Answers)},
+		{Ratings, 0.01, 0.05, base.faults(), next.faults()},
+	}
+}
+
+// harmful tests whether the mean of next is above an upper bound of that of
+// base, by a test martingale against each.
+func (m *measure) harmful() bool {
+	const level = haltError / tests
+	if !m.base.valid() || !m.next.valid() {
+		return false
+	}
+	limit := m.base.upper(level*baseError) + m.ignore
+	return limit < 1 && m.next.above(limit) >= math.Log(1/(level*(1-baseError)))
+}
+
+func (m *measure) harmless() bool {
+	if !m.base.valid() || !m.next.valid() {
+		return false
+	}
+	const level = advanceError / 2
+	return m.next.upper(level) <= m.base.lower(level)+m.accept
+}
+
+// sums of n values from 0 to 1.
+type sums struct {
+	n, sum, squares float64
+}
+
+func count(bad, all int64) sums {
+	return sums{float64(all), float64(bad), float64(bad)}
+}
+
+// faults turns ratings into values of which more is worse.
+func (s Stats) faults() sums {
+	n := float64(s.Rated)
+	return sums{n, n - s.Quality, n - 2*s.Quality + s.Squares}
+}
+
+// valid guards against sums that no values from 0 to 1 can have, for example
+// from a damaged tally. The slack allows for rounding.
+func (s sums) valid() bool {
+	const slack = 1e-6
+	room := slack * (1 + s.n)
+	return s.n > 0 && s.sum >= -room && s.sum <= s.n+room && s.squares <= s.sum+room && s.squares >= -room
+}
+
+// above returns the logarithm of a test martingale against "the mean is at
+// most m": its expectation is at most 1 at every time, so it exceeds 1/error
+// ever with a probability of at most error (Ville's inequality). It is the
+// mean of the martingales of a grid of parameters of two families:
+//
+//   - for values that are 0 or 1, the likelihood ratio of a larger mean q to m;
+//     by convexity it holds for all values from 0 to 1;
+//   - exp(a*x - psi(a)*x*x) with x = (value-m)/m and psi(a) = -ln(1-a)-a (Fan,
+//     Grama and Liu 2015), which gains from a small variance.
+func (s sums) above(m float64) float64 {
+	if m <= 0 {
+		if s.sum > 0 {
+			return math.Inf(1)
+		}
+		return 0
+	}
+	if m >= 1 {
+		return 0
+	}
+	var logs [2 * gridSize]float64
+	squares := max(0, s.squares-2*m*s.sum+s.n*m*m) / (m * m)
+	excess := (s.sum - s.n*m) / m
+	for i := range gridSize {
+		q := m + (1-m)*grid[i]
+		logs[2*i] = s.sum*math.Log(q/m) + (s.n-s.sum)*math.Log((1-q)/(1-m))
+		a := grid[i]
+		logs[2*i+1] = a*excess + (math.Log1p(-a)+a)*squares
+	}
+	return logMean(logs[:])
+}
+
+// below is the mirror image: the mean is at least m.
+func (s sums) below(m float64) float64 {
+	return sums{s.n, s.n - s.sum, s.n - 2*s.sum + s.squares}.above(1 - m)
+}
+
+// grid spreads the parameters geometrically, since neither the size of the
+// harm nor the number of values is known beforehand.
+const gridSize = 8
+
+var grid = [gridSize]float64{0.6, 0.4, 0.25, 0.15, 0.08, 0.04, 0.02, 0.01}
+
+// upper is an upper confidence bound of the mean that holds at all times at
+// once: the least m that below refutes.
+func (s sums) upper(level float64) float64 {
+	return s.search(max(0, s.sum/s.n), 1, func(m float64) bool { return s.below(m) >= math.Log(1/level) })
+}
+
+// lower is a lower confidence bound that holds at all times at once.
+func (s sums) lower(level float64) float64 {
+	return s.search(min(1, s.sum/s.n), 0, func(m float64) bool { return s.above(m) >= math.Log(1/level) })
+}
+
+// search halves the interval between the mean and a limit; refuted is false
+// at the mean and stays true once it is true.
+func (s sums) search(mean, limit float64, refuted func(float64) bool) float64 {
+	for range 30 {
+		middle := (mean + limit) / 2
+		if refuted(middle) {
+			limit = middle
+		} else {
+			mean = middle
+		}
+	}
+	return limit
+}
+
+// logMean returns the logarithm of the mean of the exponentials.
+func logMean(logs []float64) float64 {
+	top := math.Inf(-1)
+	for _, l := range logs {
+		top = max(top, l)
+	}
+	sum := 0.0
+	for _, l := range logs {
+		sum += math.Exp(l - top)
+	}
+	return top + math.Log(sum/float64(len(logs)))
+}
