--- a/state/node/epoch.go
+++ b/state/node/epoch.go
@@ -108,6 +108,14 @@
 	return n.epoch, nil
 }
 
+// leads tells whether this node leads in the epoch and no other process can
+// have led since its election. The caller holds n.mu.
+func (n *Node) leads(e *epoch) bool {
+	// The election is looked at after the lease: otherwise the lease could be
+	// that of a later election, before which another leader granted.
+	return n.epoch == e && n.cons.Lease() && n.cons.Elected().Equal(e.elected)
+}
+
 func (n *Node) notLeader() error {
 	leader, _ := n.cons.Leader()
 	if leader.Name == n.link.Name {
@@ -128,7 +136,7 @@
 	defer n.mu.Unlock()
 	// The receiver counts from when it sent the renewal, which was before
 	// this look, so a later loss of the leader's lease does no harm.
-	if n.epoch != e || !n.cons.Lease() {
+	if !n.leads(e) {
 		grant.Fault = faultOf(n.notLeader())
 		return grant
 	}
@@ -233,7 +241,7 @@
 		n.endEpoch()
 		return
 	}
-	if !n.cons.Lease() {
+	if !n.leads(e) {
 		return // what a deposed leader sees decides nothing
 	}
 	now := time.Now()
@@ -287,7 +295,7 @@
 			n.mu.Unlock()
 			return nil, n.notLeader()
 		}
-		done := e.ready && e.force >= q.GetRevision() && n.cons.Lease()
+		done := e.ready && e.force >= q.GetRevision() && n.leads(e)
 		moved := e.moved
 		answer := e.waited(q.GetRevision(), start)
 		n.mu.Unlock()
--- a/state/node/lease_test.go
+++ b/state/node/lease_test.go
@@ -198,6 +198,22 @@
 	})
 }
 
+// TestSecondElection guards against grants by what a process knew before
+// another one led in between, which may have put a change in force.
+func TestSecondElection(t *testing.T) {
+	bubble(t, func(r *rig) {
+		r.commit(&wire.Command{Kind: &wire.Command_Enroll{Enroll: &wire.Enroll{Name: "gate"}}})
+		before, err := r.node.leading(r.ctx)
+		if err != nil {
+			t.Fatal(err)
+		}
+		r.cons.elect(time.Now())
+		if got := r.node.renew(before, &wire.Renew{Incarnation: 1}); got.GetTtl() != 0 {
+			t.Errorf("got a grant of %d ms, want none", got.GetTtl())
+		}
+	})
+}
+
 // TestLeaving guards against changes that wait for a gate that has stopped.
 func TestLeaving(t *testing.T) {
 	bubble(t, func(r *rig) {
--- a/state/node/node.go
+++ b/state/node/node.go
@@ -63,6 +63,11 @@
 // when the stream has ended.
 func WithRaft(f func(context.Context, *link.Stream)) Option { return func(n *Node) { n.raft = f } }
 
+// WithRoster lets the leader repair the membership towards the given peers.
+func WithRoster(r Roster, peers ...raft.Member) Option {
+	return func(n *Node) { n.roster, n.peers = r, peers }
+}
+
 // Node is one state process.
 type Node struct {
 	cons     Consensus
@@ -73,6 +78,8 @@
 	members  string
 	judge    Judge
 	raft     func(context.Context, *link.Stream)
+	roster   Roster
+	peers    []raft.Member
 	metrics  *metrics
 	batch    batcher
 
@@ -80,8 +87,6 @@
 	epoch *epoch // nil unless this node leads and has read the state
 
 	deltas deltas
-
-	sessions sync.Map // open *link.Session
 }
 
 // New returns a node. Run starts it.
@@ -105,20 +110,24 @@
 	g := group.New(ctx)
 	g.Go("leases", n.watchLeases)
 	g.Go("leader's tasks", n.lead)
+	if n.roster != nil {
+		g.Go("repair", n.repair)
+	}
 	g.Go("accept", func(ctx context.Context) error {
 		stop := context.AfterFunc(ctx, func() { _ = ln.Close() })
 		defer stop()
-		return n.accept(ctx, g, ln)
-	})
-	err := g.Wait()
-	n.sessions.Range(func(key, _ any) bool {
-		_ = key.(*link.Session).Close()
-		return true
+		return n.accept(ctx, ln)
 	})
-	return err
+	return g.Wait()
 }
 
-func (n *Node) accept(ctx context.Context, g *group.Group, ln net.Listener) error {
+// accept runs sessions until ctx ends. They are not tasks of the group, which
+// takes no more tasks once somebody waits for it.
+func (n *Node) accept(ctx context.Context, ln net.Listener) error {
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	for {
 		conn, err := ln.Accept()
 		if err != nil {
@@ -127,10 +136,7 @@
 			}
 			return eris.Wrap(err, "cannot accept connections")
 		}
-		g.Go("session", func(ctx context.Context) error {
-			n.Serve(ctx, conn)
-			return nil
-		})
+		wg.Go(func() { n.Serve(ctx, conn) })
 	}
 }
 
@@ -141,8 +147,6 @@
 		klog.V(1).InfoS("Session refused", "from", conn.RemoteAddr(), "err", err)
 		return
 	}
-	n.sessions.Store(s, nil)
-	defer n.sessions.Delete(s)
 	stop := context.AfterFunc(ctx, func() { _ = s.Close() })
 	defer stop()
 	var wg sync.WaitGroup
--- a/state/raft/change.go
+++ b/state/raft/change.go
@@ -296,7 +296,7 @@
 		first = first && n.name < m.Name
 	}
 	own := n.store.Meta().Cluster
-	if blank && first && len(n.initial) > 0 && (own == "" || own == n.store.Disk()) {
+	if blank && first && !n.join && len(n.initial) > 0 && (own == "" || own == n.store.Disk()) {
 		n.form()
 	}
 }
--- a/state/raft/option.go
+++ b/state/raft/option.go
@@ -24,6 +24,7 @@
 type options struct {
 	name, addr  string
 	initial     []Member
+	join        bool
 	store       *store.Store
 	transport   Transport
 	machine     Machine
@@ -49,6 +50,10 @@
 // cluster they have no effect.
 func WithMembers(members ...Member) Option { return func(o *options) { o.initial = members } }
 
+// WithJoin keeps this member from forming a new cluster with the initial
+// members, even if all of them are blank.
+func WithJoin() Option { return func(o *options) { o.join = true } }
+
 // WithStore sets the durable log. The caller closes it after Run returns.
 func WithStore(s *store.Store) Option { return func(o *options) { o.store = s } }
 
