raft: replicate a log over a durable store and sessions

Cause: the state cluster needs its own consensus, without a library. Ruled out: a separate goroutine for fsync.

--- a/state/raft/raft.go
+++ b/state/raft/raft.go
@@ -8,11 +8,6 @@
 // so that an empty disk under a known name never votes or counts for commit.
 package raft
 
-import (
-	"context"
-	"time"
-)
-
 // Machine is the replicated state machine; calls are never concurrent.
 type Machine interface {
 	// Apply executes a committed command. It must depend only on the state
@@ -84,58 +79,3 @@
 	// the member and add it as learner.
 	Seen string
 }
-
-// Node is one member of the cluster.
-type Node struct{}
-
-// New returns a node over the given store, transport and machine. It starts
-// no work; see Run.
-func New(opts ...Option) (*Node, error) { return &Node{}, nil }
-
-// Run recovers the state and takes part in the cluster until ctx ends or the
-// disk fails. It does not hand over leadership: call Transfer before ctx ends
-// in a graceful shutdown. It may be called once.
-func (n *Node) Run(ctx context.Context) error { return nil }
-
-// Propose appends a command to the log and returns its result after it is
-// committed and applied on this node. NotLeader and Full say that the command
-// was not accepted. Lost says that the outcome is unknown.
-func (n *Node) Propose(ctx context.Context, command []byte) (result []byte, err error) {
-	return nil, Stopped{}
-}
-
-// Read returns when the local state is at least as new as every write
-// acknowledged before the call, on any member (read index).
-func (n *Node) Read(ctx context.Context) error { return Stopped{} }
-
-// Lease tells whether this node is leader and was answered by a majority
-// within the last election timeout, counted from the send time. While it
-// returns true, no other member can be leader.
-func (n *Node) Lease() bool { return false }
-
-// Leader returns the leader of the current term, if it is known.
-func (n *Node) Leader() (Member, bool) { return Member{}, false }
-
-// Elected returns when this node became leader; zero if it is not.
-func (n *Node) Elected() time.Time { return time.Time{} }
-
-// Status describes the node. Match and liveness of the members are known on
-// the leader only.
-func (n *Node) Status() Status { return Status{} }
-
-// AddLearner adds a member that receives the log without a vote. When
-// Member.Disk is empty, the member is asked for its identity, so it must be
-// running. It returns after the change is committed.
-func (n *Node) AddLearner(ctx context.Context, m Member) error { return Stopped{} }
-
-// Promote makes a learner that has caught up a voter. It returns after the
-// change is committed.
-func (n *Node) Promote(ctx context.Context, name string) error { return Stopped{} }
-
-// Remove takes a member other than the leader out of the cluster. It returns
-// after the change is committed.
-func (n *Node) Remove(ctx context.Context, name string) error { return Stopped{} }
-
-// Transfer hands leadership to the most advanced live voter and returns when
-// this node is not leader any more. Proposals are refused meanwhile.
-func (n *Node) Transfer(ctx context.Context) error { return Stopped{} }
--- /dev/null
+++ b/state/raft/raft_test.go
@@ -0,0 +1,280 @@
+package raft
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"citronledge.example/state/store"
+)
+
+// Guards the ordinary path: election, commit, reads on every member.
+func TestCommitAndRead(t *testing.T) {
+	for name, size := range map[string]int{"one": 1, "three": 3, "five": 5} {
+		t.Run(name, func(t *testing.T) {
+			simulate(t, 1, size, func(t *testing.T, w *world) {
+				w.fill("a", 20)
+				for _, h := range w.hosts {
+					if err := h.node.Read(t.Context()); err != nil {
+						t.Fatal(err)
+					}
+					if got, want := len(h.commands()), 20; got != want {
+						t.Errorf("%s: got %d commands after Read, want %d", h.name, got, want)
+					}
+				}
+				leader := w.leader()
+				for _, h := range w.others(leader) {
+					var refusal NotLeader
+					if err := w.propose(h, "x", time.Second); !errors.As(err, &refusal) || refusal.Leader.Addr != "addr-"+leader.name {
+						t.Errorf("follower answers %v", err)
+					}
+				}
+				w.converge()
+			})
+		})
+	}
+}
+
+// Guards against a leader that is cut off and goes on committing, holding its
+// lease, or raising terms that disturb the others on its return.
+func TestLeaderCutOff(t *testing.T) {
+	for name, oneWay := range map[string]bool{"both ways": false, "cannot send": true} {
+		t.Run(name, func(t *testing.T) {
+			simulate(t, 2, 3, func(t *testing.T, w *world) {
+				w.fill("a", 5)
+				old := w.leader()
+				w.isolate(old.name, true)
+				if oneWay {
+					for _, h := range w.others(old) {
+						w.cut(h.name, old.name, false)
+					}
+				}
+				var lost Lost
+				if err := w.propose(old, "cut", 20*time.Second); !errors.As(err, &lost) {
+					t.Errorf("got %v, want Lost", err)
+				}
+				if old.node.Lease() || !old.node.Elected().IsZero() {
+					t.Error("the leader that is cut off still leads")
+				}
+				w.fill("b", 5)
+				time.Sleep(time.Minute)
+				before := w.leader()
+				term := before.node.Status().Term
+				w.heal()
+				time.Sleep(5 * time.Second)
+				if got := w.leader().node.Status().Term; got != term {
+					t.Errorf("the return raised the term from %d to %d", term, got)
+				}
+				w.converge()
+			})
+		})
+	}
+}
+
+// Guards against counting the vote or the log of a disk that was replaced by
+// an empty one under the same name.
+func TestEmptyDiskIsNoVoter(t *testing.T) {
+	simulate(t, 3, 3, func(t *testing.T, w *world) {
+		w.fill("a", 5)
+		leader := w.leader()
+		rest := w.others(leader)
+		empty, last := rest[0].name, rest[1].name
+		// The last member misses this command, the one to be emptied has it.
+		w.isolate(last, true)
+		w.fill("b", 5)
+		w.stop(empty)
+		w.stop(leader.name)
+		w.isolate(last, false)
+		w.start(empty, store.NewMemory())
+		time.Sleep(time.Minute)
+		for _, name := range []string{empty, last} {
+			if s := w.hosts[name].node.Status(); s.Role == Leading || s.Applied > 0 && s.Role == Candidate {
+				t.Errorf("%s is %s with the help of an empty disk", name, s.Role)
+			}
+		}
+		w.start(leader.name, leader.disk.Crash(w.rng))
+		w.fill("c", 5)
+		for _, m := range w.leader().node.Status().Members {
+			if m.Name == empty && (m.Match != 0 || m.Live || m.Seen == m.Disk) {
+				t.Errorf("the empty disk counts: %+v", m)
+			}
+		}
+		w.replace(empty)
+		w.fill("d", 5)
+		w.converge()
+	})
+}
+
+// Guards against a repair that leaves the cluster without a majority: the
+// next member is lost right after the first one was replaced.
+func TestSecondLossAfterRepair(t *testing.T) {
+	simulate(t, 4, 3, func(_ *testing.T, w *world) {
+		w.fill("a", 300)
+		first := w.others(w.leader())[0].name
+		w.stop(first)
+		w.fill("b", 10)
+		w.start(first, store.NewMemory())
+		w.replace(first)
+		second := w.leader().name
+		w.stop(second)
+		w.fill("c", 10)
+		w.start(second, store.NewMemory())
+		w.replace(second)
+		w.fill("d", 10)
+		w.converge()
+	}, WithSnapshots(50, 1<<20, 10))
+}
+
+// Guards the restart from a snapshot with a log behind it, with the loss of
+// unsynced bytes on all members at once.
+func TestRestartAll(t *testing.T) {
+	simulate(t, 5, 3, func(t *testing.T, w *world) {
+		w.fill("a", 430)
+		for _, name := range w.names {
+			h := w.hosts[name]
+			if s := h.node.Status(); s.First == 1 {
+				t.Errorf("%s did not compact its log: %+v", name, s)
+			}
+		}
+		disks := map[string]*store.Memory{}
+		for _, name := range w.names {
+			disks[name] = w.crash(name)
+		}
+		for name, disk := range disks {
+			w.start(name, disk)
+		}
+		w.fill("b", 10)
+		w.converge()
+	}, WithSnapshots(100, 1<<20, 20))
+}
+
+// Guards the transfer of snapshots in chunks over a network that loses,
+// repeats and reorders packets.
+func TestSnapshotOverBadNetwork(t *testing.T) {
+	simulate(t, 6, 3, func(_ *testing.T, w *world) {
+		late := w.others(w.leader())[0].name
+		w.stop(late)
+		big := string(make([]byte, 100<<10))
+		for i := range 12 {
+			w.fill(fmt.Sprintf("%d-%s", i, big), 1)
+		}
+		w.mu.Lock()
+		w.drop, w.twice, w.delay = 0.1, 0.1, 20*time.Millisecond
+		w.mu.Unlock()
+		w.start(late, w.hosts[late].disk.Crash(w.rng))
+		w.wait("snapshot", func() bool { return w.hosts[late].node.Status().Applied >= 12 })
+		w.heal()
+		w.converge()
+	}, WithSnapshots(4, 1<<20, 0))
+}
+
+// Guards a full disk: refusals are true, accepted commands stay, and the
+// member works again after space was freed.
+func TestDiskFull(t *testing.T) {
+	simulate(t, 7, 3, func(t *testing.T, w *world) {
+		w.fill("a", 5)
+		leader := w.leader()
+		leader.disk.SetSpace(20) // room for a part of a record
+		var full Full
+		if err := w.propose(leader, "no room", time.Second); !errors.As(err, &full) || full.Member != leader.name {
+			t.Fatalf("got %v, want Full of %s", err, leader.name)
+		}
+		leader.disk.SetSpace(-1)
+		w.fill("b", 5)
+		for _, h := range w.others(leader) {
+			h.disk.SetSpace(20)
+		}
+		var lost Lost
+		if err := w.propose(leader, "unknown", time.Second); !errors.As(err, &lost) {
+			t.Errorf("got %v, want Lost", err)
+		}
+		if err := w.propose(leader, "refused", time.Second); !errors.As(err, &full) || full.Member != "" {
+			t.Errorf("got %v, want Full of a majority", err)
+		}
+		for _, h := range w.others(leader) {
+			h.disk.SetSpace(-1)
+		}
+		w.wait("commit after space is free", func() bool { return w.propose(leader, "c", time.Second) == nil })
+		w.converge()
+		for _, command := range leader.commands() {
+			if command == "no room" || command == "refused" {
+				t.Errorf("refused command %q was applied", command)
+			}
+		}
+	})
+}
+
+// Guards a planned stop: the transfer is faster than an election timeout and
+// the old leader gives up its lease before.
+func TestTransfer(t *testing.T) {
+	simulate(t, 8, 3, func(t *testing.T, w *world) {
+		w.fill("a", 5)
+		old := w.leader()
+		before := time.Now()
+		if err := old.node.Transfer(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		next := w.leader()
+		if next == old || time.Since(before) > 100*time.Millisecond {
+			t.Errorf("leader %s after %v", next.name, time.Since(before))
+		}
+		w.fill("b", 5)
+		w.converge()
+	})
+}
+
+// Guards against a leader that was frozen and answers from its old state.
+func TestFrozenLeader(t *testing.T) {
+	simulate(t, 9, 3, func(t *testing.T, w *world) {
+		w.fill("a", 5)
+		old := w.leader()
+		thaw := make(chan struct{})
+		old.node.calls <- func() { <-thaw }
+		read := make(chan error)
+		go func() { read <- old.node.Read(context.Background()) }()
+		w.wait("lease of the frozen leader to end", func() bool { return !old.node.Lease() })
+		w.fill("b", 5)
+		close(thaw)
+		if err := <-read; err != nil {
+			t.Fatal(err)
+		}
+		if got, want := len(old.commands()), 10; got < want {
+			t.Errorf("Read after the thaw saw %d commands, want %d", got, want)
+		}
+		w.converge()
+	})
+}
+
+// Guards against a commit by counting an entry of an earlier term, which a
+// later leader may still replace.
+func TestNoCommitOfEarlierTerm(t *testing.T) {
+	disk := store.NewMemory()
+	st, err := store.Open(disk, "m1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	roster := []Member{{Name: "m1", Voter: true, Disk: st.Disk()}, {Name: "m2", Voter: true, Disk: "d2"}, {Name: "m3", Voter: true, Disk: "d3"}}
+	h := &host{name: "m1", inbox: make(chan *Packet)}
+	n, err := New(WithName("m1"), WithStore(st), WithMachine(h), WithTransport(h))
+	if err != nil {
+		t.Fatal(err)
+	}
+	n.role, n.term = Leading, 4
+	n.rosters = []stage{{roster: roster}}
+	if err := st.Append([]store.Entry{{Index: 1, Term: 2}, {Index: 2, Term: 4}}); err != nil {
+		t.Fatal(err)
+	}
+	n.synced = 2
+	n.replicas = map[string]*replica{"m2": {match: 1, told: 9, probing: true, asked: true}, "m3": {match: 0, told: 9, probing: true, asked: true}}
+	n.advance()
+	if got := n.commit; got != 0 {
+		t.Errorf("got commit %d of an earlier term, want 0", got)
+	}
+	n.replicas["m2"].match = 2
+	n.advance()
+	if got := n.commit; got != 2 {
+		t.Errorf("got commit %d, want 2", got)
+	}
+}
--- /dev/null
+++ b/state/store/snapshot.go
@@ -0,0 +1,203 @@
+package store
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"hash/crc32"
+	"io/fs"
+	"strings"
+)
+
+// Snapshot is the state after the entry at Index.
+type Snapshot struct {
+	Index, Term uint64
+	// Roster is the membership at Index, encoded by the caller.
+	Roster []byte
+	Data   []byte
+}
+
+// A snapshot file is magic, index, term, length of the roster (8 bytes each,
+// little endian), roster, data, CRC32C of all before (4 bytes).
+const (
+	snapMagic    = 0x50414e5345444c43
+	snapHead     = 32
+	snapSuffix   = ".snap"
+	incomingName = "incoming" + tempSuffix
+)
+
+func snapName(index, term uint64) string {
+	return fmt.Sprintf("%016x-%016x%s", index, term, snapSuffix)
+}
+
+func parseSnapName(name string) (index, term uint64, ok bool) {
+	if !strings.HasSuffix(name, snapSuffix) {
+		return 0, 0, false
+	}
+	n, err := fmt.Sscanf(name, "%016x-%016x", &index, &term)
+	return index, term, err == nil && n == 2 && name == snapName(index, term)
+}
+
+// WriteSnapshot makes a snapshot file durable. It may run beside all other
+// calls; Compact then puts it to use.
+func (s *Store) WriteSnapshot(snap Snapshot) error {
+	if err := s.Err(); err != nil {
+		return err
+	}
+	le := binary.LittleEndian
+	head := le.AppendUint64(nil, snapMagic)
+	head = le.AppendUint64(head, snap.Index)
+	head = le.AppendUint64(head, snap.Term)
+	head = le.AppendUint64(head, uint64(len(snap.Roster)))
+	head = append(head, snap.Roster...)
+	sum := crc32.Update(crc32.Checksum(head, castagnoli), castagnoli, snap.Data)
+	return s.writeFile(snapName(snap.Index, snap.Term), head, snap.Data, le.AppendUint32(nil, sum))
+}
+
+// LastSnapshot returns the index and term of the snapshot in use, zero if
+// there is none, and the size of its file in bytes.
+func (s *Store) LastSnapshot() (index, term uint64, size int64) {
+	return s.snapIndex, s.snapTerm, s.snapSize
+}
+
+// ReadSnapshot returns the snapshot in use, or false if there is none.
+func (s *Store) ReadSnapshot() (Snapshot, bool, error) {
+	if s.snapIndex == 0 {
+		return Snapshot{}, false, nil
+	}
+	snap, err := s.loadSnapshot(snapName(s.snapIndex, s.snapTerm))
+	return snap, err == nil, err
+}
+
+func (s *Store) loadSnapshot(name string) (Snapshot, error) {
+	data, err := s.readFile(name)
+	if err != nil {
+		return Snapshot{}, err
+	}
+	le := binary.LittleEndian
+	body := len(data) - 4
+	if body < snapHead || le.Uint64(data) != snapMagic || crc32.Checksum(data[:body], castagnoli) != le.Uint32(data[body:]) {
+		return Snapshot{}, &Damaged{File: name, Detail: "checksum does not match"}
+	}
+	n := le.Uint64(data[24:])
+	if n > uint64(body-snapHead) {
+		return Snapshot{}, &Damaged{File: name, Detail: "length does not match"}
+	}
+	end := snapHead + int(n)
+	return Snapshot{Index: le.Uint64(data[8:]), Term: le.Uint64(data[16:]), Roster: data[snapHead:end], Data: data[end:body]}, nil
+}
+
+// OpenSnapshot opens the file of the snapshot in use, to send it in chunks.
+// The file stays readable after a later snapshot replaces it.
+func (s *Store) OpenSnapshot() (f File, index, term uint64, size int64, err error) {
+	if s.snapIndex == 0 {
+		return nil, 0, 0, 0, fs.ErrNotExist
+	}
+	f, err = s.dir.Open(snapName(s.snapIndex, s.snapTerm), false)
+	return f, s.snapIndex, s.snapTerm, s.snapSize, err
+}
+
+// Compact puts a snapshot that WriteSnapshot made durable to use, removes
+// older ones, and drops the log up to retain entries before its index.
+func (s *Store) Compact(index, term uint64, retain uint64) error {
+	if index <= s.snapIndex {
+		// A snapshot received meanwhile is newer.
+		return s.dropSnapshots()
+	}
+	s.snapIndex, s.snapTerm = index, term
+	s.snapSize = s.sizeOf(snapName(index, term))
+	if index > retain && index-retain > s.base {
+		s.forget(index - retain)
+	}
+	if err := s.dropSnapshots(); err != nil {
+		return err
+	}
+	return s.dropSegments()
+}
+
+// forget makes to the last entry that is no longer served from memory.
+func (s *Store) forget(to uint64) {
+	i := to - s.base
+	s.baseTerm = s.entries[i-1].Term
+	s.entries = append([]Entry(nil), s.entries[i:]...)
+	s.base = to
+}
+
+func (s *Store) dropSnapshots() error {
+	names, err := s.dir.List()
+	if err != nil {
+		return err
+	}
+	for _, name := range names {
+		if index, _, ok := parseSnapName(name); ok && index < s.snapIndex {
+			if err := s.dir.Remove(name); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// Incoming is a snapshot file that is received in chunks.
+type Incoming struct {
+	s           *Store
+	f           File
+	Index, Term uint64
+	// Next is the offset of the next chunk; Size is that of the whole file.
+	Next, Size int64
+}
+
+// Receive starts to receive a snapshot file. An unfinished one is discarded.
+func (s *Store) Receive(index, term uint64, size int64) (*Incoming, error) {
+	f, err := s.dir.Open(incomingName, true)
+	if err != nil {
+		return nil, &Full{Cause: err}
+	}
+	if err := f.Truncate(0); err != nil {
+		_ = f.Close()
+		return nil, &Full{Cause: err}
+	}
+	return &Incoming{s: s, f: f, Index: index, Term: term, Size: size}, nil
+}
+
+// Write adds the next chunk. After an error, the file is discarded.
+func (in *Incoming) Write(chunk []byte) error {
+	if _, err := in.f.WriteAt(chunk, in.Next); err != nil {
+		in.Discard()
+		return &Full{Cause: err}
+	}
+	in.Next += int64(len(chunk))
+	return nil
+}
+
+// Discard gives up the file.
+func (in *Incoming) Discard() {
+	_ = in.f.Close()
+	_ = in.s.dir.Remove(incomingName)
+}
+
+// Install verifies the complete file, makes it the snapshot in use and
+// returns its content. The log is kept if it contains the snapshot's last
+// entry and emptied otherwise.
+func (in *Incoming) Install() (Snapshot, error) {
+	s := in.s
+	snap, err := s.loadSnapshot(incomingName)
+	if err == nil && (snap.Index != in.Index || snap.Term != in.Term || snap.Index <= s.snapIndex) {
+		err = errors.New("the received snapshot is not the announced one")
+	}
+	if err != nil {
+		in.Discard()
+		return Snapshot{}, err
+	}
+	if err := s.finish(in.f, incomingName, snapName(snap.Index, snap.Term)); err != nil {
+		return Snapshot{}, err
+	}
+	s.snapIndex, s.snapTerm, s.snapSize = snap.Index, snap.Term, in.Size
+	if t, ok := s.Term(snap.Index); !ok || t != snap.Term {
+		if err := s.reset(); err != nil {
+			// Only a restart can join the new snapshot with the old log.
+			return Snapshot{}, s.fail(err)
+		}
+	}
+	return snap, s.dropSnapshots()
+}
--- /dev/null
+++ b/state/store/store_test.go
@@ -0,0 +1,306 @@
+package store
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"reflect"
+	"strings"
+	"syscall"
+	"testing"
+)
+
+func mustOpen(t *testing.T, dir Folder) *Store {
+	t.Helper()
+	s, err := Open(dir, "m1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+// grow appends and syncs entries one by one.
+func grow(t *testing.T, s *Store, term uint64, count int) {
+	t.Helper()
+	for range count {
+		i := s.Last() + 1
+		if err := s.Append([]Entry{{Index: i, Term: term, Data: fmt.Appendf(nil, "data-%d", i)}}); err != nil {
+			t.Fatal(err)
+		}
+		if err := s.Sync(); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+func content(s *Store) []Entry {
+	return append([]Entry(nil), s.Entries(s.First(), s.Last(), 1<<30)...)
+}
+
+// Guards recovery on real files: log, vote, snapshot and identity return, and
+// a second process or another member is kept out.
+func TestReopen(t *testing.T) {
+	dir, err := Dir(t.TempDir())
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := mustOpen(t, dir)
+	if err := s.SaveMeta(Meta{Term: 3, Vote: "m2", Cluster: "c"}); err != nil {
+		t.Fatal(err)
+	}
+	grow(t, s, 2, 10)
+	// Replaces the entries from 8 on.
+	if err := s.Append([]Entry{{Index: 8, Term: 3, Data: []byte("new")}}); err != nil {
+		t.Fatal(err)
+	}
+	if err := s.WriteSnapshot(Snapshot{Index: 5, Term: 2, Roster: []byte("r"), Data: []byte("state")}); err != nil {
+		t.Fatal(err)
+	}
+	if err := s.Compact(5, 2, 2); err != nil {
+		t.Fatal(err)
+	}
+	var locked *Locked
+	if _, err := Open(dir, "m1"); !errors.As(err, &locked) {
+		t.Errorf("second open: got %v, want Locked", err)
+	}
+	want, disk := content(s), s.Disk()
+	if err := s.Close(); err != nil {
+		t.Fatal(err)
+	}
+	var misplaced *Misplaced
+	if _, err := Open(dir, "m2"); !errors.As(err, &misplaced) {
+		t.Errorf("other member: got %v, want Misplaced", err)
+	}
+	s = mustOpen(t, dir)
+	defer func() { _ = s.Close() }()
+	got := content(s)
+	if got := got[len(got)-len(want):]; !reflect.DeepEqual(got, want) {
+		t.Errorf("got log %v, want %v", got, want)
+	}
+	snap, ok, err := s.ReadSnapshot()
+	if !ok || err != nil || string(snap.Data) != "state" || string(snap.Roster) != "r" {
+		t.Errorf("got snapshot %+v %v %v", snap, ok, err)
+	}
+	if got, want := s.Meta(), (Meta{Term: 3, Vote: "m2", Cluster: "c"}); got != want || s.Disk() != disk {
+		t.Errorf("got %+v on disk %s, want %+v on %s", got, s.Disk(), want, disk)
+	}
+}
+
+// Guards against serving a log that lacks acknowledged entries, and against
+// refusing one that only has a torn tail.
+func TestDamage(t *testing.T) {
+	log := segmentName(1)
+	const size = headSize + fixedSize + 6 // of a record of grow, up to entry 9
+	cases := map[string]struct {
+		hurt  func(m *Memory)
+		clean bool // closed before
+		last  uint64
+		file  string // of the Damaged error
+	}{
+		"torn tail":               {hurt: func(m *Memory) { m.Flip(log, -1) }, last: 8},
+		"torn length":             {hurt: func(m *Memory) { m.Flip(log, -size+4) }, last: 8},
+		"last after a clean stop": {hurt: func(m *Memory) { m.Flip(log, 8*size+30) }, clean: true, file: log},
+		"middle":                  {hurt: func(m *Memory) { m.Flip(log, 4*size+20) }, file: log},
+		"length in the middle":    {hurt: func(m *Memory) { m.Flip(log, 4*size+6) }, file: log},
+		"missing log":             {hurt: func(m *Memory) { _ = m.Remove(log) }, file: log},
+		"missing vote":            {hurt: func(m *Memory) { _ = m.Remove(metaName) }, file: metaName},
+		"vote":                    {hurt: func(m *Memory) { m.Flip(metaName, 15) }, file: metaName},
+		"missing identity":        {hurt: func(m *Memory) { _ = m.Remove(identityName) }, file: identityName},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			m := NewMemory()
+			s := mustOpen(t, m)
+			grow(t, s, 1, 9)
+			if c.clean {
+				if err := s.Close(); err != nil {
+					t.Fatal(err)
+				}
+			}
+			m = m.Crash(rand.New(rand.NewPCG(1, 1)))
+			c.hurt(m)
+			s, err := Open(m, "m1")
+			if c.file == "" {
+				if err != nil || s.Last() != c.last {
+					t.Fatalf("got %v", err)
+				}
+				// The log goes on after the cut.
+				grow(t, s, 2, 3)
+				if got := mustOpen(t, m.Crash(rand.New(rand.NewPCG(1, 1)))).Last(); got != c.last+3 {
+					t.Errorf("got last %d after the cut, want %d", got, c.last+3)
+				}
+				return
+			}
+			var damaged *Damaged
+			if !errors.As(err, &damaged) || damaged.File != c.file || !strings.Contains(err.Error(), "replace this member") {
+				t.Errorf("got %v, want damage of %s", err, c.file)
+			}
+		})
+	}
+}
+
+// Guards against keeping or reporting a part of a write on a full disk.
+func TestFull(t *testing.T) {
+	m := NewMemory()
+	s := mustOpen(t, m)
+	grow(t, s, 1, 3)
+	m.SetSpace(50)
+	var full *Full
+	big := []Entry{{Index: 4, Term: 1, Data: make([]byte, 100)}}
+	if err := s.Append(big); !errors.As(err, &full) || !errors.Is(err, syscall.ENOSPC) || s.Last() != 3 {
+		t.Errorf("append: got %v and last %d", err, s.Last())
+	}
+	if err := s.WriteSnapshot(Snapshot{Index: 3, Term: 1}); !errors.As(err, &full) {
+		t.Errorf("snapshot: got %v", err)
+	}
+	if err := s.SaveMeta(Meta{Term: 9, Vote: "a-very-long-name"}); !errors.As(err, &full) || s.Meta().Term != 0 {
+		t.Errorf("vote: got %v", err)
+	}
+	m.SetSpace(-1)
+	grow(t, s, 1, 1)
+	s = mustOpen(t, m.Crash(rand.New(rand.NewPCG(1, 1))))
+	if got := s.Last(); got != 4 || s.Meta().Term != 0 {
+		t.Errorf("got last %d, term %d", got, s.Meta().Term)
+	}
+}
+
+// Guards against trusting a disk after a failed fsync: a later fsync may
+// succeed although the pages were dropped.
+func TestFailedSync(t *testing.T) {
+	m := NewMemory()
+	s := mustOpen(t, m)
+	grow(t, s, 1, 1)
+	if err := s.Append([]Entry{{Index: 2, Term: 1}}); err != nil {
+		t.Fatal(err)
+	}
+	m.FailSync(syscall.EIO)
+	var broken *Broken
+	if err := s.Sync(); !errors.As(err, &broken) {
+		t.Errorf("got %v, want Broken", err)
+	}
+	m.FailSync(nil)
+	for name, err := range map[string]error{
+		"sync": s.Sync(), "append": s.Append([]Entry{{Index: 3, Term: 1}}), "vote": s.SaveMeta(Meta{Term: 1}),
+		"snapshot": s.WriteSnapshot(Snapshot{Index: 1, Term: 1}),
+	} {
+		if !errors.As(err, &broken) {
+			t.Errorf("%s after the failed sync: got %v, want Broken", name, err)
+		}
+	}
+}
+
+// Guards the durability of everything acknowledged, over random work with
+// crashes at any point that lose unsynced bytes.
+func TestRandomCrashes(t *testing.T) {
+	for seed := range uint64(200) {
+		rng := rand.New(rand.NewPCG(seed, 3))
+		m := NewMemory()
+		s := mustOpen(t, m)
+		term := uint64(1)
+		durable := map[uint64]Entry{} // acknowledged and not replaced
+		snapped := uint64(0)          // snapshots hold committed entries, which are never replaced
+		for range 60 {
+			switch rng.IntN(8) {
+			case 0:
+				m = m.Crash(rng)
+				s = mustOpen(t, m)
+				term++
+			case 1:
+				at := s.Last()
+				at -= min(at, uint64(rng.IntN(10)))
+				if at > snapped && s.Sync() == nil {
+					tm, _ := s.Term(at)
+					snapped = at
+					if err := s.WriteSnapshot(Snapshot{Index: at, Term: tm}); err != nil {
+						t.Fatal(err)
+					}
+					if rng.IntN(3) > 0 { // else the crash comes before Compact
+						if err := s.Compact(at, tm, uint64(rng.IntN(4))); err != nil {
+							t.Fatal(err)
+						}
+					}
+				}
+			case 2:
+				// Replaces an end of the log, as a new leader does.
+				from := max(snapped, s.First()) + 1
+				if s.Last() > from {
+					term++
+					from += uint64(rng.IntN(int(s.Last() - from)))
+					for i := from; i <= s.Last(); i++ {
+						delete(durable, i)
+					}
+					if err := s.Append([]Entry{{Index: from, Term: term, Data: []byte("new")}}); err != nil {
+						t.Fatal(err)
+					}
+				}
+			case 3:
+				// Starts another segment.
+				if rng.IntN(3) == 0 && s.Sync() == nil {
+					if err := s.roll(); err != nil {
+						t.Fatal(err)
+					}
+				}
+			default:
+				for range rng.IntN(5) {
+					e := Entry{Index: s.Last() + 1, Term: term, Data: fmt.Appendf(nil, "%d", rng.Uint64())}
+					if err := s.Append([]Entry{e}); err != nil {
+						t.Fatal(err)
+					}
+				}
+				if rng.IntN(2) == 0 {
+					if err := s.Sync(); err != nil {
+						t.Fatal(err)
+					}
+					for _, e := range content(s) {
+						durable[e.Index] = e
+					}
+				}
+			}
+			snap, _, _ := s.LastSnapshot()
+			for i, want := range durable {
+				if got := s.Entries(i, i, 0); i > snap && (len(got) != 1 || !reflect.DeepEqual(got[0], want)) {
+					t.Fatalf("seed %d: entry %d is %v, acknowledged was %v", seed, i, got, want)
+				}
+			}
+		}
+	}
+}
+
+// Guards the crash between the install of a received snapshot and the reset
+// of the log that it replaces.
+func TestInstallOverOldLog(t *testing.T) {
+	source := NewMemory()
+	from := mustOpen(t, source)
+	if err := from.WriteSnapshot(Snapshot{Index: 7, Term: 5, Data: []byte("state")}); err != nil {
+		t.Fatal(err)
+	}
+	file, err := from.readFile(snapName(7, 5))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, count := range map[string]int{"short log": 3, "conflicting log": 9} {
+		t.Run(name, func(t *testing.T) {
+			m := NewMemory()
+			s := mustOpen(t, m)
+			grow(t, s, 1, count)
+			in, err := s.Receive(7, 5, int64(len(file)))
+			if err != nil {
+				t.Fatal(err)
+			}
+			if err := in.Write(file); err != nil {
+				t.Fatal(err)
+			}
+			if err := s.finish(in.f, incomingName, snapName(7, 5)); err != nil {
+				t.Fatal(err)
+			}
+			s = mustOpen(t, m.Crash(rand.New(rand.NewPCG(1, 1))))
+			if s.First() != 8 || s.Last() != 7 {
+				t.Errorf("got log %d to %d, want none after 7", s.First(), s.Last())
+			}
+			grow(t, s, 6, 1)
+			if got, ok := s.Term(7); !ok || got != 5 {
+				t.Errorf("got term %d %v at the snapshot, want 5", got, ok)
+			}
+		})
+	}
+}
