conf: merge, check and compare settings folders

Cause: operators drive the system by a folder of small files; nothing read it. Ruled out: decoding each file into structs and merging those (a field that is set to its zero value in a late file is lost, and no line is known for a fault); YAML anchors (a merge by file order makes their meaning unclear). Change: files become trees with the place of each value, merged in the order of their names; all faults are reported at once with file and line; Diff never touches the keys that commands own. Before and after: before, no folder could be read. Conclusion: the folder is ready for ctl.

--- /dev/null
+++ b/core/conf/check.go
@@ -0,0 +1,353 @@
+package conf
+
+import (
+	"bytes"
+	"cmp"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"iter"
+	"maps"
+	"reflect"
+	"regexp"
+	"slices"
+	"strings"
+
+	"citronledge.example/core/ident"
+)
+
+// section is a part of the settings folder.
+type section struct {
+	prefix string // key prefix, or the whole key if it does not end in "/"
+	make   func() any
+}
+
+var sections = []section{
+	{Customers, func() any { return new(Customer) }},
+	{Models, func() any { return new(Model) }},
+	{Cascades, func() any { return new(Cascade) }},
+	{Routes, func() any { return new(Route) }},
+	{Limited, func() any { return new(Limits) }},
+}
+
+// items yields the configuration key and the tree of each item in order.
+func (s section) items(t *tree) iter.Seq2[string, *tree] {
+	return func(yield func(string, *tree) bool) {
+		if !strings.HasSuffix(s.prefix, "/") {
+			yield(s.prefix, t)
+			return
+		}
+		for _, name := range t.names() {
+			if !yield(s.prefix+name, t.fields[name]) {
+				return
+			}
+		}
+	}
+}
+
+// Auto is the model name by which a caller asks for the customer's cascade.
+const Auto ident.Model = "auto"
+
+// reserved are paths that the gate itself serves.
+var reserved = []string{"/v1/chat/completions", "/v1/models"}
+
+var nameForm = regexp.MustCompile(`^[a-z0-9][a-z0-9._-]{0,62}$`)
+
+// checker collects the problems of a folder.
+type checker struct {
+	folder   *Folder
+	problems []Problem
+	view     *View
+}
+
+// Check returns all problems of the folder, in the order of their places.
+func (f *Folder) Check() []Problem {
+	c := &checker{folder: f, problems: slices.Clone(f.problems), view: Empty()}
+	if err := c.view.decode(); err != nil {
+		c.fail("", err.Error())
+	}
+	c.structure()
+	if len(c.problems) == 0 {
+		// The meaning is checked only if the structure holds, since a field
+		// that cannot be read would give misleading follow-up problems.
+		c.meaning()
+	}
+	slices.SortStableFunc(c.problems, func(a, b Problem) int {
+		return cmp.Or(
+			strings.Compare(a.Place.File, b.Place.File),
+			a.Place.Line-b.Place.Line,
+			strings.Compare(a.Path, b.Path),
+			strings.Compare(a.Message, b.Message),
+		)
+	})
+	return c.problems
+}
+
+// fail records a problem at the place of the deepest part of path that exists.
+func (c *checker) fail(path, message string) {
+	place := Place{File: "settings"}
+	for p := path; p != ""; {
+		if found, ok := c.folder.Origin(p); ok {
+			place = found
+			break
+		}
+		i := strings.LastIndexByte(p, '/')
+		if i < 0 {
+			break
+		}
+		p = p[:i]
+	}
+	c.problems = append(c.problems, Problem{Place: place, Path: path, Message: message})
+}
+
+func (c *checker) structure() {
+	known := map[string]section{}
+	var names []string
+	for _, s := range sections {
+		name := strings.TrimSuffix(s.prefix, "/")
+		known[name] = s
+		names = append(names, name)
+	}
+	for _, name := range c.folder.root.names() {
+		s, ok := known[name]
+		t := c.folder.root.fields[name]
+		switch {
+		case !ok:
+			c.fail(name, "unknown section; use one of "+strings.Join(names, ", "))
+		case t.fields == nil:
+			c.fail(name, "must be a mapping")
+		default:
+			for key, item := range s.items(t) {
+				c.item(s, key, item)
+			}
+		}
+	}
+}
+
+// item checks the name and the fields of one item and adds it to the view.
+func (c *checker) item(s section, key string, item *tree) {
+	if _, name, found := strings.Cut(key, "/"); found && !nameForm.MatchString(name) {
+		c.fail(key, "names are 1 to 63 of a-z, 0-9, dot, underscore and hyphen, and start with a letter or digit")
+		return
+	}
+	if item.fields == nil {
+		c.fail(key, "must be a mapping")
+		return
+	}
+	fields := fieldNames(s.make())
+	bad := false
+	for _, name := range item.names() {
+		if !slices.Contains(fields, name) {
+			c.fail(key+"/"+name, "unknown field; use one of "+strings.Join(fields, ", "))
+			bad = true
+		}
+	}
+	if bad {
+		return
+	}
+	data, err := json.Marshal(item.plain())
+	if err == nil {
+		err = json.NewDecoder(bytes.NewReader(data)).Decode(s.make())
+	}
+	if err != nil {
+		c.typeProblem(key, err)
+		return
+	}
+	if err := c.view.decodeKey(key, data); err != nil {
+		c.fail(key, err.Error())
+	}
+}
+
+func (c *checker) typeProblem(key string, err error) {
+	var wrong *json.UnmarshalTypeError
+	if errors.As(err, &wrong) {
+		path := key
+		if wrong.Field != "" {
+			path += "/" + strings.ReplaceAll(wrong.Field, ".", "/")
+		}
+		c.fail(path, fmt.Sprintf("is a %s; write a %s", wrong.Value, typeName(wrong.Type)))
+		return
+	}
+	c.fail(key, err.Error())
+}
+
+func typeName(t reflect.Type) string {
+	switch t.Kind() {
+	case reflect.Int, reflect.Int64:
+		return "whole number"
+	case reflect.Float64:
+		return "number"
+	case reflect.Bool:
+		return "true or false"
+	case reflect.Slice:
+		return "list"
+	}
+	return t.Kind().String()
+}
+
+func fieldNames(v any) []string {
+	t := reflect.TypeOf(v).Elem()
+	list := make([]string, 0, t.NumField())
+	for i := range t.NumField() {
+		name, _, _ := strings.Cut(t.Field(i).Tag.Get("json"), ",")
+		list = append(list, name)
+	}
+	return list
+}
+
+func (c *checker) meaning() {
+	for name, m := range c.view.Models {
+		c.model(Models+string(name), name, m)
+	}
+	for name, x := range c.view.Cascades {
+		c.cascade(Cascades+string(name), x)
+	}
+	for name, r := range c.view.Routes {
+		c.route(Routes+string(name), r)
+	}
+	owners := map[string]ident.Customer{}
+	for _, name := range slices.Sorted(maps.Keys(c.view.Customers)) {
+		c.customer(name, c.view.Customers[name], owners)
+	}
+	c.limits(c.view.Limits)
+}
+
+func (c *checker) customer(name ident.Customer, x Customer, owners map[string]ident.Customer) {
+	path := Customers + string(name)
+	if x.Weight < 0 || x.Rate < 0 || x.Burst < 0 {
+		c.fail(path, "weight, rate and burst must not be negative")
+	}
+	if len(x.Keys) == 0 {
+		c.fail(path+"/keys", "has no key; add the digest that ctl key prints")
+	}
+	for _, key := range x.Keys {
+		if raw, err := hex.DecodeString(key); err != nil || len(raw) != 32 {
+			c.fail(path+"/keys", "a key is the hex SHA-256 digest of the bearer key; make one with ctl key")
+			continue
+		}
+		key = strings.ToLower(key)
+		if other, taken := owners[key]; taken && other != name {
+			c.fail(path+"/keys", fmt.Sprintf("the same key belongs to customer %s; make a new one with ctl key", other))
+		}
+		owners[key] = name
+	}
+	for _, m := range x.Models {
+		c.allowed(path+"/models", m)
+	}
+	for _, r := range x.Routes {
+		if _, ok := c.view.Routes[ident.Route(r)]; !ok {
+			c.fail(path+"/routes", fmt.Sprintf("route %q does not exist; add it under routes or remove it here", r))
+		}
+	}
+	if x.Cascade == "" {
+		return
+	}
+	cascade, ok := c.view.Cascades[x.Cascade]
+	if !ok {
+		c.fail(path+"/cascade", fmt.Sprintf("cascade %q does not exist; add it under cascades", x.Cascade))
+	}
+	for _, step := range cascade.Steps {
+		if !slices.ContainsFunc(x.Models, func(m string) bool { return m == string(step) || strings.HasPrefix(m, string(step)+"/") }) {
+			c.fail(path+"/models", fmt.Sprintf("cascade %s uses model %s, which is not allowed here; add it", x.Cascade, step))
+		}
+	}
+}
+
+func (c *checker) allowed(path, name string) {
+	t, err := ident.ParseTarget(name)
+	if err != nil {
+		c.fail(path, err.Error())
+		return
+	}
+	m, ok := c.view.Models[t.Model]
+	if !ok {
+		c.fail(path, fmt.Sprintf("model %q does not exist; add it under models or remove it here", t.Model))
+		return
+	}
+	if t.Version != "" && !slices.Contains(m.Versions, t.Version) {
+		c.fail(path, fmt.Sprintf("model %s has no version %q; add it to its versions or remove it here", t.Model, t.Version))
+	}
+}
+
+func (c *checker) model(path string, name ident.Model, m Model) {
+	if name == Auto {
+		c.fail(path, `"auto" asks for the customer's cascade; choose another name`)
+	}
+	if m.Input < 0 || m.Output < 0 {
+		c.fail(path, "input and output prices must not be negative")
+	}
+	c.fraction(path+"/quality", float64(m.Quality))
+	if len(m.Versions) == 0 {
+		c.fail(path+"/versions", "is empty; list at least one version")
+	}
+	seen := map[ident.Version]bool{}
+	for _, v := range m.Versions {
+		if !nameForm.MatchString(string(v)) || seen[v] {
+			c.fail(path+"/versions", fmt.Sprintf("version %q is malformed or listed twice", v))
+		}
+		seen[v] = true
+	}
+}
+
+func (c *checker) cascade(path string, x Cascade) {
+	if len(x.Steps) == 0 {
+		c.fail(path+"/steps", "is empty; list models from cheap to strong")
+	}
+	seen := map[ident.Model]bool{}
+	for _, m := range x.Steps {
+		if _, ok := c.view.Models[m]; !ok {
+			c.fail(path+"/steps", fmt.Sprintf("model %q does not exist; add it under models", m))
+		}
+		if seen[m] {
+			c.fail(path+"/steps", fmt.Sprintf("model %q is listed twice; keep one", m))
+		}
+		seen[m] = true
+	}
+	c.fraction(path+"/target", float64(x.Target))
+}
+
+func (c *checker) route(path string, r Route) {
+	if !strings.HasPrefix(r.Path, "/") || len(r.Path) < 2 {
+		c.fail(path+"/path", "must start with / and not be the root, for example /v1/payouts")
+	}
+	for _, p := range reserved {
+		if under(p, r.Path) || under(r.Path, p) {
+			c.fail(path+"/path", p+" is served by the gate; choose another path")
+		}
+	}
+	if len(r.Methods) == 0 {
+		c.fail(path+"/methods", "is empty; list the allowed methods, for example [POST]")
+	}
+	for _, m := range r.Methods {
+		if m != strings.ToUpper(m) || m == "" {
+			c.fail(path+"/methods", fmt.Sprintf("method %q must be in capitals", m))
+		}
+	}
+	if r.Service == "" {
+		c.fail(path+"/service", "is empty; name the service of the side processes")
+	}
+	if r.Timeout < 0 {
+		c.fail(path+"/timeout", "must not be negative; it is in milliseconds")
+	}
+	if r.Repeatable && (len(r.Business) > 0 || r.Lookup != "") {
+		c.fail(path+"/repeatable", "business and lookup are only for calls that may not be repeated; remove them or set repeatable: false")
+	}
+	if r.Lookup != "" && !strings.HasPrefix(r.Lookup, "/") {
+		c.fail(path+"/lookup", "must start with /")
+	}
+}
+
+func (c *checker) limits(l Limits) {
+	if l.Body < 0 || l.Queue < 0 || l.Report < 0 || l.Chat < 0 || l.Reports < 0 || l.Call < 0 {
+		c.fail(Limited, "limits must not be negative")
+	}
+	c.fraction(Limited+"/long", l.Long)
+	c.fraction(Limited+"/extra", l.Extra)
+}
+
+func (c *checker) fraction(path string, v float64) {
+	if v < 0 || v > 1 {
+		c.fail(path, "must be between 0 and 1")
+	}
+}
--- /dev/null
+++ b/core/conf/folder.go
@@ -0,0 +1,203 @@
+package conf
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+
+	"github.com/rotisserie/eris"
+
+	"citronledge.example/core/wire"
+)
+
+// File is one file of a settings folder.
+type File struct {
+	Name string
+	Data []byte
+}
+
+// Folder is a settings folder after the merge of its files.
+type Folder struct {
+	root     *tree
+	problems []Problem
+}
+
+const maxFile = 1 << 20 // bytes; a settings file is small
+
+// ReadFolder reads all files of a folder whose names end in .yaml or .yml and
+// do not start with a dot, and merges them in the order of their names.
+func ReadFolder(dir string) (*Folder, error) {
+	list, err := os.ReadDir(dir)
+	if err != nil {
+		return nil, eris.Wrap(err, "cannot read the settings folder; name an existing one")
+	}
+	var files []File
+	for _, entry := range list {
+		ext := filepath.Ext(entry.Name())
+		if entry.IsDir() || strings.HasPrefix(entry.Name(), ".") || (ext != ".yaml" && ext != ".yml") {
+			continue
+		}
+		path := filepath.Join(dir, entry.Name())
+		info, err := os.Stat(path)
+		if err != nil {
+			return nil, eris.Wrap(err, "cannot read a settings file")
+		}
+		if info.Size() > maxFile {
+			return nil, eris.Errorf("%s is over %d bytes; split it into smaller files", entry.Name(), maxFile)
+		}
+		data, err := os.ReadFile(path)
+		if err != nil {
+			return nil, eris.Wrap(err, "cannot read a settings file")
+		}
+		files = append(files, File{Name: entry.Name(), Data: data})
+	}
+	if len(files) == 0 {
+		// An empty folder would delete the whole configuration; that is
+		// hardly ever meant.
+		return nil, eris.Errorf("the folder %s has no .yaml file; check the path", dir)
+	}
+	return Merge(files), nil
+}
+
+// Merge merges files in the order of their names, so that a late file
+// overrides an earlier one. Mappings merge field by field, lists are replaced
+// as a whole, and null removes a field. Problems of the syntax are kept for
+// Check.
+func Merge(files []File) *Folder {
+	files = slices.Clone(files)
+	slices.SortStableFunc(files, func(a, b File) int { return strings.Compare(a.Name, b.Name) })
+	f := &Folder{root: &tree{fields: map[string]*tree{}}}
+	for _, file := range files {
+		r := reader{file: file.Name}
+		f.root.merge(r.parse(file.Data))
+		f.problems = append(f.problems, r.problems...)
+	}
+	return f
+}
+
+// Origin tells where the value of a path was set, for example
+// "customers/a/weight". It is the place of the file that won.
+func (f *Folder) Origin(path string) (Place, bool) {
+	t := f.find(path)
+	if t == nil {
+		return Place{}, false
+	}
+	return t.place, true
+}
+
+func (f *Folder) find(path string) *tree {
+	t := f.root
+	for name := range strings.SplitSeq(path, "/") {
+		next, ok := t.fields[name]
+		if !ok {
+			return nil
+		}
+		t = next
+	}
+	return t
+}
+
+// Leaf is one value with its place, for listings.
+type Leaf struct {
+	Path  string
+	Value any
+	Place Place
+}
+
+// Leaves returns all values in the order of their paths.
+func (f *Folder) Leaves() []Leaf {
+	var list []Leaf
+	collect(&list, "", f.root)
+	return list
+}
+
+func collect(list *[]Leaf, path string, t *tree) {
+	if t.fields == nil {
+		*list = append(*list, Leaf{Path: path, Value: t.value, Place: t.place})
+		return
+	}
+	for _, name := range t.names() {
+		sub := name
+		if path != "" {
+			sub = path + "/" + name
+		}
+		collect(list, sub, t.fields[name])
+	}
+}
+
+// Entries returns the configuration entries of the folder in the order of
+// their keys. It returns the problems of Check, joined, if there are any.
+func (f *Folder) Entries() ([]*wire.Entry, error) {
+	if problems := f.Check(); len(problems) > 0 {
+		errs := make([]error, len(problems))
+		for i, p := range problems {
+			errs[i] = p
+		}
+		return nil, errors.Join(errs...)
+	}
+	var list []*wire.Entry
+	for _, section := range sections {
+		t, ok := f.root.fields[strings.TrimSuffix(section.prefix, "/")]
+		if !ok {
+			continue
+		}
+		for key, item := range section.items(t) {
+			value, err := encode(section, item)
+			if err != nil {
+				return nil, err
+			}
+			list = append(list, &wire.Entry{Key: key, Value: value})
+		}
+	}
+	slices.SortFunc(list, func(a, b *wire.Entry) int { return strings.Compare(a.Key, b.Key) })
+	return list, nil
+}
+
+// encode returns the JSON of an item in the order of the fields of its type,
+// so that equal settings have equal bytes whatever file they come from.
+func encode(s section, item *tree) ([]byte, error) {
+	data, err := json.Marshal(item.plain())
+	if err != nil {
+		return nil, err
+	}
+	target := s.make()
+	if err := json.Unmarshal(data, target); err != nil {
+		return nil, err
+	}
+	return json.Marshal(target)
+}
+
+// Owned tells whether the operators' folder owns a key.
+func Owned(key string) bool {
+	for _, s := range sections {
+		if key == s.prefix || (strings.HasSuffix(s.prefix, "/") && strings.HasPrefix(key, s.prefix)) {
+			return true
+		}
+	}
+	return false
+}
+
+// Diff returns the entries that turn the folder's part of a view into the
+// entries of a folder: new values, and deletions of keys that the folder no
+// longer has. Keys that commands own are left alone.
+func Diff(v *View, entries []*wire.Entry) []*wire.Entry {
+	var diff []*wire.Entry
+	keep := map[string]bool{}
+	for _, e := range entries {
+		keep[e.Key] = true
+		if old, ok := v.Value(e.Key); !ok || !bytes.Equal(old, e.Value) {
+			diff = append(diff, e)
+		}
+	}
+	for _, key := range v.Keys() {
+		if Owned(key) && !keep[key] {
+			diff = append(diff, &wire.Entry{Key: key, Gone: true})
+		}
+	}
+	slices.SortFunc(diff, func(a, b *wire.Entry) int { return strings.Compare(a.Key, b.Key) })
+	return diff
+}
