--- /dev/null
+++ b/state/raft/raft.go
@@ -0,0 +1,81 @@
+// Package raft replicates a log of commands among the members of a state
+// cluster and applies committed commands to a state machine, in the same
+// order on every member.
+//
+// It implements elections with pre-vote, check-quorum, a leader lease, read
+// index, snapshots, learners and membership changes of one member at a time.
+// A member is identified by its name together with the identity of its disk,
+// so that an empty disk under a known name never votes or counts for commit.
+package raft
+
+// Machine is the replicated state machine; calls are never concurrent.
+type Machine interface {
+	// Apply executes a committed command. It must depend only on the state
+	// and the command.
+	Apply(index uint64, command []byte) (result []byte)
+	// Snapshot encodes the state.
+	Snapshot() ([]byte, error)
+	// Restore replaces the state by an encoded one.
+	Restore(snapshot []byte) error
+}
+
+// Member is one process of the cluster.
+type Member struct {
+	Name, Addr string
+	// Voter is false for a learner, which receives the log and does not
+	// count for elections and commit.
+	Voter bool
+	// Disk is the identity of the member's disk. It may be left empty for
+	// the initial members and for AddLearner, which then ask the member.
+	Disk string
+}
+
+// Transport carries packets between members. Packets may be lost,
+// duplicated and reordered.
+type Transport interface {
+	// Send queues a packet for a member. It never blocks and drops the
+	// packet when the member is slow or not reachable. The packet is not
+	// changed after the call, by either side.
+	Send(to Member, p *Packet)
+	// Receive returns the channel of incoming packets.
+	Receive() <-chan *Packet
+}
+
+// Role is the part of a member in the current term.
+type Role string
+
+// Roles.
+const (
+	Follower     Role = "follower"
+	PreCandidate Role = "precandidate"
+	Candidate    Role = "candidate"
+	Leading      Role = "leader"
+)
+
+// Status describes a node at one moment.
+type Status struct {
+	Name    string
+	Disk    string
+	Cluster string // identity of the cluster; empty before the first contact
+	Term    uint64
+	Role    Role
+	Leader  string
+	First   uint64 // first log entry that is kept
+	Last    uint64 // last log entry
+	Commit  uint64
+	Applied uint64
+	Members []MemberStatus
+}
+
+// MemberStatus describes a member. Match, Live and Full are known to the
+// leader only.
+type MemberStatus struct {
+	Member
+	Match uint64 // last entry known to be durable on the member
+	Live  bool   // answered within the last election timeout
+	Full  bool   // its disk refuses appends
+	// Seen is the disk identity that the process under this name last
+	// reported. When it differs from Disk, the disk was replaced: remove
+	// the member and add it as learner.
+	Seen string
+}
