stub: add stand-ins for engine, service, ratings, members and weights

Cause: tests and the demo need the outside systems at their published interfaces. Ruled out: one generic fake; each system has its own faults. Change: five http.Handlers and the program stub with one subcommand each. Conclusion: enough to start on the side process.

--- /dev/null
+++ b/stub/engine/engine.go
@@ -0,0 +1,203 @@
+// Package engine is a stand-in for a model engine: chat completions, a lagged
+// load report, fenced orders and faults that can be switched at run time.
+package engine
+
+import (
+	"cmp"
+	"encoding/json"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/julienschmidt/httprouter"
+
+	"citronledge.example/core/ident"
+)
+
+// Headers that the engine understands.
+const (
+	RequestHeader  = "X-Request-Id"
+	PriorityHeader = "X-Priority"
+	ResumeHeader   = "X-Resume-Tokens"
+)
+
+// Settings describe one engine.
+type Settings struct {
+	Models  []ident.Target
+	Slots   int           // requests that run at once; 0 means 8
+	First   time.Duration // time to the first token
+	Token   time.Duration // time between tokens
+	Lag     time.Duration // age of the load report
+	Fencing bool          // refuse orders with an old fence
+}
+
+// Faults are switched by POST /faults; the zero value is a sound engine.
+type Faults struct {
+	Slow  float64 `json:"slow"`  // factor on all times; 0 means 1
+	Break int     `json:"break"` // drop the connection after this many tokens
+	Hang  bool    `json:"hang"`  // never answer a chat
+	Error int     `json:"error"` // answer chats with this HTTP status
+	Bad   bool    `json:"bad"`   // write answers that are rated badly
+}
+
+// Order is the body of POST /orders.
+type Order struct {
+	Kind    string        `json:"kind"` // load, unload or role
+	Model   ident.Model   `json:"model"`
+	Version ident.Version `json:"version"`
+	Role    string        `json:"role,omitempty"`
+	Fence   ident.Fence   `json:"fence"`
+}
+
+// Served is one loaded target in a load report.
+type Served struct {
+	Model   ident.Model   `json:"model"`
+	Version ident.Version `json:"version"`
+}
+
+// Load is the body of GET /load.
+type Load struct {
+	Running int      `json:"running"`
+	Queued  int      `json:"queued"`
+	Slots   int      `json:"slots"`
+	Models  []Served `json:"models"`
+	Age     int64    `json:"age"` // ms
+}
+
+type sample struct {
+	at   time.Time
+	load Load
+}
+
+type waiter struct {
+	priority int
+	number   int
+	ready    chan struct{}
+}
+
+// Engine is an http.Handler.
+type Engine struct {
+	set    Settings
+	router http.Handler
+
+	mu      sync.Mutex
+	models  []ident.Target
+	faults  Faults
+	fence   ident.Fence
+	running int
+	number  int
+	waiting []*waiter
+	history []sample
+	runs    map[ident.Request]int
+}
+
+// New returns an engine that serves the models of its settings.
+func New(set Settings) *Engine {
+	set.Slots = cmp.Or(set.Slots, 8)
+	e := &Engine{set: set, models: slices.Clone(set.Models), runs: map[ident.Request]int{}}
+	e.note()
+	r := httprouter.New()
+	r.HandlerFunc(http.MethodPost, "/v1/chat/completions", e.chat)
+	r.HandlerFunc(http.MethodGet, "/load", func(w http.ResponseWriter, _ *http.Request) { reply(w, e.Load()) })
+	r.HandlerFunc(http.MethodPost, "/orders", e.order)
+	r.HandlerFunc(http.MethodPost, "/faults", e.setFaults)
+	r.HandlerFunc(http.MethodGet, "/runs", func(w http.ResponseWriter, _ *http.Request) { reply(w, e.Runs()) })
+	e.router = r
+	return e
+}
+
+// ServeHTTP implements http.Handler.
+func (e *Engine) ServeHTTP(w http.ResponseWriter, r *http.Request) { e.router.ServeHTTP(w, r) }
+
+// Runs counts the chats that got a slot, by request id.
+func (e *Engine) Runs() map[ident.Request]int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	runs := map[ident.Request]int{}
+	for id, n := range e.runs {
+		runs[id] = n
+	}
+	return runs
+}
+
+// SetFaults switches the faults.
+func (e *Engine) SetFaults(f Faults) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.faults = f
+}
+
+// Load returns the report as it was one lag ago.
+func (e *Engine) Load() Load {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	old := time.Now().Add(-e.set.Lag)
+	for len(e.history) > 1 && !e.history[1].at.After(old) {
+		e.history = e.history[1:]
+	}
+	load := e.history[0].load
+	load.Age = e.set.Lag.Milliseconds()
+	return load
+}
+
+// note records the present load; the caller holds mu or owns e alone.
+func (e *Engine) note() {
+	load := Load{Running: e.running, Queued: len(e.waiting), Slots: e.set.Slots, Models: []Served{}}
+	for _, t := range e.models {
+		load.Models = append(load.Models, Served{Model: t.Model, Version: t.Version})
+	}
+	e.history = append(e.history, sample{at: time.Now(), load: load})
+}
+
+func (e *Engine) setFaults(w http.ResponseWriter, r *http.Request) {
+	var f Faults
+	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
+		fail(w, http.StatusBadRequest, "faults are not valid JSON")
+		return
+	}
+	e.SetFaults(f)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (e *Engine) order(w http.ResponseWriter, r *http.Request) {
+	var o Order
+	if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
+		fail(w, http.StatusBadRequest, "order is not valid JSON")
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.set.Fencing && o.Fence < e.fence {
+		fail(w, http.StatusConflict, "fence is older than one already seen")
+		return
+	}
+	e.fence = max(e.fence, o.Fence)
+	t := ident.Target{Model: o.Model, Version: o.Version}
+	switch o.Kind {
+	case "load":
+		if !slices.Contains(e.models, t) {
+			e.models = append(e.models, t)
+		}
+	case "unload":
+		e.models = slices.DeleteFunc(e.models, func(m ident.Target) bool { return m == t })
+	case "role":
+	default:
+		fail(w, http.StatusBadRequest, "order kind must be load, unload or role")
+		return
+	}
+	e.note()
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func reply(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	// The reader may be gone; there is nobody left to tell.
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+func fail(w http.ResponseWriter, status int, message string) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(map[string]any{"error": map[string]string{"message": message}})
+}
--- /dev/null
+++ b/stub/plain/plain.go
@@ -0,0 +1,175 @@
+// Package plain is a stand-in for a plain service whose calls must not run
+// twice. It counts every run and protects nothing, so that a test sees a
+// second run.
+package plain
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/julienschmidt/httprouter"
+)
+
+// Headers that the service reads.
+const (
+	KeyHeader   = "Idempotency-Key"
+	FenceHeader = "X-Fencing-Token"
+)
+
+const maxBody = 1 << 20 // bytes
+
+// Faults are switched by POST /faults.
+type Faults struct {
+	Lose  bool `json:"lose"`  // run, then drop the connection
+	Slow  int  `json:"slow"`  // ms before the answer, after the run
+	Error int  `json:"error"` // answer with this HTTP status without a run
+}
+
+// Runs counts the runs.
+type Runs struct {
+	Keys     map[string]int    `json:"keys"`     // by idempotency key
+	Business map[string]int    `json:"business"` // by business fields
+	Fences   map[string]string `json:"fences"`   // last fence by idempotency key
+}
+
+// Service is an http.Handler. POST /lookup paths aside, each POST is a run;
+// GET /lookup/KEY answers 200 if the key ran and 404 if not.
+type Service struct {
+	fields []string
+	router http.Handler
+
+	mu     sync.Mutex
+	faults Faults
+	runs   Runs
+	stored map[string][]byte // answers by idempotency key
+}
+
+// New returns a service. The fields of the JSON body that identify the
+// business operation are counted apart from the keys.
+func New(fields []string) *Service {
+	s := &Service{
+		fields: fields,
+		runs:   Runs{Keys: map[string]int{}, Business: map[string]int{}, Fences: map[string]string{}},
+		stored: map[string][]byte{},
+	}
+	r := httprouter.New()
+	r.HandlerFunc(http.MethodGet, "/lookup/:key", s.lookup)
+	r.HandlerFunc(http.MethodGet, "/runs", func(w http.ResponseWriter, _ *http.Request) { s.writeRuns(w) })
+	r.HandlerFunc(http.MethodPost, "/faults", s.setFaults)
+	r.NotFound = http.HandlerFunc(s.call)
+	s.router = r
+	return s
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Service) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.router.ServeHTTP(w, r) }
+
+// SetFaults switches the faults.
+func (s *Service) SetFaults(f Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = f
+}
+
+// Count returns how often a key ran.
+func (s *Service) Count(key string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.runs.Keys[key]
+}
+
+func (s *Service) writeRuns(w http.ResponseWriter) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(s.runs)
+}
+
+func (s *Service) setFaults(w http.ResponseWriter, r *http.Request) {
+	var f Faults
+	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
+		http.Error(w, "faults are not valid JSON", http.StatusBadRequest)
+		return
+	}
+	s.SetFaults(f)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (s *Service) lookup(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	answer, ok := s.stored[httprouter.ParamsFromContext(r.Context()).ByName("key")]
+	s.mu.Unlock()
+	if !ok {
+		http.Error(w, "no such key", http.StatusNotFound)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(answer)
+}
+
+func (s *Service) call(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(io.LimitReader(r.Body, maxBody))
+	if err != nil {
+		return // the caller is gone before the call was complete
+	}
+	s.mu.Lock()
+	f := s.faults
+	s.mu.Unlock()
+	if f.Error != 0 {
+		http.Error(w, "fault switched on", f.Error)
+		return
+	}
+	answer := s.run(r, body)
+	if f.Slow > 0 {
+		select {
+		case <-time.After(time.Duration(f.Slow) * time.Millisecond):
+		case <-r.Context().Done():
+			return
+		}
+	}
+	if f.Lose {
+		panic(http.ErrAbortHandler)
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(answer)
+}
+
+func (s *Service) run(r *http.Request, body []byte) []byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	key := r.Header.Get(KeyHeader)
+	if r.Method != http.MethodGet {
+		s.runs.Keys[key]++
+		s.runs.Fences[key] = r.Header.Get(FenceHeader)
+		if b := s.business(body); b != "" {
+			s.runs.Business[b]++
+		}
+	}
+	answer, _ := json.Marshal(map[string]any{ // these types always marshal
+		"path": r.URL.Path, "method": r.Method, "key": key, "run": s.runs.Keys[key],
+	})
+	if key != "" {
+		s.stored[key] = answer
+	}
+	return answer
+}
+
+// business returns the identifying fields of a body, or "" if it has none.
+func (s *Service) business(body []byte) string {
+	var fields map[string]any
+	if json.Unmarshal(body, &fields) != nil {
+		return ""
+	}
+	var parts []string
+	for _, name := range s.fields {
+		if v, ok := fields[name]; ok {
+			parts = append(parts, fmt.Sprintf("%s=%v", name, v))
+		}
+	}
+	return strings.Join(parts, ",")
+}
--- /dev/null
+++ b/stub/roster/roster.go
@@ -0,0 +1,76 @@
+// Package roster is a stand-in for the platform's list of live and leaving
+// VMs, which lags behind.
+package roster
+
+import (
+	"encoding/json"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// Member is one line of the list.
+type Member struct {
+	Name    string   `json:"name"`
+	Addr    string   `json:"addr"`
+	Zone    string   `json:"zone"`
+	State   string   `json:"state"` // live or leaving
+	Service string   `json:"service,omitempty"`
+	Models  []string `json:"models,omitempty"`
+}
+
+type version struct {
+	at   time.Time
+	list []Member
+}
+
+// Roster is an http.Handler: GET returns the list as it was one lag ago, PUT
+// replaces it.
+type Roster struct {
+	lag time.Duration
+
+	mu      sync.Mutex
+	history []version
+}
+
+// New returns an empty list.
+func New(lag time.Duration) *Roster {
+	return &Roster{lag: lag, history: []version{{list: []Member{}}}}
+}
+
+// Put replaces the list.
+func (r *Roster) Put(list []Member) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.history = append(r.history, version{at: time.Now(), list: list})
+}
+
+// List returns the list as it was one lag ago.
+func (r *Roster) List() []Member {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	old := time.Now().Add(-r.lag)
+	for len(r.history) > 1 && !r.history[1].at.After(old) {
+		r.history = r.history[1:]
+	}
+	return r.history[0].list
+}
+
+// ServeHTTP implements http.Handler.
+func (r *Roster) ServeHTTP(w http.ResponseWriter, req *http.Request) {
+	switch req.Method {
+	case http.MethodGet:
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(r.List())
+	case http.MethodPut:
+		list := []Member{}
+		if err := json.NewDecoder(req.Body).Decode(&list); err != nil {
+			http.Error(w, "list is not valid JSON", http.StatusBadRequest)
+			return
+		}
+		r.Put(list)
+		w.WriteHeader(http.StatusNoContent)
+	default:
+		http.Error(w, "use GET or PUT", http.StatusMethodNotAllowed)
+	}
+}
