serve: add the side process

Cause: each backend server needs the last check before its engine or service, and a keeper of usage records. Ruled out: httputil.ReverseProxy (house rule, and it cannot tell a whole stream from a cut one); the shared http.Transport for operations, because net/http resends a request with an Idempotency-Key when a reused connection breaks.

--- /dev/null
+++ b/side/guard/lease.go
@@ -0,0 +1,103 @@
+package guard
+
+import (
+	"sync"
+	"time"
+)
+
+// remembered bounds the renewals of one gate that wait for a grant. A grant
+// for an older one has run out: 64 renewals take 32 s, a grant lasts 2 s.
+const remembered = 64
+
+// Lease is the sub-lease of one gate. It is counted from the time at which
+// the renewal was sent, so that neither a slow gate nor a process that was
+// suspended can stretch it.
+type Lease struct {
+	mu    sync.Mutex
+	seq   uint64
+	last  uint64 // highest renewal that was answered
+	sent  map[uint64]time.Time
+	until time.Time
+}
+
+// Sent notes a renewal before it is sent and returns its number.
+func (l *Lease) Sent(now time.Time) uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.sent == nil {
+		l.sent = map[uint64]time.Time{}
+	}
+	l.seq++
+	l.sent[l.seq] = now
+	delete(l.sent, l.seq-remembered)
+	return l.seq
+}
+
+// Granted applies a grant: ttl from the sending of the renewal seq. A ttl of
+// 0 takes the lease back. Grants that arrive out of order change nothing.
+func (l *Lease) Granted(seq uint64, ttl time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	sent, ok := l.sent[seq]
+	if !ok || seq <= l.last {
+		return
+	}
+	l.last = seq
+	for old := range l.sent {
+		if old <= seq {
+			delete(l.sent, old)
+		}
+	}
+	l.until = sent.Add(ttl)
+	if ttl <= 0 {
+		l.until = time.Time{}
+	}
+}
+
+// Valid tells whether the lease holds at a time.
+func (l *Lease) Valid(now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return now.Before(l.until)
+}
+
+// Leases are the sub-leases of all gates. One valid lease is enough to work.
+type Leases struct {
+	mu  sync.Mutex
+	all map[*Lease]bool // true once its session has ended
+}
+
+// New adds the lease of a new session.
+func (l *Leases) New() *Lease {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.all == nil {
+		l.all = map[*Lease]bool{}
+	}
+	lease := &Lease{}
+	l.all[lease] = false
+	return lease
+}
+
+// Ended tells that the session of a lease has ended. The lease stays valid
+// until it runs out, as the lease of the gate does.
+func (l *Leases) Ended(lease *Lease) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.all[lease] = true
+}
+
+// Valid tells whether any lease holds at a time.
+func (l *Leases) Valid(now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	valid := false
+	for lease, ended := range l.all {
+		if lease.Valid(now) {
+			valid = true
+		} else if ended {
+			delete(l.all, lease)
+		}
+	}
+	return valid
+}
--- /dev/null
+++ b/side/serve/operate_test.go
@@ -0,0 +1,168 @@
+package serve
+
+import (
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"citronledge.example/core/fault"
+	"citronledge.example/core/wire"
+	"citronledge.example/stub/plain"
+)
+
+// Guards against an operation whose answer is not on record before the
+// caller has it, and against a bearer key that reaches the service.
+func TestOperationIsRecorded(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		w, book := newWorld(t, true), newLedger()
+		g := w.link("gate-1", book, 2000, 0)
+		got := g.run(payout("k1"))
+		if got.end.GetFault() != nil || got.head.GetStatus() != 200 || !strings.Contains(got.text(), `"run":1`) {
+			t.Fatalf("got %v %v %q", got.head, got.end, got.text())
+		}
+		if len(book.finish) != 1 || string(book.finish[0].GetBody()) != got.text() {
+			t.Errorf("got finish %v, want the answer %q", book.finish, got.text())
+		}
+		again := g.run(payout("k1"))
+		if w.service.Count("k1") != 1 || again.kind() != fault.Unknown || !again.end.GetRan() {
+			t.Errorf("got %d runs and %v for the same hand-over, want 1 and unknown", w.service.Count("k1"), again.end)
+		}
+		if book.state() != "done" {
+			t.Errorf("got phase %s, want done", book.state())
+		}
+	})
+}
+
+// Guards against a call whose right to run is gone: every case must leave
+// the service uncalled and the operation not handed over.
+func TestOperationIsNotCalled(t *testing.T) {
+	tests := map[string]struct {
+		work  func(*wire.Work)
+		book  func(*ledger)
+		world func(*world)
+		want  fault.Kind
+		phase string
+	}{
+		"stale fence":         {work: func(w *wire.Work) { w.Fence = 4 }, want: fault.Stale, phase: "aborted"},
+		"handed elsewhere":    {book: func(l *ledger) { l.phase, l.by = "handed", "runner-2" }, want: fault.Stale, phase: "handed"},
+		"already done":        {book: func(l *ledger) { l.phase = "done" }, want: fault.Stale, phase: "done"},
+		"hand committed late": {book: func(l *ledger) { l.delay = 2100 * time.Millisecond }, want: fault.Unavailable, phase: "aborted"},
+		"slow connection after hand": {
+			book:  func(l *ledger) { l.delay = 1500 * time.Millisecond },
+			world: func(w *world) { w.dialing = 600 * time.Millisecond },
+			want:  fault.Unavailable, phase: "aborted",
+		},
+		"service is down": {world: func(w *world) { _ = w.back.Close() }, want: fault.Unavailable, phase: "aborted"},
+		"no operation":    {work: func(w *wire.Work) { w.Operation = "" }, want: fault.Invalid, phase: "begun"},
+		"route of others": {work: func(w *wire.Work) { w.Customer = "other" }, want: fault.Forbidden, phase: "begun"},
+		"path leaves route": {
+			work: func(w *wire.Work) { w.Path = "/payouts/%2e%2e/admin" }, want: fault.Invalid, phase: "begun",
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			inBubble(t, func(t *testing.T) {
+				w, book, work := newWorld(t, true), newLedger(), payout("k1")
+				g := w.link("gate-1", book, 2000, 0)
+				if test.work != nil {
+					test.work(work)
+				}
+				if test.book != nil {
+					test.book(book)
+				}
+				if test.world != nil {
+					test.world(w)
+				}
+				got := g.run(work)
+				if got.kind() != test.want || got.end.GetRan() {
+					t.Errorf("got %v, want %s, not run", got.end, test.want)
+				}
+				if n := w.service.Count("k1"); n != 0 {
+					t.Errorf("got %d runs, want 0", n)
+				}
+				if got := book.state(); got != test.phase {
+					t.Errorf("got phase %s, want %s", got, test.phase)
+				}
+			})
+		})
+	}
+}
+
+// Guards against an operation that stays handed over when its gate dies
+// during the call, and against a second call.
+func TestOperationOutlivesGate(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		w, book := newWorld(t, true), newLedger()
+		a, b := w.link("gate-1", book, 2000, 0), w.link("gate-2", book, 2000, 0)
+		w.service.SetFaults(plain.Faults{Slow: 3000})
+		st := a.open(payout("k1"))
+		time.Sleep(time.Second)
+		_ = a.sess.Close()
+		_ = st.Close()
+		time.Sleep(3 * time.Second)
+		synctest.Wait()
+		if book.state() != "done" || book.finish[0].GetUnknown() || w.service.Count("k1") != 1 {
+			t.Errorf("got phase %s, %d runs; want done through the other gate, 1 run", book.state(), w.service.Count("k1"))
+		}
+		time.Sleep(5 * time.Second)
+		if b.billed(9) == 0 {
+			t.Error("got no usage record of the operation at the other gate")
+		}
+	})
+}
+
+// Guards against "not run" for a call that may have run, and against a
+// client library that resends it.
+func TestLostAnswerIsUnknown(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		w, book := newWorld(t, true), newLedger()
+		g := w.link("gate-1", book, 2000, 0)
+		w.service.SetFaults(plain.Faults{Lose: true})
+		got := g.run(payout("k1"))
+		if got.kind() != fault.Unknown || !got.end.GetRan() || w.service.Count("k1") != 1 {
+			t.Errorf("got %v and %d runs, want unknown and 1", got.end, w.service.Count("k1"))
+		}
+		if len(book.finish) != 1 || !book.finish[0].GetUnknown() {
+			t.Errorf("got finish %v, want unknown", book.finish)
+		}
+	})
+}
+
+// Guards against a result that is lost on the way: whether Hand was committed
+// is not known, so the service must not be called.
+func TestUnansweredHandIsNotCalled(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		w, book := newWorld(t, true), newLedger()
+		g := w.link("gate-1", book, 2000, 0)
+		book.mute = true
+		got := g.run(payout("k1"))
+		if got.kind() != fault.Unavailable || got.end.GetRan() || w.service.Count("k1") != 0 {
+			t.Errorf("got %v and %d runs, want not run", got.end, w.service.Count("k1"))
+		}
+		if len(w.server.pending()) != 1 {
+			t.Error("Abort is not retried")
+		}
+		book.mu.Lock()
+		book.mute = false
+		book.mu.Unlock()
+		time.Sleep(3 * time.Second)
+		if book.state() != "aborted" || len(w.server.pending()) != 0 {
+			t.Errorf("got phase %s, want aborted", book.state())
+		}
+	})
+}
+
+// Guards against a repeatable call that loses parts of its answer.
+func TestRepeatableCallPasses(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		w := newWorld(t, true)
+		g := w.link("gate-1", newLedger(), 2000, 0)
+		work := payout("")
+		work.Route, work.Method, work.Path, work.Operation, work.Fence = "state", "GET", "/state/7?full=1", "", 0
+		got := g.run(work)
+		if got.end.GetFault() != nil || got.head.GetStatus() != 200 || !strings.Contains(got.text(), `"path":"/state/7"`) {
+			t.Errorf("got %v %v %q", got.head, got.end, got.text())
+		}
+	})
+}
