serve: send nonces with Hand and Abort, test against the real ledger

Cause: the ledger grants a repeated Hand only under the nonce of the first, so that a restarted side process is never granted what its predecessor may have called. The body null made prepare write to a nil map, which ended the process. Ruled out: a random suffix on the backend name (it would show up in the audit trail).

--- a/side/engine/chat.go
+++ b/side/engine/chat.go
@@ -43,6 +43,9 @@
 	if err := json.Unmarshal(w.GetBody(), &fields); err != nil {
 		return nil, false, err
 	}
+	if fields == nil {
+		return nil, false, eris.New("the body is null")
+	}
 	target := ident.Target{Model: ident.Model(w.GetModel()), Version: ident.Version(w.GetVersion())}
 	if fields["model"], err = json.Marshal(target.String()); err != nil {
 		return nil, false, err
@@ -242,7 +245,8 @@
 		whole = !full
 		switch {
 		case blank && len(bytes.TrimSpace(event)) > 0:
-			return event, nil
+			// Both line ends are valid; gates look for the shorter one.
+			return bytes.ReplaceAll(event, []byte("\r\n"), []byte("\n")), nil
 		case blank:
 			event = event[:0]
 		}
--- a/side/serve/operate.go
+++ b/side/serve/operate.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -33,9 +34,8 @@
 }
 
 // claim tells whether the work is the first for its operation and fence in
-// this process. The ledger accepts a repeated Hand of the same backend
-// server, so that a resent command is harmless; a second call is ruled out
-// here.
+// this process. The ledger refuses a second Hand too, but its answer would
+// say "not run" while the first one runs.
 func (s *Server) claim(w *wire.Work) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -65,13 +65,13 @@
 	}
 	ctx, cancel := context.WithTimeout(s.ctx, pass.Timeout)
 	defer cancel()
-	sent := time.Now()
-	if f := s.hand(g, w, sent); f != nil {
-		return s.giveUp(g, w, f)
+	sent, nonce := time.Now(), rand.Uint64()|1 // 0 would mean none
+	if f := s.hand(g, w, nonce, sent); f != nil {
+		return s.giveUp(g, w, nonce, f)
 	}
 	answer, out := s.set.Service.Operate(ctx, w, func() *fault.Fault { return onTime(sent) })
 	if !out.Ran {
-		return s.giveUp(g, w, out.Fault)
+		return s.giveUp(g, w, nonce, out.Fault)
 	}
 	s.commit(g, w, finishing(w, answer))
 	if answer == nil {
@@ -99,9 +99,9 @@
 
 // hand commits Hand through the gate. It returns why the service must not be
 // called, or nil.
-func (s *Server) hand(g *gate, w *wire.Work, sent time.Time) *fault.Fault {
+func (s *Server) hand(g *gate, w *wire.Work, nonce uint64, sent time.Time) *fault.Fault {
 	op, err := s.relay(g, &wire.Command{Kind: &wire.Command_Hand{Hand: &wire.Hand{
-		Operation: w.GetOperation(), Fence: w.GetFence(), Backend: string(s.set.Name),
+		Operation: w.GetOperation(), Fence: w.GetFence(), Backend: string(s.set.Name), Nonce: nonce,
 	}}}, sent.Add(ident.HandTime))
 	if err != nil {
 		f := fault.From(err)
@@ -110,21 +110,21 @@
 		}
 		return fault.New(fault.Unavailable, "the operation could not be handed over, the service was not called; retry")
 	}
-	if op.GetPhase() != handed || op.GetFence() != w.GetFence() || op.GetBackend() != string(s.set.Name) {
+	if !op.GetGranted() || op.GetPhase() != handed || op.GetFence() != w.GetFence() || op.GetBackend() != string(s.set.Name) {
 		return fault.New(fault.Stale, "the operation was handed over elsewhere; ask for its state")
 	}
 	return onTime(sent)
 }
 
 // giveUp answers "not run" and proposes Abort: the ledger accepts it if the
-// operation was not handed over, or if it was to this backend server, and
-// this backend server does not call.
-func (s *Server) giveUp(g *gate, w *wire.Work, f *fault.Fault) engine.Outcome {
+// operation was not handed over, or if it was under the nonce of this try,
+// and this try does not call.
+func (s *Server) giveUp(g *gate, w *wire.Work, nonce uint64, f *fault.Fault) engine.Outcome {
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
 		s.commit(g, w, &wire.Command{Kind: &wire.Command_Abort{Abort: &wire.Abort{
-			Operation: w.GetOperation(), Fence: w.GetFence(), Backend: string(s.set.Name),
+			Operation: w.GetOperation(), Fence: w.GetFence(), Backend: string(s.set.Name), Nonce: nonce,
 		}}})
 	}()
 	select {
--- a/side/serve/operate_test.go
+++ b/side/serve/operate_test.go
@@ -15,7 +15,7 @@
 // caller has it, and against a bearer key that reaches the service.
 func TestOperationIsRecorded(t *testing.T) {
 	inBubble(t, func(t *testing.T) {
-		w, book := newWorld(t, true), newLedger()
+		w, book := newWorld(t, true), newBook()
 		g := w.link("gate-1", book, 2000, 0)
 		got := g.run(payout("k1"))
 		if got.end.GetFault() != nil || got.head.GetStatus() != 200 || !strings.Contains(got.text(), `"run":1`) {
@@ -39,17 +39,23 @@
 func TestOperationIsNotCalled(t *testing.T) {
 	tests := map[string]struct {
 		work  func(*wire.Work)
-		book  func(*ledger)
+		book  func(*book)
 		world func(*world)
 		want  fault.Kind
 		phase string
 	}{
-		"stale fence":         {work: func(w *wire.Work) { w.Fence = 4 }, want: fault.Stale, phase: "aborted"},
-		"handed elsewhere":    {book: func(l *ledger) { l.phase, l.by = "handed", "runner-2" }, want: fault.Stale, phase: "handed"},
-		"already done":        {book: func(l *ledger) { l.phase = "done" }, want: fault.Stale, phase: "done"},
-		"hand committed late": {book: func(l *ledger) { l.delay = 2100 * time.Millisecond }, want: fault.Unavailable, phase: "aborted"},
+		"stale fence": {book: func(b *book) {
+			b.commit(&wire.Command{Kind: &wire.Command_Abort{Abort: &wire.Abort{Operation: operation, Fence: 1}}})
+			b.begin()
+		}, want: fault.Stale, phase: "begun"},
+		"handed elsewhere": {book: func(b *book) { b.hand() }, want: fault.Stale, phase: "handed"},
+		"already done": {book: func(b *book) {
+			b.hand()
+			b.commit(&wire.Command{Kind: &wire.Command_Finish{Finish: &wire.Finish{Operation: operation, Fence: 1, Status: 200}}})
+		}, want: fault.Stale, phase: "done"},
+		"hand committed late": {book: func(b *book) { b.delay = 2100 * time.Millisecond }, want: fault.Unavailable, phase: "aborted"},
 		"slow connection after hand": {
-			book:  func(l *ledger) { l.delay = 1500 * time.Millisecond },
+			book:  func(b *book) { b.delay = 1500 * time.Millisecond },
 			world: func(w *world) { w.dialing = 600 * time.Millisecond },
 			want:  fault.Unavailable, phase: "aborted",
 		},
@@ -63,7 +69,7 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			inBubble(t, func(t *testing.T) {
-				w, book, work := newWorld(t, true), newLedger(), payout("k1")
+				w, book, work := newWorld(t, true), newBook(), payout("k1")
 				g := w.link("gate-1", book, 2000, 0)
 				if test.work != nil {
 					test.work(work)
@@ -93,7 +99,7 @@
 // during the call, and against a second call.
 func TestOperationOutlivesGate(t *testing.T) {
 	inBubble(t, func(t *testing.T) {
-		w, book := newWorld(t, true), newLedger()
+		w, book := newWorld(t, true), newBook()
 		a, b := w.link("gate-1", book, 2000, 0), w.link("gate-2", book, 2000, 0)
 		w.service.SetFaults(plain.Faults{Slow: 3000})
 		st := a.open(payout("k1"))
@@ -116,7 +122,7 @@
 // client library that resends it.
 func TestLostAnswerIsUnknown(t *testing.T) {
 	inBubble(t, func(t *testing.T) {
-		w, book := newWorld(t, true), newLedger()
+		w, book := newWorld(t, true), newBook()
 		g := w.link("gate-1", book, 2000, 0)
 		w.service.SetFaults(plain.Faults{Lose: true})
 		got := g.run(payout("k1"))
@@ -133,7 +139,7 @@
 // is not known, so the service must not be called.
 func TestUnansweredHandIsNotCalled(t *testing.T) {
 	inBubble(t, func(t *testing.T) {
-		w, book := newWorld(t, true), newLedger()
+		w, book := newWorld(t, true), newBook()
 		g := w.link("gate-1", book, 2000, 0)
 		book.mute = true
 		got := g.run(payout("k1"))
@@ -157,7 +163,7 @@
 func TestRepeatableCallPasses(t *testing.T) {
 	inBubble(t, func(t *testing.T) {
 		w := newWorld(t, true)
-		g := w.link("gate-1", newLedger(), 2000, 0)
+		g := w.link("gate-1", newBook(), 2000, 0)
 		work := payout("")
 		work.Route, work.Method, work.Path, work.Operation, work.Fence = "state", "GET", "/state/7?full=1", "", 0
 		got := g.run(work)
--- a/side/serve/world_test.go
+++ b/side/serve/world_test.go
@@ -14,8 +14,11 @@
 	"testing/synctest"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"citronledge.example/core/fault"
 	"citronledge.example/core/ident"
+	"citronledge.example/core/ledger"
 	"citronledge.example/core/link"
 	"citronledge.example/core/wire"
 	"citronledge.example/side/caller"
@@ -129,7 +132,7 @@
 	t    *testing.T
 	sess *link.Session
 	ctl  *link.Stream
-	book *ledger
+	book *book
 
 	mu      sync.Mutex
 	config  *wire.Delta
@@ -158,7 +161,7 @@
 }
 
 // link connects a gate that grants leases of a time in milliseconds.
-func (w *world) link(name string, book *ledger, ttl uint32, delay time.Duration) *fakeGate {
+func (w *world) link(name string, book *book, ttl uint32, delay time.Duration) *fakeGate {
 	w.t.Helper()
 	conn, err := w.ln.dial(context.Background(), "", "")
 	if err != nil {
@@ -212,7 +215,7 @@
 			defer func() { _ = st.Close() }()
 			var cmd wire.Command
 			if st.Recv(&cmd) == nil {
-				if result := g.book.apply(&cmd); result != nil {
+				if result := g.book.relay(&cmd); result != nil {
 					_ = st.Send(result)
 				}
 			}
@@ -297,62 +300,74 @@
 func payout(key string) *wire.Work {
 	return &wire.Work{
 		Request: "r2", Attempt: 1, Customer: "coop", Revision: 10, Incarnation: 3, Sequence: 9, Kind: "call", Route: "pay",
-		Method: "POST", Path: "/payouts", Body: []byte(`{"household":"h1"}`), Operation: "coop/pay/" + key, Fence: 5,
+		Method: "POST", Path: "/payouts", Body: []byte(`{"household":"h1"}`), Operation: "coop/pay/" + key, Fence: 1,
 		Timeout: 8000, Headers: []*wire.Header{{Name: "Idempotency-Key", Value: key}, {Name: "Authorization", Value: "secret"}},
 	}
 }
 
-// ledger is a ledger of one operation.
-type ledger struct {
+const operation = "coop/pay/k1"
+
+// book is the ledger behind the gates, with faults of the way to it.
+type book struct {
 	mu     sync.Mutex
-	phase  string
-	by     string
-	fence  uint64
+	ledger *ledger.Ledger
+	index  uint64
 	delay  time.Duration // before the result of Hand, after the commit
 	mute   bool          // no results
-	finish []*wire.Finish
 	aborts int
+	finish []*wire.Finish
+}
+
+// newBook returns a ledger in which the operation is begun with fence 1.
+func newBook() *book {
+	b := &book{ledger: ledger.New()}
+	b.commit(&wire.Command{Kind: &wire.Command_Enroll{Enroll: &wire.Enroll{Name: "gate-1"}}})
+	b.begin()
+	return b
+}
+
+func (b *book) begin() {
+	b.commit(&wire.Command{Kind: &wire.Command_Begin{Begin: &wire.Begin{
+		Customer: "coop", Route: "pay", Key: "k1", Incarnation: 1, Request: "r2",
+	}}})
 }
 
-func newLedger() *ledger { return &ledger{phase: "begun", fence: 5} }
+// hand hands the operation over to another backend server.
+func (b *book) hand() {
+	b.commit(&wire.Command{Kind: &wire.Command_Hand{Hand: &wire.Hand{
+		Operation: operation, Fence: 1, Backend: "runner-2", Nonce: 7,
+	}}})
+}
+
+func (b *book) commit(cmd *wire.Command) *wire.Result {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.index++
+	cmd.Time = uint64(time.Now().UnixMilli())
+	data, _ := proto.Marshal(cmd)
+	var r wire.Result
+	_ = proto.Unmarshal(b.ledger.Apply(b.index, data), &r)
+	return &r
+}
 
-func (l *ledger) apply(cmd *wire.Command) *wire.Result {
-	l.mu.Lock()
-	delay, mute := time.Duration(0), l.mute
-	bad := false
+func (b *book) relay(cmd *wire.Command) *wire.Result {
+	r := b.commit(cmd)
+	b.mu.Lock()
+	delay, mute := time.Duration(0), b.mute
 	switch k := cmd.GetKind().(type) {
 	case *wire.Command_Hand:
-		delay = l.delay
-		if bad = l.phase != "begun" || k.Hand.GetFence() != l.fence; !bad {
-			l.phase, l.by = "handed", k.Hand.GetBackend()
-		}
+		delay = b.delay
 	case *wire.Command_Finish:
-		if bad = l.phase != "handed"; !bad && !mute {
-			l.phase = "done"
-			l.finish = append(l.finish, k.Finish)
-		}
+		b.finish = append(b.finish, k.Finish)
 	case *wire.Command_Abort:
-		if bad = l.phase != "begun" && (l.phase != "handed" || l.by != k.Abort.GetBackend()); !bad {
-			l.phase = "aborted"
-			l.aborts++
-		}
+		b.aborts++
 	}
-	res := &wire.Result{Kind: &wire.Result_Operation{Operation: &wire.Operation{
-		Id: "coop/pay/k1", Fence: l.fence, Phase: l.phase, Backend: l.by,
-	}}}
-	if bad {
-		res = &wire.Result{Fault: wire.NewFault(fault.New(fault.Stale, "stale"))}
-	}
-	l.mu.Unlock()
+	b.mu.Unlock()
 	time.Sleep(delay)
 	if mute {
 		return nil
 	}
-	return res
+	return r
 }
 
-func (l *ledger) state() string {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.phase
-}
+func (b *book) state() string { return b.ledger.Operations(operation, "")[0].GetPhase() }
--- /dev/null
+++ b/side/usage/book_test.go
@@ -0,0 +1,53 @@
+package usage
+
+import (
+	"math"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"citronledge.example/core/wire"
+)
+
+func bill(seq uint64, attempt uint32) *wire.Bill {
+	return &wire.Bill{Incarnation: 1, Sequence: seq, Usages: []*wire.Usage{{Attempt: attempt, Output: 5}}}
+}
+
+// Guards against memory without bound, against a record that nobody ever
+// settles, and against attempts that are lost or counted twice.
+func TestBook(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := New(3, prometheus.NewRegistry())
+		for seq := uint64(1); seq <= 4; seq++ {
+			b.Add("gate-1", bill(seq, 1), true)
+			b.Add("gate-1", bill(seq, 1), true)
+			b.Add("gate-1", bill(seq, 2), true)
+		}
+		if got := b.Len(); got != 3 {
+			t.Errorf("got %d records, want the bound 3", got)
+		}
+		b.Orphan("gate-1")
+		time.Sleep(Grace)
+		due := b.Due()["gate-1"]
+		for _, r := range due {
+			if r.GetBill().GetSequence() == 1 || len(r.GetBill().GetUsages()) != 2 {
+				t.Errorf("got %v, want sequences 2 to 4 with two usages", r)
+			}
+		}
+		b.Settle([]*wire.Billing{{Incarnation: 1, First: 2, Last: math.MaxUint64}, {Incarnation: 1, First: 9, Last: 8}})
+		b.Add("gate-1", bill(4, 3), true) // the loser of a hedge ends after the bill
+		if len(due) != 3 || b.Len() != 0 {
+			t.Errorf("got %d due and %d records after all were settled", len(due), b.Len())
+		}
+		b.Add("gate-1", bill(1, 1), true)
+		if len(b.Due()) != 0 {
+			t.Error("a record of a linked gate is due at once")
+		}
+		time.Sleep(forgotten)
+		if len(b.Due()) != 1 {
+			t.Error("a record whose confirmation was lost is never due")
+		}
+	})
+}
