gate: serve chats and calls from the HTTP API to the bill

Cause: callers need one API in front of all backend servers. Change: front (API), route (admission, version, attempts, retries, hedges, cascade, operations, decision records), pool (links, sub-leases, load, relay) and bill (numbering, batches), with the ledger as stand-in for the state cluster in tests.

--- /dev/null
+++ b/gate/bill/bill.go
@@ -0,0 +1,303 @@
+// Package bill numbers the billable requests of one gate and commits their
+// bills to the state cluster, each once.
+package bill
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"k8s.io/klog/v2"
+
+	"citronledge.example/core/fault"
+	"citronledge.example/core/group"
+	"citronledge.example/core/ident"
+	"citronledge.example/core/wire"
+)
+
+const (
+	batchSize  = 64 // bills in one command
+	senders    = 2  // commands under way at once; while both wait, bills gather
+	commitTime = 2 * time.Second
+	retryFirst = 20 * time.Millisecond
+	retryMax   = time.Second
+)
+
+// ErrLate is returned for a bill that is still queued at the request's
+// deadline. It is committed later; the caller gets the answer meanwhile.
+var ErrLate = errors.New("bill is queued until the state cluster can commit it")
+
+// State is what a Book needs of the client of the state cluster.
+type State interface {
+	// Incarnation returns the number of this run of the gate; 0 if it has none.
+	Incarnation() ident.Incarnation
+	// Propose commits a command and returns its result.
+	Propose(ctx context.Context, cmd *wire.Command) (*wire.Result, error)
+}
+
+// Book numbers requests and commits bills. It is safe for concurrent use.
+type Book struct {
+	actor   string
+	state   State
+	settled func(id ident.Backend, billings []*wire.Billing)
+	last    atomic.Uint64
+	kick    chan struct{}
+
+	mu    sync.Mutex // guards the fields below
+	queue []*entry
+	open  int // queued or under way
+	idle  chan struct{}
+
+	late    prometheus.Counter
+	batches prometheus.Counter
+	length  prometheus.GaugeFunc
+}
+
+type entry struct {
+	bill     *wire.Bill
+	backends []ident.Backend
+	done     chan struct{}
+}
+
+// Option sets up a Book.
+type Option func(*Book)
+
+// Actor sets the name of the gate in the audit trail.
+func Actor(name string) Option { return func(b *Book) { b.actor = name } }
+
+// Client sets the client of the state cluster.
+func Client(s State) Option { return func(b *Book) { b.state = s } }
+
+// Settled sets what tells a side process that bills are committed.
+func Settled(f func(id ident.Backend, billings []*wire.Billing)) Option {
+	return func(b *Book) { b.settled = f }
+}
+
+// Metrics registers the metrics of the book.
+func Metrics(r prometheus.Registerer) Option {
+	return func(b *Book) { r.MustRegister(b.late, b.batches, b.length) }
+}
+
+// New returns an empty book; Run commits its bills.
+func New(opts ...Option) *Book {
+	b := &Book{kick: make(chan struct{}, senders), idle: make(chan struct{})}
+	close(b.idle)
+	b.late = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "citronledge_gate_late_bills_total", Help: "Bills that were not committed when their answer was delivered.",
+	})
+	b.batches = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "citronledge_gate_bill_batches_total", Help: "Commands that committed bills.",
+	})
+	b.length = prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "citronledge_gate_bills_open", Help: "Bills that are not committed yet.",
+	}, func() float64 { return float64(b.Open()) })
+	for _, opt := range opts {
+		opt(b)
+	}
+	return b
+}
+
+// Next numbers a request. It returns false while the gate has no incarnation.
+func (b *Book) Next() (ident.Billing, bool) {
+	inc := b.state.Incarnation()
+	if inc == 0 {
+		return ident.Billing{}, false
+	}
+	return ident.Billing{Incarnation: inc, Sequence: ident.Sequence(b.last.Add(1))}, true
+}
+
+// Incarnation returns the number of this run of the gate; 0 if it has none.
+func (b *Book) Incarnation() ident.Incarnation { return b.state.Incarnation() }
+
+// Last returns the highest number given so far.
+func (b *Book) Last() ident.Sequence { return ident.Sequence(b.last.Load()) }
+
+// Open returns how many bills are not committed yet.
+func (b *Book) Open() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.open
+}
+
+// Commit queues a bill and waits until it is committed. When ctx ends first it
+// returns ErrLate, and the bill stays queued. The backends are told when the
+// bill is committed.
+func (b *Book) Commit(ctx context.Context, bill *wire.Bill, backends []ident.Backend) error {
+	e := &entry{bill: bill, backends: backends, done: make(chan struct{})}
+	b.put(e)
+	select {
+	case <-e.done:
+		return nil
+	case <-ctx.Done():
+		b.late.Inc()
+		return ErrLate
+	}
+}
+
+// Adopt commits records that a side process kept for a gate that is gone, as
+// they are: with the bill key of that gate.
+func (b *Book) Adopt(ctx context.Context, records []*wire.Record) error {
+	var list []*entry
+	for _, r := range records {
+		if r.GetBill() != nil {
+			list = append(list, &entry{bill: r.GetBill(), done: make(chan struct{})})
+		}
+	}
+	b.put(list...)
+	for _, e := range list {
+		select {
+		case <-e.done:
+		case <-ctx.Done():
+			return ErrLate
+		}
+	}
+	return nil
+}
+
+func (b *Book) put(list ...*entry) {
+	if len(list) == 0 {
+		return
+	}
+	b.mu.Lock()
+	if b.open == 0 {
+		b.idle = make(chan struct{})
+	}
+	b.open += len(list)
+	b.queue = append(b.queue, list...)
+	b.mu.Unlock()
+	b.wake()
+}
+
+func (b *Book) wake() {
+	select {
+	case b.kick <- struct{}{}:
+	default: // both senders are about to look at the queue
+	}
+}
+
+// Run commits bills until ctx ends.
+func (b *Book) Run(ctx context.Context) error {
+	g := group.New(ctx)
+	for range senders {
+		g.Go("bills", b.send)
+	}
+	return g.Wait()
+}
+
+// Drain waits until all bills are committed or ctx ends, and returns how many
+// are left.
+func (b *Book) Drain(ctx context.Context) int {
+	for {
+		b.mu.Lock()
+		idle, open := b.idle, b.open
+		b.mu.Unlock()
+		if open == 0 {
+			return 0
+		}
+		select {
+		case <-idle:
+		case <-ctx.Done():
+			return open
+		}
+	}
+}
+
+func (b *Book) send(ctx context.Context) error {
+	wait := retryFirst
+	for {
+		batch := b.take()
+		if len(batch) == 0 {
+			select {
+			case <-b.kick:
+				continue
+			case <-ctx.Done():
+				return nil
+			}
+		}
+		err := b.commit(ctx, batch)
+		if err == nil {
+			wait = retryFirst
+			continue
+		}
+		b.back(batch)
+		klog.V(1).InfoS("Bills are not committed yet", "bills", len(batch), "err", err)
+		select {
+		case <-time.After(wait):
+		case <-ctx.Done():
+			return nil
+		}
+		wait = min(2*wait, retryMax)
+	}
+}
+
+func (b *Book) take() []*entry {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	n := min(len(b.queue), batchSize)
+	batch := b.queue[:n:n]
+	b.queue = b.queue[n:]
+	if len(b.queue) > 0 {
+		b.wake()
+	}
+	return batch
+}
+
+// back puts a batch in front of the queue again.
+func (b *Book) back(batch []*entry) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.queue = append(append([]*entry(nil), batch...), b.queue...)
+}
+
+func (b *Book) commit(ctx context.Context, batch []*entry) error {
+	ctx, cancel := context.WithTimeout(ctx, commitTime)
+	defer cancel()
+	bills := make([]*wire.Bill, len(batch))
+	for i, e := range batch {
+		bills[i] = e.bill
+	}
+	res, err := b.state.Propose(ctx, &wire.Command{
+		Actor: b.actor,
+		Time:  uint64(time.Now().UnixMilli()),
+		Kind:  &wire.Command_Bills{Bills: &wire.Bills{Bills: bills}},
+	})
+	if err != nil {
+		return err
+	}
+	if err := res.GetFault().Err(); err != nil {
+		return err
+	}
+	if res.GetBilled() == nil {
+		return fault.New(fault.Internal, "the state cluster answered bills without a result; run the same release everywhere")
+	}
+	b.batches.Inc()
+	b.finish(batch)
+	return nil
+}
+
+func (b *Book) finish(batch []*entry) {
+	done := map[ident.Backend][]*wire.Billing{}
+	for _, e := range batch {
+		close(e.done)
+		for _, id := range e.backends {
+			done[id] = append(done[id], &wire.Billing{
+				Incarnation: e.bill.GetIncarnation(), First: e.bill.GetSequence(), Last: e.bill.GetSequence(),
+			})
+		}
+	}
+	b.mu.Lock()
+	b.open -= len(batch)
+	if b.open == 0 {
+		close(b.idle)
+	}
+	b.mu.Unlock()
+	if b.settled == nil {
+		return
+	}
+	for id, list := range done {
+		b.settled(id, list)
+	}
+}
--- /dev/null
+++ b/gate/pool/backend.go
@@ -0,0 +1,375 @@
+package pool
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/sourcegraph/conc"
+	"k8s.io/klog/v2"
+
+	"citronledge.example/core/conf"
+	"citronledge.example/core/fault"
+	"citronledge.example/core/group"
+	"citronledge.example/core/ident"
+	"citronledge.example/core/link"
+	"citronledge.example/core/wire"
+)
+
+const (
+	redialFirst = 100 * time.Millisecond
+	redialMax   = 2 * time.Second
+	// mailbox bounds the messages that wait for one control stream.
+	mailbox = 64
+	// settleEvery gathers billings into one message for each side process.
+	settleEvery = 50 * time.Millisecond
+)
+
+// backend is the link to one side process.
+type backend struct {
+	pool *Pool
+	id   ident.Backend
+	addr string
+	zone ident.Zone
+	hash uint64
+
+	member  atomic.Bool // in the platform's list and the gate's subset, not leaving
+	running atomic.Int64
+	long    atomic.Int64
+	cancel  context.CancelFunc
+
+	mu     sync.Mutex // guards the fields below
+	sess   *link.Session
+	out    chan *wire.Control // mailbox of the control stream
+	settle []*wire.Billing    // to be sent with the next tick
+	load   *wire.Load
+	heard  time.Time  // time of the last load report
+	since  time.Time  // time of the first report after the link came up
+	sent   *conf.View // newest view that was sent on the control stream
+}
+
+func newBackend(p *Pool, id ident.Backend, m conf.Member) *backend {
+	b := &backend{pool: p, id: id, addr: m.Addr, zone: m.Zone, hash: xxhash.Sum64String(string(id))}
+	b.member.Store(m.Presence != conf.Leaving)
+	return b
+}
+
+// usable tells whether the backend server may get new work. Any one of the
+// platform's list, the side process's own report, and silence stops it.
+func (b *backend) usable(now time.Time) bool {
+	if !b.member.Load() {
+		return false
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.sess != nil && b.load != nil && b.load.GetHealthy() && !b.load.GetLeaving() &&
+		now.Sub(b.heard) < ident.SilentAfter
+}
+
+func (b *backend) session() *link.Session {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.sess
+}
+
+// keep dials the side process again and again until ctx ends.
+func (b *backend) keep(ctx context.Context) {
+	wait := redialFirst
+	for ctx.Err() == nil {
+		sess, err := b.pool.dial(ctx, b.addr)
+		if err == nil {
+			wait = redialFirst
+			err = b.serve(ctx, sess)
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		klog.V(1).InfoS("Link to side process is down", "backend", b.id, "addr", b.addr, "err", err)
+		select {
+		case <-time.After(wait + rand.N(wait)): // jitter, so that a returning zone is not dialled by all gates at once
+		case <-ctx.Done():
+		}
+		wait = min(2*wait, redialMax)
+	}
+}
+
+// serve works on one session until it ends.
+func (b *backend) serve(ctx context.Context, sess *link.Session) error {
+	defer func() { _ = sess.Close() }()
+	control, err := sess.Open(wire.Kind_CONTROL)
+	if err != nil {
+		return err
+	}
+	out := b.attach(sess)
+	defer b.detach()
+	g := group.New(ctx)
+	g.Go("control", func(ctx context.Context) error { return b.controls(ctx, control) })
+	g.Go("mailbox", func(ctx context.Context) error { return b.post(ctx, control, out) })
+	g.Go("accept", func(ctx context.Context) error { return b.accept(ctx, sess) })
+	g.Go("close", func(ctx context.Context) error {
+		select {
+		case <-ctx.Done():
+		case <-sess.Done():
+		}
+		_ = sess.Close() // unblocks the other tasks
+		g.Stop()
+		return nil
+	})
+	return g.Wait()
+}
+
+func (b *backend) attach(sess *link.Session) <-chan *wire.Control {
+	out := make(chan *wire.Control, mailbox)
+	b.mu.Lock()
+	b.sess, b.out, b.load, b.sent, b.settle = sess, out, nil, nil, nil
+	b.since = time.Time{}
+	b.mu.Unlock()
+	return out
+}
+
+func (b *backend) detach() {
+	b.mu.Lock()
+	b.sess, b.out, b.load, b.settle = nil, nil, nil, nil
+	b.mu.Unlock()
+	b.pool.refresh()
+}
+
+// controls answers the messages of the side process on the control stream.
+func (b *backend) controls(ctx context.Context, control *link.Stream) error {
+	for {
+		var m wire.Control
+		if err := control.Recv(&m); err != nil {
+			return err
+		}
+		switch k := m.GetKind().(type) {
+		case *wire.Control_Renew:
+			b.send(b.grant(k.Renew))
+		case *wire.Control_Load:
+			b.report(k.Load)
+		case *wire.Control_Records:
+			b.adopt(ctx, k.Records.GetRecords())
+		case *wire.Control_Grant, *wire.Control_Settled, nil:
+			klog.V(1).InfoS("Unexpected message on a control stream", "backend", b.id)
+		}
+	}
+}
+
+// grant answers a renewal. The sub-lease ends before the gate's own lease,
+// also when the clock of the side process runs slow.
+func (b *backend) grant(r *wire.Renew) *wire.Control {
+	view := b.pool.state.View()
+	left := time.Until(b.pool.state.Lease())
+	left -= time.Duration(float64(left) * ident.ClockError)
+	g := &wire.Grant{Seq: r.GetSeq(), Revision: uint64(view.Revision)}
+	if left <= 0 {
+		g.Fault = wire.NewFault(fault.New(fault.NoLease, "the gate has no configuration lease; renew again or use another gate"))
+	} else {
+		g.Ttl = uint32(left / time.Millisecond)
+	}
+	b.mu.Lock()
+	if r.GetRevision() != uint64(view.Revision) {
+		g.Delta = b.pool.delta(b.sent, view, ident.Revision(r.GetRevision()))
+	}
+	b.sent = view
+	b.mu.Unlock()
+	return &wire.Control{Kind: &wire.Control_Grant{Grant: g}}
+}
+
+// push sends the newest view if the side process has an older one.
+func (b *backend) push(view *conf.View) {
+	b.mu.Lock()
+	sent := b.sent
+	if sent == nil || sent.Revision == view.Revision {
+		b.mu.Unlock()
+		return // the first renewal brings the first view
+	}
+	b.sent = view
+	b.mu.Unlock()
+	g := &wire.Grant{Revision: uint64(view.Revision), Delta: b.pool.delta(sent, view, sent.Revision)}
+	b.send(&wire.Control{Kind: &wire.Control_Grant{Grant: g}})
+}
+
+func (p *Pool) pushAll() {
+	view := p.state.View()
+	for _, b := range p.index.Load().all {
+		b.push(view)
+	}
+}
+
+// delta returns what brings a side process from a revision to view: the
+// difference if sent is that revision, else everything.
+func (p *Pool) delta(sent, view *conf.View, at ident.Revision) *wire.Delta {
+	if sent == nil || sent.Revision != at || at > view.Revision {
+		return view.Full()
+	}
+	p.steps.Lock()
+	defer p.steps.Unlock()
+	if p.last == nil || p.last.from != sent || p.last.to != view {
+		p.last = &step{from: sent, to: view, delta: diff(sent, view)}
+	}
+	return p.last.delta
+}
+
+func diff(from, to *conf.View) *wire.Delta {
+	d := &wire.Delta{From: uint64(from.Revision), Revision: uint64(to.Revision)}
+	for _, key := range to.Keys() {
+		value, _ := to.Value(key)
+		if old, ok := from.Value(key); !ok || !slices.Equal(old, value) {
+			d.Entries = append(d.Entries, &wire.Entry{Key: key, Value: value, Revision: d.Revision})
+		}
+	}
+	for _, key := range from.Keys() {
+		if _, ok := to.Value(key); !ok {
+			d.Entries = append(d.Entries, &wire.Entry{Key: key, Gone: true, Revision: d.Revision})
+		}
+	}
+	return d
+}
+
+func (b *backend) report(l *wire.Load) {
+	now := time.Now()
+	b.mu.Lock()
+	changed := b.load == nil || b.load.GetService() != l.GetService() || !sameServed(b.load.GetServed(), l.GetServed())
+	if b.since.IsZero() || (b.load != nil && !b.load.GetHealthy() && l.GetHealthy()) {
+		b.since = now
+	}
+	b.load, b.heard = l, now
+	b.mu.Unlock()
+	if changed {
+		b.pool.refresh()
+	}
+}
+
+func sameServed(a, b []*wire.Served) bool {
+	return slices.EqualFunc(a, b, func(x, y *wire.Served) bool {
+		return x.GetModel() == y.GetModel() && x.GetVersion() == y.GetVersion()
+	})
+}
+
+// adopt commits the records that the side process kept for a gate that is
+// gone. It is told that they are settled only after the commit.
+func (b *backend) adopt(ctx context.Context, records []*wire.Record) {
+	if b.pool.adopt == nil || len(records) == 0 {
+		return
+	}
+	// The control stream must not wait for the state cluster, or the load
+	// reports behind the records would come too late.
+	go func() {
+		if err := b.pool.adopt(ctx, records); err != nil {
+			klog.V(1).InfoS("Records were not committed; the side process will send them again", "backend", b.id, "err", err)
+			return
+		}
+		list := make([]*wire.Billing, len(records))
+		for i, r := range records {
+			seq := r.GetBill().GetSequence()
+			list[i] = &wire.Billing{Incarnation: r.GetBill().GetIncarnation(), First: seq, Last: seq}
+		}
+		b.pool.Settled(b.id, list)
+	}()
+}
+
+// send puts a message in the mailbox. A full mailbox means that the side
+// process does not read; then the message is dropped, and the next grant
+// carries the whole configuration.
+func (b *backend) send(m *wire.Control) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.out == nil {
+		return
+	}
+	select {
+	case b.out <- m:
+	default:
+		b.sent = nil
+		klog.V(1).InfoS("Control stream is stalled; a message was dropped", "backend", b.id)
+	}
+}
+
+// post sends the mailbox, so that a stalled side process holds up nobody.
+func (b *backend) post(ctx context.Context, control *link.Stream, out <-chan *wire.Control) error {
+	tick := time.NewTicker(settleEvery)
+	defer tick.Stop()
+	for {
+		var m *wire.Control
+		select {
+		case m = <-out:
+		case <-tick.C:
+			m = b.settlement()
+		case <-ctx.Done():
+			return nil
+		}
+		if m == nil {
+			continue
+		}
+		if err := control.Send(m); err != nil {
+			return err
+		}
+	}
+}
+
+func (b *backend) settlement() *wire.Control {
+	b.mu.Lock()
+	list := b.settle
+	b.settle = nil
+	b.mu.Unlock()
+	if len(list) == 0 {
+		return nil
+	}
+	return &wire.Control{Kind: &wire.Control_Settled{Settled: &wire.Settled{Billings: list}}}
+}
+
+// settled notes billings for the next settlement message.
+func (b *backend) settled(list []*wire.Billing) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.out != nil {
+		b.settle = append(b.settle, list...)
+	}
+}
+
+// accept serves the streams that the side process opens.
+func (b *backend) accept(ctx context.Context, sess *link.Session) error {
+	relays := conc.NewWaitGroup()
+	defer relays.Wait()
+	for {
+		st, err := sess.Accept()
+		if err != nil {
+			return err
+		}
+		if st.Kind() != wire.Kind_RELAY {
+			_ = st.Close()
+			continue
+		}
+		relays.Go(func() { b.relay(ctx, st) })
+	}
+}
+
+// relay forwards the commands of a side process to the state cluster.
+func (b *backend) relay(ctx context.Context, st *link.Stream) {
+	defer func() { _ = st.Close() }()
+	for {
+		var cmd wire.Command
+		if err := st.Recv(&cmd); err != nil {
+			return
+		}
+		res, err := b.forward(ctx, &cmd)
+		if err != nil {
+			res = &wire.Result{Fault: wire.NewFault(fault.From(err))}
+		}
+		if err := st.Send(res); err != nil {
+			return
+		}
+	}
+}
+
+func (b *backend) forward(ctx context.Context, cmd *wire.Command) (*wire.Result, error) {
+	switch cmd.GetKind().(type) {
+	case *wire.Command_Hand, *wire.Command_Finish, *wire.Command_Abort:
+		return b.pool.state.Propose(ctx, cmd)
+	}
+	return nil, fault.New(fault.Forbidden, "a side process may send only hand, finish and abort; use ctl for other commands")
+}
--- /dev/null
+++ b/gate/pool/index.go
@@ -0,0 +1,129 @@
+package pool
+
+import (
+	"time"
+
+	"citronledge.example/core/ident"
+	"citronledge.example/core/policy"
+)
+
+// index is an immutable lookup of backend servers by what they serve.
+type index struct {
+	all      map[ident.Backend]*backend
+	targets  map[ident.Target][]*backend
+	services map[ident.Service][]*backend
+}
+
+func newIndex(list []*backend) *index {
+	x := &index{
+		all:      map[ident.Backend]*backend{},
+		targets:  map[ident.Target][]*backend{},
+		services: map[ident.Service][]*backend{},
+	}
+	for _, b := range list {
+		x.all[b.id] = b
+		b.mu.Lock()
+		load := b.load
+		b.mu.Unlock()
+		if load == nil {
+			continue
+		}
+		if name := ident.Service(load.GetService()); name != "" {
+			x.services[name] = append(x.services[name], b)
+		}
+		for _, s := range load.GetServed() {
+			t := ident.Target{Model: ident.Model(s.GetModel()), Version: ident.Version(s.GetVersion())}
+			x.targets[t] = append(x.targets[t], b)
+		}
+	}
+	return x
+}
+
+// Need says what an attempt runs on: a target, or a plain service.
+type Need struct {
+	Target  ident.Target
+	Service ident.Service
+	Kind    ident.Kind
+	// Seed is the hash of the session or prefix that the attempt belongs to;
+	// 0 if it has none.
+	Seed uint64
+}
+
+// Candidates appends the backend servers that may take new work to list.
+func (p *Pool) Candidates(now time.Time, need Need, list []policy.Candidate) []policy.Candidate {
+	x := p.index.Load()
+	from := x.targets[need.Target]
+	if need.Service != "" {
+		from = x.services[need.Service]
+	}
+	first := len(list)
+	affine, top := -1, uint64(0)
+	for _, b := range from {
+		c, ok := b.candidate(now)
+		if !ok {
+			continue
+		}
+		c.Local = b.zone == p.zone
+		if need.Seed != 0 {
+			if score := mix(need.Seed, b.hash); affine < 0 || score > top {
+				affine, top = len(list), score
+			}
+		}
+		list = append(list, c)
+	}
+	if affine >= 0 {
+		list[affine].Affine = true
+	}
+	p.compare(now, need, list[first:])
+	return list
+}
+
+func (b *backend) candidate(now time.Time) (policy.Candidate, bool) {
+	if !b.member.Load() {
+		return policy.Candidate{}, false
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	l := b.load
+	if b.sess == nil || l == nil || !l.GetHealthy() || l.GetLeaving() || now.Sub(b.heard) >= ident.SilentAfter {
+		return policy.Candidate{}, false
+	}
+	return policy.Candidate{
+		Backend:  b.id,
+		InFlight: int(b.running.Load()),
+		Long:     int(b.long.Load()),
+		Reported: int(l.GetRunning() + l.GetQueued()),
+		Age:      now.Sub(b.heard) + time.Duration(l.GetAge())*time.Millisecond,
+		Slots:    int(l.GetSlots()),
+		Uptime:   now.Sub(b.since),
+	}, true
+}
+
+// Slots returns how many requests the backend servers for a model or service
+// can run for this gate: their slots less the load that other gates put on
+// them, as far as the reports show it.
+func (p *Pool) Slots(now time.Time, model ident.Model, service ident.Service) int {
+	x := p.index.Load()
+	seen := map[ident.Backend]bool{}
+	total := 0
+	add := func(list []*backend) {
+		for _, b := range list {
+			c, ok := b.candidate(now)
+			if !ok || seen[b.id] {
+				continue
+			}
+			seen[b.id] = true
+			total += max(0, c.Slots-max(0, c.Reported-c.InFlight))
+		}
+	}
+	if service != "" {
+		add(x.services[service])
+		return total
+	}
+	for t, list := range x.targets {
+		if t.Model == model {
+			add(list)
+		}
+	}
+	return total
+}
--- /dev/null
+++ b/gate/route/admit.go
@@ -0,0 +1,242 @@
+package route
+
+import (
+	"context"
+	"strconv"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"citronledge.example/core/conf"
+	"citronledge.example/core/fault"
+	"citronledge.example/core/group"
+	"citronledge.example/core/ident"
+	"citronledge.example/core/policy"
+)
+
+const (
+	// pumpEvery is how often queues drop tickets that are too late.
+	pumpEvery = 10 * time.Millisecond
+	// resizeEvery follows the load reports, which come at this interval.
+	resizeEvery = ident.LoadEvery
+)
+
+// lane is the queue in front of one model or service.
+type lane struct {
+	model   ident.Model
+	service ident.Service
+
+	mu      sync.Mutex // guards the fields below
+	queue   *policy.Queue
+	waiting map[uint64]chan error
+	next    uint64
+	sized   time.Time
+}
+
+// lanes holds all queues and the rate limits of the customers.
+type lanes struct {
+	mu     sync.Mutex
+	all    map[string]*lane
+	limits map[ident.Customer]*rate.Limiter
+}
+
+func newLanes() *lanes {
+	return &lanes{all: map[string]*lane{}, limits: map[ident.Customer]*rate.Limiter{}}
+}
+
+func (l *lanes) find(model ident.Model, service ident.Service, limit int) *lane {
+	key := string(model) + "\x00" + string(service)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	q, ok := l.all[key]
+	if !ok {
+		q = &lane{
+			model: model, service: service, waiting: map[uint64]chan error{},
+			queue: policy.NewQueue(policy.QueueConfig{Limit: limit}),
+		}
+		l.all[key] = q
+	}
+	return q
+}
+
+func (l *lanes) list() []*lane {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	list := make([]*lane, 0, len(l.all))
+	for _, q := range l.all {
+		list = append(list, q)
+	}
+	return list
+}
+
+// allow applies the customer's own rate limit.
+func (l *lanes) allow(now time.Time, name ident.Customer, c conf.Customer) error {
+	if c.Rate <= 0 {
+		return nil
+	}
+	burst := c.Burst
+	if burst <= 0 {
+		burst = max(1, int(c.Rate))
+	}
+	l.mu.Lock()
+	lim, ok := l.limits[name]
+	if !ok || lim.Limit() != rate.Limit(c.Rate) || lim.Burst() != burst {
+		lim = rate.NewLimiter(rate.Limit(c.Rate), burst)
+		l.limits[name] = lim
+	}
+	l.mu.Unlock()
+	if lim.AllowN(now, 1) {
+		return nil
+	}
+	wait := time.Duration(float64(time.Second) / c.Rate)
+	return fault.New(fault.Busy, "the customer's rate limit of "+strconv.FormatFloat(c.Rate, 'g', -1, 64)+
+		" requests/s is used up; send more slowly or ask the operators for a higher rate").After(wait)
+}
+
+// admit waits for a slot. The function that it returns frees the slot.
+func (x *run) admit(ctx context.Context) (func(), error) {
+	view := x.r.state.View()
+	customer := view.Customers[x.req.Customer]
+	if err := x.r.lanes.allow(x.start, x.req.Customer, customer); err != nil {
+		x.r.metrics.refuse("rate")
+		return nil, err
+	}
+	x.r.tools.earn(view.Limits.Extra)
+	model, service := x.req.Target.Model, view.Routes[x.req.Route].Service
+	if model == Auto {
+		// All steps of a cascade queue together in front of its last model,
+		// which any of them may need.
+		if steps := view.Cascades[customer.Cascade].Steps; len(steps) > 0 {
+			model = steps[len(steps)-1]
+		}
+	}
+	q := x.r.lanes.find(model, service, view.Limits.Queue)
+	t := policy.Ticket{Customer: x.req.Customer, Weight: customer.Weight, Kind: x.req.Kind, Deadline: x.until}
+	id, err := q.enter(ctx, x, t)
+	if err != nil {
+		return nil, err
+	}
+	begun := time.Now()
+	x.rec.Waited = begun.Sub(x.start)
+	return func() { q.leave(id, time.Since(begun)) }, nil
+}
+
+func (q *lane) enter(ctx context.Context, x *run, t policy.Ticket) (uint64, error) {
+	now := time.Now()
+	q.mu.Lock()
+	q.resize(now, x.r)
+	q.next++
+	t.ID = q.next
+	a := q.queue.Offer(now, t)
+	switch a.Action {
+	case policy.Run:
+		q.mu.Unlock()
+		return t.ID, nil
+	case policy.Refuse:
+		q.mu.Unlock()
+		x.r.metrics.refuse(string(a.Reason))
+		return 0, refusal(a.Reason, a.Retry)
+	}
+	turn := make(chan error, 1)
+	q.waiting[t.ID] = turn
+	q.mu.Unlock()
+	select {
+	case err := <-turn:
+		if err != nil {
+			x.r.metrics.refuse(string(policy.Late))
+		}
+		return t.ID, err
+	case <-ctx.Done():
+		q.mu.Lock()
+		delete(q.waiting, t.ID)
+		q.queue.Cancel(t.ID)
+		q.pump(time.Now())
+		q.mu.Unlock()
+		return 0, x.ended(ctx)
+	}
+}
+
+func refusal(reason policy.Reason, retry time.Duration) error {
+	text := "the request would miss its deadline in the queue; retry later"
+	if reason == policy.Full {
+		text = "the queue is full and this customer uses its share of it; retry later"
+	}
+	return fault.New(fault.Busy, text).After(max(retry, time.Second))
+}
+
+func (q *lane) leave(id uint64, took time.Duration) {
+	now := time.Now()
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.queue.Done(now, id, took)
+	q.pump(now)
+}
+
+// pump starts waiting tickets and refuses late ones; the caller holds mu.
+func (q *lane) pump(now time.Time) {
+	for _, t := range q.queue.Expire(now) {
+		q.answer(t.ID, refusal(policy.Late, 0))
+	}
+	for {
+		t, ok := q.queue.Next(now)
+		if !ok {
+			return
+		}
+		q.answer(t.ID, nil)
+	}
+}
+
+func (q *lane) answer(id uint64, err error) {
+	if turn, ok := q.waiting[id]; ok {
+		delete(q.waiting, id)
+		turn <- err
+	}
+}
+
+// resize follows the free slots of the backend servers; the caller holds mu.
+func (q *lane) resize(now time.Time, r *Router) {
+	if now.Sub(q.sized) < resizeEvery {
+		return
+	}
+	q.sized = now
+	slots := r.pool.Slots(now, q.model, q.service)
+	long := int(float64(slots) * r.state.View().Limits.Long)
+	q.queue.Resize(slots, max(1, long))
+}
+
+// Run keeps the queues until ctx ends.
+func (r *Router) Run(ctx context.Context) error {
+	g := group.New(ctx)
+	g.Go("queues", func(ctx context.Context) error {
+		tick := time.NewTicker(pumpEvery)
+		defer tick.Stop()
+		for {
+			select {
+			case <-tick.C:
+			case <-ctx.Done():
+				return nil
+			}
+			now := time.Now()
+			for _, q := range r.lanes.list() {
+				q.mu.Lock()
+				q.resize(now, r)
+				q.pump(now)
+				q.mu.Unlock()
+			}
+		}
+	})
+	return g.Wait()
+}
+
+// Waiting returns the number of requests in all queues.
+func (r *Router) Waiting() int {
+	n := 0
+	for _, q := range r.lanes.list() {
+		q.mu.Lock()
+		waiting, _ := q.queue.Len()
+		q.mu.Unlock()
+		n += waiting
+	}
+	return n
+}
--- /dev/null
+++ b/gate/route/call.go
@@ -0,0 +1,265 @@
+package route
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"io"
+	"strings"
+	"time"
+
+	"citronledge.example/core/conf"
+	"citronledge.example/core/fault"
+	"citronledge.example/core/ident"
+	"citronledge.example/core/wire"
+	"citronledge.example/gate/pool"
+)
+
+// abortTime bounds the wait for an abort, which goes on after the deadline of
+// the request, because only its commit allows to say "not run".
+const abortTime = 3 * time.Second
+
+func (x *run) call(ctx context.Context) error {
+	view := x.r.state.View()
+	route, ok := view.Routes[x.req.Route]
+	if !ok {
+		return fault.New(fault.Missing, "route "+string(x.req.Route)+" does not exist any more; ask the operators")
+	}
+	need := pool.Need{Service: route.Service, Kind: ident.Call}
+	if route.Repeatable {
+		return x.repeatable(ctx, need)
+	}
+	return x.operate(ctx, route, need)
+}
+
+// repeatable passes a call through. A short answer is collected, so that the
+// call can be tried again; a long one is passed on as it comes.
+func (x *run) repeatable(ctx context.Context, need pool.Need) error {
+	var avoid ident.Backend
+	begun := time.Now()
+	for n := 1; ; n++ {
+		e := effort{need: need, avoid: avoid}
+		l := x.raced(ctx, e, func(claim func() bool) contender { return &copier{x: x, claim: claim} })
+		if l.err == nil {
+			x.r.tools.answered(x.req.Kind, x.subject(e), time.Since(begun))
+			c, _ := l.sink.(*copier)
+			x.bill(ctx)
+			return c.flush()
+		}
+		if x.headed {
+			x.broken = true
+			return ErrCut
+		}
+		if !x.again(ctx, n, l) {
+			return l.err
+		}
+		avoid = l.id
+	}
+}
+
+// holdBack is how much of an answer is collected before it is passed on.
+const holdBack = 256 << 10 // bytes
+
+// copier collects the start of an answer and passes on the rest, always one
+// chunk behind, so that the bill is committed before the last piece.
+type copier struct {
+	answer
+
+	x     *run
+	claim func() bool
+}
+
+// Chunk implements pool.Sink.
+func (c *copier) Chunk(data []byte) error {
+	if len(c.body) > 0 && len(c.body)+len(data) > holdBack {
+		if !c.claim() {
+			return errLost
+		}
+		if err := c.flush(); err != nil {
+			return err
+		}
+	}
+	return c.answer.Chunk(data)
+}
+
+// A plain service's own error is its answer, not a failed attempt.
+func (c *copier) end() error { return nil }
+
+// stored collects the answer of an operation.
+type stored struct{ answer }
+
+func (s *stored) end() error { return nil }
+
+func (c *copier) flush() error {
+	if !c.x.headed {
+		c.x.headed = true
+		if err := c.x.caller.Head(int(c.head.GetStatus()), c.head.GetHeaders()); err != nil {
+			return context.Canceled // the caller is gone
+		}
+	}
+	body := c.body
+	c.body = nil
+	if len(body) == 0 {
+		return nil
+	}
+	return c.x.write(body)
+}
+
+// operate runs a call that may run at most once.
+func (x *run) operate(ctx context.Context, route conf.Route, need pool.Need) error {
+	begin, err := x.begin(route)
+	if err != nil {
+		return err
+	}
+	res, err := x.propose(ctx, &wire.Command{Kind: &wire.Command_Begin{Begin: begin}})
+	if err != nil {
+		// The command may have been committed, but without its fence nobody
+		// can hand the work over. What an earlier request with the same key
+		// did is not known, though, so nothing is promised.
+		return &Failure{Fault: fault.New(fault.Unknown, "the state cluster did not answer; send the request again with the same idempotency key"), Ran: true}
+	}
+	op := res.GetOperation()
+	if !op.GetGranted() {
+		return x.ungranted(op, res.GetFault().Err())
+	}
+	// The operation finishes even when its caller is gone; the caller gets
+	// the answer when it sends the key again.
+	limited, cancel := context.WithDeadline(context.WithoutCancel(ctx), x.until)
+	defer cancel()
+	return x.handOver(limited, need, op)
+}
+
+// handOver tries side processes until one has taken the operation over.
+func (x *run) handOver(ctx context.Context, need pool.Need, op *wire.Operation) error {
+	var avoid ident.Backend
+	for n := 1; ; n++ {
+		a := &stored{}
+		out, id, err := x.try(ctx, effort{need: need, avoid: avoid, op: op.GetId(), fence: op.GetFence()}, a)
+		if err == nil && out.Ran {
+			x.bill(ctx)
+			return x.reply(a.head.GetStatus(), a.head.GetHeaders(), a.body)
+		}
+		if out.Ran || !x.again(ctx, n, lap{out: out, id: id, err: err}) {
+			return x.abort(ctx, op, err)
+		}
+		avoid = id
+	}
+}
+
+// abort ends an operation whose attempt failed. Only its commit proves that
+// the service was not called and never will be under this fence.
+func (x *run) abort(ctx context.Context, op *wire.Operation, cause error) error {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), abortTime)
+	defer cancel()
+	res, err := x.propose(ctx, &wire.Command{Kind: &wire.Command_Abort{Abort: &wire.Abort{
+		Operation: op.GetId(), Fence: op.GetFence(),
+	}}})
+	now := res.GetOperation()
+	switch {
+	case err != nil:
+	case now.GetPhase() == "aborted" && now.GetFence() == op.GetFence():
+		x.rec.note("aborted")
+		f := fault.From(cause)
+		if f == nil || !f.Kind.NotRun() {
+			f = fault.New(fault.Unavailable, "the call was not handed to the service; send it again with the same idempotency key").After(time.Second)
+		}
+		return &Failure{Fault: f}
+	case now.GetPhase() == "done" && now.GetFence() == op.GetFence():
+		x.rec.note("answer of a cut attempt replayed")
+		x.bill(ctx)
+		return x.reply(now.GetStatus(), now.GetHeaders(), now.GetBody())
+	}
+	return &Failure{Fault: unknown(), Ran: true}
+}
+
+func unknown() *fault.Fault {
+	return fault.New(fault.Unknown, "the outcome of the call is not known; send it again with the same idempotency key to see it, it does not run twice")
+}
+
+// ungranted answers a call whose operation another request has begun before.
+func (x *run) ungranted(op *wire.Operation, refused error) error {
+	if refused == nil {
+		if op.GetPhase() != "done" {
+			return &Failure{Fault: unknown(), Ran: true}
+		}
+		x.rec.note("stored answer replayed")
+		return x.reply(op.GetStatus(), op.GetHeaders(), op.GetBody())
+	}
+	// An operation in progress is this very request, sent before: it may run.
+	// A conflict refuses this body, whatever the other operation did.
+	f := fault.From(refused)
+	return &Failure{Fault: f, Ran: !f.Kind.NotRun() || f.Kind == fault.Busy}
+}
+
+func (x *run) reply(status uint32, headers []*wire.Header, body []byte) error {
+	x.headed = true
+	if err := x.caller.Head(int(status), headers); err != nil {
+		return context.Canceled // the caller is gone
+	}
+	return x.write(body)
+}
+
+func (x *run) propose(ctx context.Context, cmd *wire.Command) (*wire.Result, error) {
+	cmd.Actor, cmd.Time = x.r.actor, uint64(time.Now().UnixMilli())
+	return x.r.state.Propose(ctx, cmd)
+}
+
+func (x *run) begin(route conf.Route) (*wire.Begin, error) {
+	business, err := businessKey(route.Business, x.req.Body)
+	if err != nil {
+		return nil, err
+	}
+	h := sha256.New()
+	for _, part := range []string{x.req.Method, x.req.Path} {
+		_, _ = io.WriteString(h, part+"\x00") // never fails
+	}
+	_, _ = h.Write(x.req.Body)
+	return &wire.Begin{
+		Customer: string(x.req.Customer), Route: string(x.req.Route), Key: x.req.Key, Business: business,
+		Digest: hex.EncodeToString(h.Sum(nil)), Incarnation: uint64(x.r.book.Incarnation()), Request: string(x.req.ID),
+	}, nil
+}
+
+// businessKey joins the fields of the body that identify an operation. Equal
+// numbers give equal keys however they are written, so that 7 and 7.0 cannot
+// be two payouts.
+func businessKey(fields []string, body []byte) (string, error) {
+	if len(fields) == 0 {
+		return "", nil
+	}
+	dec := json.NewDecoder(strings.NewReader(string(body)))
+	dec.UseNumber()
+	var object map[string]any
+	if err := dec.Decode(&object); err != nil {
+		return "", fault.New(fault.Invalid, "the body must be a JSON object with the fields "+strings.Join(fields, ", "))
+	}
+	parts := make([]string, len(fields))
+	for i, field := range fields {
+		switch v := object[field].(type) {
+		case string:
+			parts[i] = strings.TrimSpace(v)
+		case json.Number:
+			parts[i] = plainNumber(string(v))
+		}
+		if parts[i] == "" {
+			return "", fault.New(fault.Invalid, "field "+field+" of the body must be a text or a number without an exponent")
+		}
+	}
+	key, err := json.Marshal(parts)
+	return string(key), err
+}
+
+// plainNumber returns the shortest form of a number, or "" if it has an exponent.
+func plainNumber(s string) string {
+	if strings.ContainsAny(s, "eE") {
+		return ""
+	}
+	if strings.Contains(s, ".") {
+		s = strings.TrimSuffix(strings.TrimRight(s, "0"), ".")
+	}
+	if s == "-0" {
+		return "0"
+	}
+	return s
+}
--- /dev/null
+++ b/gate/route/metrics.go
@@ -0,0 +1,81 @@
+package route
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// metrics have no customer label: the number of series must not grow with the
+// number of customers.
+type metrics struct {
+	requests *prometheus.CounterVec
+	added    prometheus.Histogram
+	refused  *prometheus.CounterVec
+	retries  prometheus.Counter
+	hedges   prometheus.Counter
+	resumes  prometheus.Counter
+	waiting  prometheus.GaugeFunc
+}
+
+func newMetrics(r *Router) metrics {
+	counter := func(name, help string) prometheus.Counter {
+		return prometheus.NewCounter(prometheus.CounterOpts{Name: "citronledge_gate_" + name, Help: help})
+	}
+	vec := func(name, help string, labels ...string) *prometheus.CounterVec {
+		return prometheus.NewCounterVec(prometheus.CounterOpts{Name: "citronledge_gate_" + name, Help: help}, labels)
+	}
+	return metrics{
+		requests: vec("requests_total", "Requests by kind of work and outcome.", "kind", "outcome"),
+		refused:  vec("refusals_total", "Requests refused by admission, by reason.", "reason"),
+		retries:  counter("retries_total", "Attempts made after a failed one."),
+		hedges:   counter("hedges_total", "Attempts made beside a slow one."),
+		resumes:  counter("resumes_total", "Streams that went on on another backend server."),
+		added: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "citronledge_gate_added_seconds", Help: "Time of a request outside its attempts.",
+			Buckets: prometheus.ExponentialBuckets(50e-6, 2, 16),
+		}),
+		waiting: prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "citronledge_gate_queue_length", Help: "Requests that wait for a slot.",
+		}, func() float64 { return float64(r.Waiting()) }),
+	}
+}
+
+func (m metrics) register(reg prometheus.Registerer) {
+	reg.MustRegister(m.requests, m.added, m.refused, m.retries, m.hedges, m.resumes, m.waiting)
+}
+
+func (m metrics) refuse(reason string) { m.refused.WithLabelValues(reason).Inc() }
+
+func (m metrics) count(x *run, err error) {
+	result := outcome(err)
+	if errors.Is(err, ErrCut) {
+		result = "cut"
+	}
+	if err == nil && x.broken {
+		result = "broken"
+	}
+	m.requests.WithLabelValues(x.req.Kind.String(), result).Inc()
+	if err == nil || !errors.Is(err, context.Canceled) {
+		m.added.Observe(max(0, x.rec.Took-x.attempting()).Seconds())
+	}
+}
+
+// attempting returns the time in which at least one attempt was under way.
+func (x *run) attempting() time.Duration {
+	var total time.Duration
+	var until time.Time
+	for _, s := range x.rec.Steps { // ordered by start, but for hedges, which overlap
+		from, to := s.start, s.start.Add(s.Took)
+		if from.Before(until) {
+			from = until
+		}
+		if to.After(from) {
+			total += to.Sub(from)
+			until = to
+		}
+	}
+	return total
+}
--- /dev/null
+++ b/gate/route/rating.go
@@ -0,0 +1,129 @@
+package route
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"citronledge.example/core/ident"
+	"citronledge.example/core/policy"
+)
+
+const (
+	// ratingWait is how long a cheap answer is held back for its rating.
+	ratingWait = 300 * time.Millisecond
+	// ratingTime bounds one call; a late rating still counts for the estimates.
+	ratingTime = 10 * time.Second
+	// ratingsOpen bounds the calls under way; more are not started, since
+	// ratings may be sparse.
+	ratingsOpen = 64
+)
+
+// Question asks for the rating of one answer.
+type Question struct {
+	Request ident.Request `json:"request"`
+	Kind    string        `json:"kind"`
+	Model   ident.Model   `json:"model"`
+	Version ident.Version `json:"version"`
+	Answer  string        `json:"answer"`
+}
+
+// Rater rates answers, late or not at all.
+type Rater interface {
+	Rate(ctx context.Context, q Question) (ident.Quality, error)
+}
+
+// NewRater returns a Rater that asks a rating service over HTTP.
+func NewRater(url string) Rater {
+	return &rater{url: url, client: &http.Client{Timeout: ratingTime}}
+}
+
+type rater struct {
+	url    string
+	client *http.Client
+}
+
+// Rate implements Rater.
+func (r *rater) Rate(ctx context.Context, q Question) (ident.Quality, error) {
+	body, err := json.Marshal(q)
+	if err != nil {
+		return 0, err
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, r.url, bytes.NewReader(body))
+	if err != nil {
+		return 0, err
+	}
+	req.Header.Set("Content-Type", "application/json")
+	res, err := r.client.Do(req)
+	if err != nil {
+		return 0, err
+	}
+	defer func() { _ = res.Body.Close() }()
+	if res.StatusCode != http.StatusOK {
+		return 0, eris.Errorf("rating service answered %d", res.StatusCode)
+	}
+	var answer struct {
+		Rating *ident.Quality `json:"rating"`
+	}
+	if err := json.NewDecoder(res.Body).Decode(&answer); err != nil {
+		return 0, err
+	}
+	if answer.Rating == nil {
+		return 0, eris.New("rating service answered without a rating")
+	}
+	return *answer.Rating, nil
+}
+
+// rateNow waits a short time for the rating of a held answer.
+func (r *Router) rateNow(ctx context.Context, x *run, a *answer) policy.Score {
+	rated := r.ask(x, a)
+	if rated == nil {
+		return policy.Score{}
+	}
+	timer := time.NewTimer(ratingWait)
+	defer timer.Stop()
+	select {
+	case q, ok := <-rated:
+		return policy.Score{Known: ok, Quality: q}
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return policy.Score{}
+}
+
+// rateLater asks for the rating of a delivered answer, for the estimates of a
+// cascade and for the test of a roll-out.
+func (r *Router) rateLater(x *run, a *answer) {
+	roll, ok := r.state.View().Rollouts[a.target.Model]
+	trial := ok && (roll.To == a.target.Version || roll.From == a.target.Version)
+	if r.rater != nil && a.head.GetStatus() == http.StatusOK && (trial || x.req.Target.Model == Auto) {
+		r.ask(x, a)
+	}
+}
+
+// ask starts a call to the rating service. The channel delivers the rating,
+// or closes without one. It returns nil if too many calls are under way.
+func (r *Router) ask(x *run, a *answer) <-chan ident.Quality {
+	if r.asking.Add(1) > ratingsOpen {
+		r.asking.Add(-1)
+		return nil
+	}
+	q := Question{Request: x.req.ID, Kind: x.req.Kind.String(), Model: a.target.Model, Version: a.target.Version, Answer: a.text()}
+	kind, target := x.req.Kind, a.target
+	rated := make(chan ident.Quality, 1)
+	go func() {
+		defer r.asking.Add(-1)
+		defer close(rated)
+		ctx, cancel := context.WithTimeout(context.Background(), ratingTime)
+		defer cancel()
+		if quality, err := r.rater.Rate(ctx, q); err == nil {
+			r.tools.rate(kind, target, quality)
+			rated <- quality
+		}
+	}()
+	return rated
+}
--- /dev/null
+++ b/gate/route/tools.go
@@ -0,0 +1,186 @@
+package route
+
+import (
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"citronledge.example/core/ident"
+	"citronledge.example/core/policy"
+	"citronledge.example/core/wire"
+)
+
+const (
+	// extraBurst is the extra work allowed above the share of the budget, so
+	// that a quiet gate can retry too.
+	extraBurst = 10
+	// hedgeAfter is the percentile of the latency after which a hedge starts.
+	hedgeAfter = 0.97
+	// ratedDecay weighs the newest answer in the share of ratings in time.
+	ratedDecay = 0.05
+)
+
+// tools holds the learning parts of the policy package, which are not safe
+// for concurrent use by themselves.
+type tools struct {
+	mu     sync.Mutex
+	share  float64
+	budget *policy.Budget
+	hedger *policy.Hedger
+	rates  *policy.Estimator
+	intime map[lesson]float64 // share of ratings in time
+	length map[lesson]float64 // mean output tokens
+	stats  map[ident.Target]policy.Stats
+}
+
+// lesson is what is learnt apart: a model and a kind of work.
+type lesson struct {
+	kind  ident.Kind
+	model ident.Model
+}
+
+func newTools() *tools {
+	return &tools{
+		hedger: policy.NewHedger(hedgeAfter),
+		rates:  policy.NewEstimator(),
+		intime: map[lesson]float64{},
+		length: map[lesson]float64{},
+		stats:  map[ident.Target]policy.Stats{},
+	}
+}
+
+// earn counts a request; share is the share of extra work in force.
+func (t *tools) earn(share float64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.budget == nil || t.share != share {
+		t.share, t.budget = share, policy.NewBudget(share, extraBurst)
+	}
+	t.budget.Earn()
+}
+
+// spend takes one retry or hedge from the budget.
+func (t *tools) spend() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.budget != nil && t.budget.Spend()
+}
+
+// delay returns when a hedge may start.
+func (t *tools) delay(kind ident.Kind, name ident.Model) (time.Duration, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.hedger.Delay(kind, name)
+}
+
+// answered counts the time from the first attempt of a request to its answer,
+// or to its first token if it is a stream.
+func (t *tools) answered(kind ident.Kind, name ident.Model, d time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.hedger.Observe(kind, name, d)
+}
+
+// count adds an attempt to the tally of its version.
+func (t *tools) count(target ident.Target, failed, slow bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.stats[target]
+	s.Answers++
+	if failed {
+		s.Failures++
+	}
+	if slow {
+		s.Slow++
+	}
+	t.stats[target] = s
+}
+
+// rate counts a rating, in whatever time it came.
+func (t *tools) rate(kind ident.Kind, target ident.Target, q ident.Quality) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.rates.Rate(time.Now(), kind, target, q)
+	s := t.stats[target]
+	s.Rated++
+	s.Quality += float64(q)
+	s.Squares += float64(q) * float64(q)
+	t.stats[target] = s
+}
+
+func (t *tools) checked(l lesson, intime bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	v := 0.0
+	if intime {
+		v = 1
+	}
+	old, ok := t.intime[l]
+	if !ok {
+		old = 1 // try the check before giving up on it
+	}
+	t.intime[l] = old + ratedDecay*(v-old)
+}
+
+func (t *tools) learn(l lesson, tokens int64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	old, ok := t.length[l]
+	if !ok {
+		old = float64(tokens)
+	}
+	t.length[l] = old + ratedDecay*(float64(tokens)-old)
+}
+
+// step describes one model of a cascade to the plan.
+func (t *tools) step(now time.Time, l lesson, target ident.Target, price, prior float64, rated bool) policy.Step {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	tokens, ok := t.length[l]
+	if !ok {
+		tokens = 1 // all models alike until something was seen
+	}
+	s := policy.Step{
+		Model: l.model, Cost: ident.Cost(price * tokens),
+		Quality: t.rates.Estimate(now, l.kind, target, ident.Quality(prior)),
+	}
+	if rated {
+		s.Rated = 1
+		if v, ok := t.intime[l]; ok {
+			s.Rated = ident.Share(v)
+		}
+	}
+	return s
+}
+
+func (t *tools) estimate(now time.Time, kind ident.Kind, target ident.Target, prior ident.Quality) policy.Estimate {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.rates.Estimate(now, kind, target, prior)
+}
+
+// Tallies returns the sums for the versions of running roll-outs, which go to
+// the leader with each renewal of the lease.
+func (r *Router) Tallies() []*wire.Tally {
+	view := r.state.View()
+	r.tools.mu.Lock()
+	defer r.tools.mu.Unlock()
+	var list []*wire.Tally
+	for target, s := range r.tools.stats {
+		roll, ok := view.Rollouts[target.Model]
+		if !ok || (roll.From != target.Version && roll.To != target.Version) {
+			continue
+		}
+		list = append(list, &wire.Tally{
+			Model: string(target.Model), Version: string(target.Version),
+			Answers: s.Answers, Failures: s.Failures, Slow: s.Slow,
+			Rated: s.Rated, Quality: s.Quality, Squares: s.Squares,
+		})
+	}
+	return list
+}
+
+// seed hashes a name, equally on all gates, so that a session without a pin
+// gets the same version everywhere. The result is never 0.
+func seed(name string) uint64 { return xxhash.Sum64String(name) | 1 }
