--- a/gate/front/front.go
+++ b/gate/front/front.go
@@ -61,6 +61,10 @@
 // Route sets what answers requests.
 func Route(r Router) Option { return func(f *Front) { f.router = r } }
 
+// Prefix sets the start of all request ids, which must be unique among all
+// gates and their restarts; the default is random.
+func Prefix(prefix string) Option { return func(f *Front) { f.prefix = prefix } }
+
 // New returns the handler of the caller API.
 func New(opts ...Option) *Front {
 	var random [6]byte
--- /dev/null
+++ b/gate/front/oper_test.go
@@ -0,0 +1,125 @@
+package front_test
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"citronledge.example/core/fault"
+	"citronledge.example/core/wire"
+)
+
+// pay does what a side process does with an operation: hand, call, finish.
+func (k *task) pay(runs *atomic.Int64) {
+	res := k.relay(&wire.Command{Kind: &wire.Command_Hand{Hand: &wire.Hand{
+		Operation: k.work.GetOperation(), Fence: k.work.GetFence(), Backend: "pay", Nonce: 1,
+	}}})
+	if !res.GetOperation().GetGranted() {
+		k.send(refused(fault.Stale))
+		return
+	}
+	runs.Add(1)
+	k.relay(&wire.Command{Kind: &wire.Command_Finish{Finish: &wire.Finish{
+		Operation: k.work.GetOperation(), Fence: k.work.GetFence(), Status: 201, Body: []byte("paid"),
+	}}})
+}
+
+func payment(key, home string) request {
+	return request{path: "/pay", body: `{"home":"` + home + `","day":7}`, headers: map[string]string{"Idempotency-Key": key}}
+}
+
+// A call that must not be repeated runs at most once, whatever is resent or
+// lost (rule 7).
+func TestOperation(t *testing.T) {
+	cases := map[string]struct {
+		work func(k *task, runs *atomic.Int64)
+		// first is the answer to the call, again the one to the resent call.
+		first, again string
+		runs         int64
+	}{
+		"answered": {func(k *task, runs *atomic.Int64) {
+			k.pay(runs)
+			k.send(head(k.work, 201, "text/plain"), chunk("paid"), end(0))
+		}, "201  ran=", "201  ran=", 1},
+		"answer lost after the commit": {func(k *task, runs *atomic.Int64) {
+			k.pay(runs)
+		}, "201  ran=", "201  ran=", 1},
+		"cut after the hand-off": {func(k *task, runs *atomic.Int64) {
+			k.relay(&wire.Command{Kind: &wire.Command_Hand{Hand: &wire.Hand{
+				Operation: k.work.GetOperation(), Fence: k.work.GetFence(), Backend: "pay", Nonce: 1,
+			}}})
+			runs.Add(1)
+		}, "504 unknown ran=unknown", "429 busy ran=unknown", 1},
+		"cut before the hand-off": {func(*task, *atomic.Int64) {}, "503 unavailable ran=no", "503 unavailable ran=no", 0},
+		"refused by the side":     {func(k *task, _ *atomic.Int64) { k.send(refused(fault.NoLease)) }, "503 no_lease ran=no", "503 no_lease ran=no", 0},
+		"hand-off after the abort": {func(k *task, runs *atomic.Int64) {
+			go func() {
+				time.Sleep(time.Second)
+				k.pay(runs)
+			}()
+		}, "503 unavailable ran=no", "503 unavailable ran=no", 0},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			inBubble(t, func(t *testing.T, w *world) {
+				var runs atomic.Int64
+				w.handle(func(k *task) { c.work(k, &runs) }, "pay")
+				for i, want := range []string{c.first, c.again} {
+					rec, _ := w.do(payment("key", "h1"))
+					if got := code(rec); got != want {
+						t.Errorf("call %d: got %s (%s), want %s", i+1, got, rec.Body, want)
+					}
+				}
+				time.Sleep(10 * time.Second)
+				if runs.Load() != c.runs {
+					t.Errorf("got %d runs, want %d", runs.Load(), c.runs)
+				}
+			})
+		})
+	}
+}
+
+func TestOperationConflicts(t *testing.T) {
+	inBubble(t, func(t *testing.T, w *world) {
+		var runs atomic.Int64
+		w.handle(func(k *task) {
+			k.pay(&runs)
+			k.send(head(k.work, 201, "text/plain"), chunk("paid"), end(0))
+		}, "pay")
+		w.do(payment("k", "h1"))
+		for name, q := range map[string]request{
+			"same key, another body":         payment("k", "h2"),
+			"another key, same business key": {path: "/pay", body: `{"day":7.0,"home":"h1"}`, headers: map[string]string{"Idempotency-Key": "k2"}},
+		} {
+			if rec, _ := w.do(q); code(rec) != "409 conflict ran=no" {
+				t.Errorf("%s: got %s", name, code(rec))
+			}
+		}
+		if runs.Load() != 1 {
+			t.Errorf("got %d runs, want 1", runs.Load())
+		}
+	})
+}
+
+// The operation of a caller that goes away finishes, and its answer is there
+// for the next try.
+func TestOperationOutlivesCaller(t *testing.T) {
+	inBubble(t, func(t *testing.T, w *world) {
+		var runs atomic.Int64
+		w.handle(func(k *task) {
+			time.Sleep(2 * time.Second)
+			k.pay(&runs)
+			k.send(head(k.work, 201, "text/plain"), chunk("paid"), end(0))
+		}, "pay")
+		ctx, cancel := context.WithCancel(context.Background())
+		time.AfterFunc(time.Second, cancel)
+		q := payment("k", "h1")
+		q.ctx = ctx
+		w.do(q)
+		rec, _ := w.do(payment("k", "h1"))
+		if rec.Code != 201 || rec.Body.String() != "paid" || runs.Load() != 1 {
+			t.Errorf("got %d %q after %d runs, want the stored answer of one run", rec.Code, rec.Body, runs.Load())
+		}
+	})
+}
--- a/gate/front/world_test.go
+++ b/gate/front/world_test.go
@@ -366,7 +366,7 @@
 	w.c.put(t, map[string]any{
 		"customers/acme": conf.Customer{Keys: []string{conf.Digest("k1")}, Models: []string{"small", "large"}, Routes: []string{"pay", "look"}, Cascade: "std"},
 		"customers/poor": conf.Customer{Keys: []string{conf.Digest("k2")}, Models: []string{"small/v1"}},
-		"models/small":   conf.Model{Input: 1, Output: 1, Quality: 0.5, Versions: []ident.Version{"v1", "v2"}},
+		"models/small":   conf.Model{Input: 1, Output: 1, Quality: 0.78, Versions: []ident.Version{"v1", "v2"}},
 		"models/large":   conf.Model{Input: 10, Output: 10, Quality: 0.9, Versions: []ident.Version{"v1"}},
 		"cascades/std":   conf.Cascade{Steps: []ident.Model{"small", "large"}, Target: 0.8},
 		"routes/pay":     conf.Route{Path: "/pay", Methods: []string{"POST"}, Service: "pay", Business: []string{"home", "day"}},
@@ -384,7 +384,7 @@
 		pool.Dial(func(_ context.Context, addr string) (*link.Session, error) { return w.sides[addr].dial(keys) }))
 	w.rater = func(route.Question) (ident.Quality, time.Duration) { return 0.9, 10 * time.Millisecond }
 	w.router = route.New(route.Actor("gate-1"), route.Client(w.c), route.Pool(w.pool), route.Book(w.book), route.Ratings(w))
-	w.front = front.New(front.Client(w.c), front.Route(w.router))
+	w.front = front.New(front.Client(w.c), front.Route(w.router), front.Prefix("test-"))
 	return w
 }
 
--- a/gate/route/admit.go
+++ b/gate/route/admit.go
@@ -205,8 +205,10 @@
 	q.queue.Resize(slots, max(1, long))
 }
 
-// Run keeps the queues until ctx ends.
+// Run keeps the queues until ctx ends, and then gives up pending ratings.
 func (r *Router) Run(ctx context.Context) error {
+	defer r.asks.Wait()
+	defer r.end()
 	g := group.New(ctx)
 	g.Go("queues", func(ctx context.Context) error {
 		tick := time.NewTicker(pumpEvery)
--- a/gate/route/cascade.go
+++ b/gate/route/cascade.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"citronledge.example/core/conf"
@@ -25,26 +26,39 @@
 	}
 	plan, steps := x.plan(view, models, c.Target)
 	plan = policy.Explore(seed("explore "+string(x.req.ID)), plan, steps)
+	var held *answer // the best answer so far, which is below the target
 	for {
 		x.rec.note("cascade: " + string(plan.Reason))
 		model := models[plan.Start]
 		models = models[plan.Start+1:]
 		if !plan.Check || len(models) == 0 {
-			return x.last(ctx, model)
+			return x.fallBack(ctx, held, x.last(ctx, model))
 		}
 		a, err := x.whole(ctx, model)
-		if err != nil {
-			if ctx.Err() != nil || x.leased() != nil {
-				return err
-			}
-			x.rec.note("cascade: cheap step failed")
-		} else if a.head.GetStatus() != 200 || x.keep(ctx, a, c.Target) {
+		switch {
+		case err == nil && (a.head.GetStatus() != http.StatusOK || x.keep(ctx, a, c.Target)):
 			return x.deliver(ctx, a)
+		case err == nil:
+			held = a
+		case ctx.Err() != nil || x.leased() != nil:
+			return err
+		default:
+			x.rec.note("cascade: cheap step failed")
 		}
 		plan, _ = x.plan(x.r.state.View(), models, c.Target)
 	}
 }
 
+// fallBack delivers a held answer below the target when the stronger model
+// failed: a weak answer is better than none after the wait.
+func (x *run) fallBack(ctx context.Context, held *answer, err error) error {
+	if err == nil || held == nil || x.headed || ctx.Err() != nil {
+		return err
+	}
+	x.rec.note("cascade: stronger step failed, cheap answer delivered")
+	return x.deliver(ctx, held)
+}
+
 // open returns the models of a cascade that the customer may use now.
 func (x *run) open(view *conf.View, c conf.Cascade) []ident.Model {
 	var models []ident.Model
--- a/gate/route/rating.go
+++ b/gate/route/rating.go
@@ -115,15 +115,15 @@
 	q := Question{Request: x.req.ID, Kind: x.req.Kind.String(), Model: a.target.Model, Version: a.target.Version, Answer: a.text()}
 	kind, target := x.req.Kind, a.target
 	rated := make(chan ident.Quality, 1)
-	go func() {
+	r.asks.Go(func() {
 		defer r.asking.Add(-1)
 		defer close(rated)
-		ctx, cancel := context.WithTimeout(context.Background(), ratingTime)
+		ctx, cancel := context.WithTimeout(r.life, ratingTime)
 		defer cancel()
 		if quality, err := r.rater.Rate(ctx, q); err == nil {
 			r.tools.rate(kind, target, quality)
 			rated <- quality
 		}
-	}()
+	})
 	return rated
 }
--- a/gate/route/route.go
+++ b/gate/route/route.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sourcegraph/conc"
 
 	"citronledge.example/core/conf"
 	"citronledge.example/core/fault"
@@ -108,7 +109,11 @@
 	mu       sync.Mutex // guards draining and running
 	draining bool
 	running  map[ident.Request]struct{}
-	asking   atomic.Int64 // calls to the rating service under way
+
+	asking atomic.Int64 // calls to the rating service under way
+	asks   conc.WaitGroup
+	life   context.Context // of those calls; ends with Run
+	end    context.CancelFunc
 }
 
 // Option sets up a Router.
@@ -138,6 +143,7 @@
 // New returns a router; Run keeps its queues.
 func New(opts ...Option) *Router {
 	r := &Router{records: newRing(), pins: newPins(), tools: newTools(), lanes: newLanes(), running: map[ident.Request]struct{}{}}
+	r.life, r.end = context.WithCancel(context.Background())
 	r.metrics = newMetrics(r)
 	for _, opt := range opts {
 		opt(r)
