gate, link: open a work stream with its first message

Cause: each attempt opened its stream and sent the work in two writes, and each stream held two read buffers of 16 KiB. Change: link.OpenWith sends Open and the first message in one write that ends with the context; the read buffer is 4 KiB. server.Page adds pages to the admin address. SSE events are searched for fields with any spacing.

--- a/core/link/link.go
+++ b/core/link/link.go
@@ -31,7 +31,7 @@
 	writeTime     = 5 * time.Second
 	keepAlive     = 5 * time.Second
 	nonceSize     = 32       // bytes
-	bufferSize    = 16 << 10 // bytes, read buffer of a stream
+	bufferSize    = 4 << 10  // bytes, read buffer of a stream; larger messages bypass it
 	maxMessage    = 64 << 20 // bytes; a snapshot is sent in smaller parts
 	maxHello      = 4 << 10  // bytes, before the peer is authenticated
 )
@@ -218,6 +218,30 @@
 	return st, nil
 }
 
+// OpenWith opens a stream of a kind and sends the first message in the same
+// write, which spares a round through the session. If it returns a stream
+// together with an error, the peer may have got the message. The end of ctx
+// ends the write, not the stream.
+func (s *Session) OpenWith(ctx context.Context, kind wire.Kind, m proto.Message) (*Stream, error) {
+	raw, err := s.mux.OpenStream()
+	if err != nil {
+		return nil, eris.Wrap(err, "cannot open a stream")
+	}
+	st := newStream(raw, kind, s.peer)
+	st.buf, err = appendMessage(st.buf[:0], &wire.Open{Kind: kind, Name: s.name})
+	if err == nil {
+		st.buf, err = appendMessage(st.buf, m)
+	}
+	if err != nil {
+		_ = st.Close()
+		return nil, err
+	}
+	stop := context.AfterFunc(ctx, func() { _ = raw.SetWriteDeadline(time.Now()) })
+	defer stop()
+	_, err = raw.Write(st.buf)
+	return st, err
+}
+
 // Accept waits for the next stream that the peer opens. A peer whose role
 // does not allow the kind of stream is refused by closing the stream.
 func (s *Session) Accept() (*Stream, error) {
--- a/core/server/server.go
+++ b/core/server/server.go
@@ -38,6 +38,7 @@
 
 	set    Settings
 	status func() any
+	pages  map[string]http.Handler
 
 	mu    sync.Mutex
 	state chart.State
@@ -46,7 +47,7 @@
 // New returns the frame of a program that has read its settings. The status
 // function gives the content of the status page; it may be nil.
 func New(set Settings, status func() any) *Server {
-	s := &Server{Registry: prometheus.NewRegistry(), set: set, status: status, state: life.Start()}
+	s := &Server{Registry: prometheus.NewRegistry(), set: set, status: status, pages: map[string]http.Handler{}, state: life.Start()}
 	s.Registry.MustRegister(
 		collectors.NewGoCollector(),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
@@ -54,6 +55,10 @@
 	return s
 }
 
+// Page adds a page to the admin address; call it before Run. The path may have
+// parameters as in httprouter, for example /decisions/:id.
+func (s *Server) Page(path string, h http.Handler) { s.pages[path] = h }
+
 // Part is what a program runs inside the frame.
 type Part interface {
 	// Run works until ctx ends. It calls ready once it can serve.
@@ -162,6 +167,9 @@
 	})
 	r.GET("/status", func(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) { s.writeStatus(w) })
 	r.Handler(http.MethodGet, "/metrics", promhttp.HandlerFor(s.Registry, promhttp.HandlerOpts{}))
+	for path, h := range s.pages {
+		r.Handler(http.MethodGet, path, h)
+	}
 	srv := &http.Server{Handler: r, ReadHeaderTimeout: headerTime}
 	go func() { _ = srv.Serve(ln) }()
 	return srv, nil
--- a/gate/pool/do.go
+++ b/gate/pool/do.go
@@ -55,8 +55,8 @@
 	if sess == nil {
 		return Outcome{}, fault.New(fault.Unavailable, "the link to backend server "+string(a.Backend)+" is down; retry")
 	}
-	st, err := sess.Open(wire.Kind_WORK)
-	if err != nil {
+	st, err := sess.OpenWith(ctx, wire.Kind_WORK, a.Work)
+	if st == nil {
 		return Outcome{}, fault.New(fault.Unavailable, "the link to backend server "+string(a.Backend)+" is down; retry")
 	}
 	stop := context.AfterFunc(ctx, func() {
@@ -67,9 +67,9 @@
 		stop()
 		_ = st.Close()
 	}()
-	// From here on the side process may have got the work, even if Send fails.
+	// From here on the side process may have got the work, even after an error.
 	x := exchange{pool: p, ctx: ctx, work: a.Work, sink: sink, out: Outcome{Ran: true}}
-	if err := st.Send(a.Work); err != nil {
+	if err != nil {
 		return x.out, x.broken(err)
 	}
 	err = x.receive(st)
--- a/gate/route/stream.go
+++ b/gate/route/stream.go
@@ -13,11 +13,12 @@
 const doneEvent = "data: [DONE]\n\n"
 
 var (
-	eventEnd   = []byte("\n\n")
-	donePrefix = []byte("data: [DONE]")
-	content    = []byte(`"content":"`)
-	noFinish   = []byte(`"finish_reason":"`)
-	usageField = []byte(`"usage":{`)
+	eventEnd = []byte("\n\n")
+	dataLine = []byte("data:")
+	doneMark = []byte("[DONE]")
+	content  = []byte(`"content"`)
+	finish   = []byte(`"finish_reason"`)
+	usage    = []byte(`"usage"`)
 )
 
 // live passes the events of a streamed reply on to the caller, each only when
@@ -83,11 +84,11 @@
 // event passes on one event. The end of the stream is told by the router,
 // after the bill. A resumed stream repeats no event without a token.
 func (s *live) event(e []byte) error {
-	if bytes.HasPrefix(e, donePrefix) {
+	if rest, ok := bytes.CutPrefix(e, dataLine); ok && bytes.Equal(bytes.TrimSpace(rest), doneMark) {
 		return nil
 	}
-	token := hasToken(e)
-	if !token && s.x.resumed && !bytes.Contains(e, noFinish) && !bytes.Contains(e, usageField) {
+	token := filled(e, content)
+	if !token && s.x.resumed && !filled(e, finish) && !filled(e, usage) {
 		return nil
 	}
 	if err := s.x.write(e); err != nil {
@@ -100,11 +101,23 @@
 	return nil
 }
 
-// hasToken tells whether an event carries output. Engines send one token in
-// each such event, which is what Work.resume counts.
-func hasToken(e []byte) bool {
-	i := bytes.Index(e, content)
-	return i >= 0 && i+len(content) < len(e) && e[i+len(content)] != '"'
+// filled tells whether an event has the quoted field with a value other than
+// null or "". Engines send one token in each event with content, which is what
+// Work.resume counts. The events are not decoded, since there are millions of
+// them; inside a text the quotes of a name would be escaped.
+func filled(e, field []byte) bool {
+	for {
+		i := bytes.Index(e, field)
+		if i < 0 {
+			return false
+		}
+		e = e[i+len(field):]
+		value, ok := bytes.CutPrefix(bytes.TrimLeft(e, " "), []byte(":"))
+		value = bytes.TrimLeft(value, " ")
+		if ok && !bytes.HasPrefix(value, []byte("null")) && !bytes.HasPrefix(value, []byte(`""`)) {
+			return true
+		}
+	}
 }
 
 // first notes the time to the first token.
@@ -209,7 +222,7 @@
 	var text bytes.Buffer
 	for event := range bytes.SplitSeq(a.body, eventEnd) {
 		r = reply{}
-		if json.Unmarshal(bytes.TrimPrefix(event, []byte("data: ")), &r) == nil && len(r.Choices) > 0 {
+		if json.Unmarshal(bytes.TrimPrefix(event, dataLine), &r) == nil && len(r.Choices) > 0 {
 			text.WriteString(r.Choices[0].Delta.Content)
 		}
 	}
