gate: add the program and follow the contract of core/client

Cause: core/client returns a refusal of the ledger as a result together with its fault, and gives a new incarnation when the old one was retired; the gate took any error for a lost answer and went on counting over incarnations.

--- a/gate/bill/bill.go
+++ b/gate/bill/bill.go
@@ -6,7 +6,6 @@
 	"context"
 	"errors"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -43,9 +42,11 @@
 	actor   string
 	state   State
 	settled func(id ident.Backend, billings []*wire.Billing)
-	last    atomic.Uint64
 	kick    chan struct{}
 
+	numbers sync.Mutex // guards last
+	last    map[ident.Incarnation]ident.Sequence
+
 	mu    sync.Mutex // guards the fields below
 	queue []*entry
 	open  int // queued or under way
@@ -83,7 +84,7 @@
 
 // New returns an empty book; Run commits its bills.
 func New(opts ...Option) *Book {
-	b := &Book{kick: make(chan struct{}, senders), idle: make(chan struct{})}
+	b := &Book{kick: make(chan struct{}, senders), idle: make(chan struct{}), last: map[ident.Incarnation]ident.Sequence{}}
 	close(b.idle)
 	b.late = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "citronledge_gate_late_bills_total", Help: "Bills that were not committed when their answer was delivered.",
@@ -100,20 +101,28 @@
 	return b
 }
 
-// Next numbers a request. It returns false while the gate has no incarnation.
+// Next numbers a request, from 1 in each incarnation. It returns false while
+// the gate has no incarnation.
 func (b *Book) Next() (ident.Billing, bool) {
 	inc := b.state.Incarnation()
 	if inc == 0 {
 		return ident.Billing{}, false
 	}
-	return ident.Billing{Incarnation: inc, Sequence: ident.Sequence(b.last.Add(1))}, true
+	b.numbers.Lock()
+	defer b.numbers.Unlock()
+	b.last[inc]++
+	return ident.Billing{Incarnation: inc, Sequence: b.last[inc]}, true
 }
 
 // Incarnation returns the number of this run of the gate; 0 if it has none.
 func (b *Book) Incarnation() ident.Incarnation { return b.state.Incarnation() }
 
-// Last returns the highest number given so far.
-func (b *Book) Last() ident.Sequence { return ident.Sequence(b.last.Load()) }
+// Last returns the highest number given so far under an incarnation.
+func (b *Book) Last(inc ident.Incarnation) ident.Sequence {
+	b.numbers.Lock()
+	defer b.numbers.Unlock()
+	return b.last[inc]
+}
 
 // Open returns how many bills are not committed yet.
 func (b *Book) Open() int {
@@ -267,9 +276,6 @@
 	if err != nil {
 		return err
 	}
-	if err := res.GetFault().Err(); err != nil {
-		return err
-	}
 	if res.GetBilled() == nil {
 		return fault.New(fault.Internal, "the state cluster answered bills without a result; run the same release everywhere")
 	}
--- /dev/null
+++ b/gate/cmd/gate/main.go
@@ -0,0 +1,196 @@
+// Command gate is the process on each entry VM between callers and the side
+// processes.
+package main
+
+import (
+	"context"
+	"crypto/tls"
+	"encoding/json"
+	"errors"
+	"flag"
+	"fmt"
+	"net/http"
+	"net/url"
+	"os"
+	"strings"
+
+	"github.com/julienschmidt/httprouter"
+	"github.com/rotisserie/eris"
+
+	"citronledge.example/core/client"
+	"citronledge.example/core/fault"
+	"citronledge.example/core/ident"
+	"citronledge.example/core/link"
+	"citronledge.example/core/server"
+	"citronledge.example/core/wire"
+	"citronledge.example/gate/bill"
+	"citronledge.example/gate/front"
+	"citronledge.example/gate/pool"
+	"citronledge.example/gate/route"
+)
+
+type settings struct {
+	server.Settings
+	listen  string
+	state   string
+	cert    string
+	key     string
+	ratings string
+}
+
+func main() {
+	if err := run(os.Args[1:]); err != nil {
+		if !errors.Is(err, flag.ErrHelp) {
+			fmt.Fprintln(os.Stderr, "gate:", err)
+		}
+		os.Exit(1)
+	}
+}
+
+func run(args []string) error {
+	var set settings
+	fs := flag.NewFlagSet("gate", flag.ContinueOnError)
+	set.register(fs)
+	if err := server.Parse(fs, args, "GATE"); err != nil {
+		return err
+	}
+	if err := set.validate(); err != nil {
+		return err
+	}
+	if set.Check {
+		fmt.Println("settings are valid")
+		return nil
+	}
+	return serve(set)
+}
+
+func (s *settings) register(fs *flag.FlagSet) {
+	s.Register(fs)
+	fs.StringVar(&s.listen, "listen", "", "address for callers")
+	fs.StringVar(&s.state, "state", "", "addresses of the state processes, HOST:PORT,...")
+	fs.StringVar(&s.cert, "cert", "", "TLS certificate file for callers; empty for plain HTTP")
+	fs.StringVar(&s.key, "key", "", "TLS key file for callers")
+	fs.StringVar(&s.ratings, "ratings", "", "URL of the rating service; empty if there is none")
+}
+
+func (s *settings) addresses() []string {
+	var list []string
+	for addr := range strings.SplitSeq(s.state, ",") {
+		if addr = strings.TrimSpace(addr); addr != "" {
+			list = append(list, addr)
+		}
+	}
+	return list
+}
+
+// validate returns all faults of the settings at once.
+func (s *settings) validate() error {
+	errs := []error{s.Validate(), server.CheckAddr("listen", s.listen)}
+	if len(s.addresses()) == 0 {
+		errs = append(errs, errors.New("--state is empty; set the addresses of the state processes, separated by commas"))
+	}
+	for _, addr := range s.addresses() {
+		errs = append(errs, server.CheckAddr("state", addr))
+	}
+	if s.Keys != "" {
+		if _, err := os.Stat(s.Keys); err == nil {
+			_, err = link.LoadKeys(s.Keys)
+			errs = append(errs, err)
+		}
+	}
+	switch {
+	case (s.cert == "") != (s.key == ""):
+		errs = append(errs, errors.New("--cert and --key belong together; set both or none"))
+	case s.cert != "":
+		if _, err := tls.LoadX509KeyPair(s.cert, s.key); err != nil {
+			errs = append(errs, fmt.Errorf("--cert, --key: %w; set them to a matching pair of PEM files", err))
+		}
+	}
+	if u, err := url.Parse(s.ratings); s.ratings != "" && (err != nil || u.Host == "") {
+		errs = append(errs, fmt.Errorf("--ratings: %q is not a URL; use http://HOST:PORT/PATH", s.ratings))
+	}
+	return errors.Join(errs...)
+}
+
+// gate holds the parts that refer to each other.
+type gate struct {
+	client *client.Client
+	pool   *pool.Pool
+	book   *bill.Book
+	router *route.Router
+}
+
+func serve(set settings) error {
+	keys, err := link.LoadKeys(set.Keys)
+	if err != nil {
+		return err
+	}
+	g := &gate{}
+	frame := server.New(set.Settings, g.status)
+	if err := g.build(set, link.Config{Name: set.Name, Keys: keys}, frame); err != nil {
+		return err
+	}
+	defer func() { _ = g.client.Close() }()
+	frame.Page("/decisions/:id", http.HandlerFunc(g.decision))
+	return frame.Run(context.Background(), front.NewPart(front.Parts{
+		Listen: set.listen, Cert: set.cert, Key: set.key,
+		Handler: front.New(front.Client(g.client), front.Route(g.router)),
+		Tasks: map[string]func(context.Context) error{
+			"lease": g.client.Hold, "links": g.pool.Run, "bills": g.book.Run, "queues": g.router.Run,
+		},
+		Router: g.router, Book: g.book, State: g.client,
+	}))
+}
+
+func (g *gate) build(set settings, cfg link.Config, frame *server.Server) error {
+	var err error
+	g.client, err = client.New(
+		client.WithAddresses(set.addresses()...), client.WithLink(cfg), client.WithZone(ident.Zone(set.Zone)),
+		client.WithTallies(func() []*wire.Tally { return g.router.Tallies() }),
+		client.WithLast(func(inc ident.Incarnation) ident.Sequence { return g.book.Last(inc) }),
+	)
+	if err != nil {
+		return eris.Wrap(err, "--name or --state")
+	}
+	g.book = bill.New(bill.Actor(set.Name), bill.Client(g.client), bill.Metrics(frame.Registry),
+		bill.Settled(func(id ident.Backend, list []*wire.Billing) { g.pool.Settled(id, list) }))
+	g.pool = pool.New(pool.Name(set.Name, ident.Zone(set.Zone)), pool.Client(g.client), pool.Link(cfg),
+		pool.Adopt(g.book.Adopt), pool.Metrics(frame.Registry))
+	opts := []route.Option{
+		route.Actor(set.Name), route.Client(g.client), route.Pool(g.pool), route.Book(g.book), route.Metrics(frame.Registry),
+	}
+	if set.ratings != "" {
+		opts = append(opts, route.Ratings(route.NewRater(set.ratings)))
+	}
+	g.router = route.New(opts...)
+	return nil
+}
+
+// recent is how many decision records the status page shows.
+const recent = 20
+
+func (g *gate) status() any {
+	return map[string]any{
+		"incarnation": g.client.Incarnation(),
+		"revision":    g.client.View().Revision,
+		"lease":       g.client.Lease(),
+		"running":     len(g.router.Running()),
+		"waiting":     g.router.Waiting(),
+		"bills":       g.book.Open(),
+		"links":       g.pool.Status(),
+		"decisions":   g.router.Recent(recent),
+	}
+}
+
+// decision serves the decision record of one request.
+func (g *gate) decision(w http.ResponseWriter, r *http.Request) {
+	id := httprouter.ParamsFromContext(r.Context()).ByName("id")
+	rec, ok := g.router.Lookup(ident.Request(id))
+	if !ok {
+		fault.New(fault.Missing, "no decision record of "+id+" here; it may be another gate's or no longer among the newest").Write(w)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	// The reader may be gone; there is nobody left to tell.
+	_ = json.NewEncoder(w).Encode(rec)
+}
--- a/gate/front/part.go
+++ b/gate/front/part.go
@@ -20,9 +20,10 @@
 	idleTime   = 120 * time.Second
 )
 
-// Task is a part of the gate that works until its context ends.
-type Task interface {
-	Run(ctx context.Context) error
+// Holder is what the part needs of the client of the state cluster.
+type Holder interface {
+	// Valid tells whether the lease allows new work now.
+	Valid(now time.Time) bool
 }
 
 // Drainer ends accepted work and returns how much of it is left.
@@ -30,38 +31,39 @@
 	Drain(ctx context.Context) int
 }
 
-// Lister names the requests that are running.
+// Lister is a Drainer that names the requests that are running.
 type Lister interface {
 	Drainer
 	Running() []ident.Request
 }
 
-// Part is a whole gate inside the program frame; it implements server.Part.
-type Part struct {
+// Parts are what a gate consists of.
+type Parts struct {
 	Listen    string
 	Cert, Key string // files; empty for plain HTTP
 	Handler   http.Handler
-	// Tasks run as long as the gate does.
-	Tasks map[string]Task
+	// Tasks run until the gate stops, also while it drains. The one that holds
+	// the lease gives it back at its end, which is after the last bill.
+	Tasks map[string]func(ctx context.Context) error
 	// Router and Book are drained in this order.
 	Router Lister
 	Book   Drainer
-	// Ready returns when the gate has its first lease and configuration.
-	Ready func(ctx context.Context) error
-	// Release gives the lease back after the last bill.
-	Release func(ctx context.Context) error
+	State  Holder
+}
 
+// Part is a whole gate inside the program frame; it implements server.Part.
+type Part struct {
+	Parts
 	srv *http.Server
 }
 
-// NewServer returns the HTTP server of a gate.
-func (p *Part) newServer() *http.Server {
-	return &http.Server{Handler: p.Handler, ReadHeaderTimeout: headerTime, IdleTimeout: idleTime}
+// NewPart returns a gate that does not listen yet.
+func NewPart(parts Parts) *Part {
+	return &Part{Parts: parts, srv: &http.Server{
+		Handler: parts.Handler, ReadHeaderTimeout: headerTime, IdleTimeout: idleTime,
+	}}
 }
 
-// Init prepares the part; call it before server.Run.
-func (p *Part) Init() { p.srv = p.newServer() }
-
 // Run implements server.Part.
 func (p *Part) Run(ctx context.Context, ready func()) error {
 	ln, err := net.Listen("tcp", p.Listen)
@@ -70,26 +72,14 @@
 	}
 	klog.InfoS("Listening for callers", "addr", ln.Addr().String(), "tls", p.Cert != "")
 	g := group.New(ctx)
-	for name, t := range p.Tasks {
-		g.Go(name, t.Run)
+	for name, task := range p.Tasks {
+		g.Go(name, task)
 	}
-	g.Go("http", func(context.Context) error {
-		var err error
-		if p.Cert != "" {
-			err = p.srv.ServeTLS(ln, p.Cert, p.Key)
-		} else {
-			err = p.srv.Serve(ln)
-		}
-		if errors.Is(err, http.ErrServerClosed) {
-			return nil
-		}
-		return err
-	})
+	g.Go("http", func(context.Context) error { return p.listen(ln) })
 	g.Go("ready", func(ctx context.Context) error {
-		if err := p.Ready(ctx); err != nil {
-			return err
+		if p.leased(ctx) {
+			ready()
 		}
-		ready()
 		return nil
 	})
 	g.Go("close", func(ctx context.Context) error {
@@ -99,15 +89,43 @@
 	return g.Wait()
 }
 
+func (p *Part) listen(ln net.Listener) error {
+	var err error
+	if p.Cert != "" {
+		err = p.srv.ServeTLS(ln, p.Cert, p.Key)
+	} else {
+		err = p.srv.Serve(ln)
+	}
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+// leased waits for the first lease.
+func (p *Part) leased(ctx context.Context) bool {
+	const every = 20 * time.Millisecond
+	tick := time.NewTicker(every)
+	defer tick.Stop()
+	for !p.State.Valid(time.Now()) {
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return false
+		}
+	}
+	return true
+}
+
 // Drain implements server.Part: it refuses new requests, finishes the running
-// ones, commits their bills and gives the lease back.
+// ones and commits their bills.
 func (p *Part) Drain(ctx context.Context) []string {
-	var cut []string
 	closed := make(chan struct{})
 	go func() {
 		defer close(closed)
-		_ = p.srv.Shutdown(ctx) // what it could not close is listed below
+		_ = p.srv.Shutdown(ctx) // what it could not finish is listed below
 	}()
+	var cut []string
 	if p.Router.Drain(ctx) > 0 {
 		for _, id := range p.Router.Running() {
 			cut = append(cut, "request "+string(id))
@@ -117,10 +135,5 @@
 	if n := p.Book.Drain(ctx); n > 0 {
 		cut = append(cut, strconv.Itoa(n)+" bills")
 	}
-	if p.Release != nil {
-		if err := p.Release(ctx); err != nil {
-			klog.ErrorS(err, "Lease was not given back; it runs out by itself")
-		}
-	}
 	return cut
 }
--- a/gate/front/world_test.go
+++ b/gate/front/world_test.go
@@ -52,7 +52,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.down {
-		return nil, fault.New(fault.Unavailable, "no leader")
+		return nil, fault.New(fault.Unavailable, "no leader") // not committed
 	}
 	cmd.Time = uint64(time.Now().UnixMilli())
 	data, err := proto.Marshal(cmd)
@@ -67,7 +67,10 @@
 		close(c.changed)
 		c.changed = make(chan struct{})
 	}
-	return res, err
+	if err != nil {
+		return nil, err
+	}
+	return res, res.GetFault().Err()
 }
 
 func (c *cluster) View() *conf.View {
@@ -120,11 +123,7 @@
 	if strings.HasPrefix(list[0].Key, conf.Members) {
 		cmd.Kind = &wire.Command_Members{Members: &wire.Members{Entries: list}}
 	}
-	res, err := c.Propose(context.Background(), cmd)
-	if err == nil {
-		err = res.GetFault().Err()
-	}
-	if err != nil {
+	if _, err := c.Propose(context.Background(), cmd); err != nil {
 		t.Fatal(err)
 	}
 }
--- a/gate/pool/backend.go
+++ b/gate/pool/backend.go
@@ -357,7 +357,7 @@
 			return
 		}
 		res, err := b.forward(ctx, &cmd)
-		if err != nil {
+		if res == nil { // a refusal by the ledger has a result
 			res = &wire.Result{Fault: wire.NewFault(fault.From(err))}
 		}
 		if err := st.Send(res); err != nil {
--- a/gate/route/call.go
+++ b/gate/route/call.go
@@ -113,15 +113,18 @@
 		return err
 	}
 	res, err := x.propose(ctx, &wire.Command{Kind: &wire.Command_Begin{Begin: begin}})
-	if err != nil {
-		// The command may have been committed, but without its fence nobody
-		// can hand the work over. What an earlier request with the same key
-		// did is not known, though, so nothing is promised.
-		return &Failure{Fault: fault.New(fault.Unknown, "the state cluster did not answer; send the request again with the same idempotency key"), Ran: true}
+	if res == nil {
+		// Without its fence nobody can hand the work over, whether the command
+		// was committed or not. Only if it was not, nothing else is in doubt.
+		f := fault.From(err)
+		if f.Kind == fault.Unavailable {
+			return f.After(time.Second)
+		}
+		return &Failure{Fault: fault.New(fault.Unknown, "the state cluster did not confirm the call; send it again with the same idempotency key"), Ran: true}
 	}
 	op := res.GetOperation()
 	if !op.GetGranted() {
-		return x.ungranted(op, res.GetFault().Err())
+		return x.ungranted(op, err)
 	}
 	// The operation finishes even when its caller is gone; the caller gets
 	// the answer when it sends the key again.
@@ -152,12 +155,11 @@
 func (x *run) abort(ctx context.Context, op *wire.Operation, cause error) error {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), abortTime)
 	defer cancel()
-	res, err := x.propose(ctx, &wire.Command{Kind: &wire.Command_Abort{Abort: &wire.Abort{
+	res, _ := x.propose(ctx, &wire.Command{Kind: &wire.Command_Abort{Abort: &wire.Abort{
 		Operation: op.GetId(), Fence: op.GetFence(),
 	}}})
 	now := res.GetOperation()
 	switch {
-	case err != nil:
 	case now.GetPhase() == "aborted" && now.GetFence() == op.GetFence():
 		x.rec.note("aborted")
 		f := fault.From(cause)
@@ -200,6 +202,8 @@
 	return x.write(body)
 }
 
+// propose commits a command. A refusal by the ledger gives a result and an
+// error, a lost answer only an error.
 func (x *run) propose(ctx context.Context, cmd *wire.Command) (*wire.Result, error) {
 	cmd.Actor, cmd.Time = x.r.actor, uint64(time.Now().UnixMilli())
 	return x.r.state.Propose(ctx, cmd)
--- a/gate/route/pin.go
+++ b/gate/route/pin.go
@@ -169,9 +169,6 @@
 			Version: string(version), Replaces: string(replaces),
 		}},
 	})
-	if err == nil {
-		err = res.GetFault().Err()
-	}
 	if err != nil || res.GetPinned().GetVersion() == "" {
 		x.rec.note("pin not committed")
 		return "", fault.New(fault.Unavailable, "the version of the session could not be recorded; send the request again").After(time.Second)
--- a/gate/route/route.go
+++ b/gate/route/route.go
@@ -32,7 +32,9 @@
 	View() *conf.View
 	// Valid tells whether the lease allows new work now.
 	Valid(now time.Time) bool
-	// Propose commits a command and returns its result.
+	// Propose commits a command and returns its result. A refusal gives the
+	// result and its fault; without a result, a fault of kind Unavailable says
+	// that the command was not committed, and any other that it may have been.
 	Propose(ctx context.Context, cmd *wire.Command) (*wire.Result, error)
 }
 
