ctl: add the operators' command line

Cause: settings folders could be read but not applied, and nothing showed the state of the system. Ruled out: a change number that the operator gives (two operators would have to agree on it; ctl reads it and the ledger decides), and an apply that owns withdrawals and roll-outs (it would undo them). With the ownership check of conf.Diff taken out, TestWithdrawStaysOverApply and TestDiffLeavesCommandKeys fail. Conclusion: not yet run against real state processes.

--- /dev/null
+++ b/ctl/admin/admin_test.go
@@ -0,0 +1,190 @@
+package admin
+
+import (
+	"bytes"
+	"context"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+
+	"citronledge.example/core/conf"
+	"citronledge.example/core/fault"
+	"citronledge.example/core/ledger"
+	"citronledge.example/core/wire"
+)
+
+// cluster is a state cluster of one ledger.
+type cluster struct {
+	ledger *ledger.Ledger
+	index  uint64
+	before func() // runs before the next proposal
+	lose   bool   // loses the answer of the next proposal
+}
+
+func (c *cluster) Propose(_ context.Context, cmd *wire.Command) (*wire.Result, error) {
+	if f := c.before; f != nil {
+		c.before = nil
+		f()
+	}
+	data, err := proto.Marshal(cmd)
+	if err != nil {
+		return nil, err
+	}
+	c.index++
+	var r wire.Result
+	if err := proto.Unmarshal(c.ledger.Apply(c.index, data), &r); err != nil {
+		return nil, err
+	}
+	if c.lose {
+		c.lose = false
+		return nil, fault.New(fault.Unknown, "no answer")
+	}
+	return &r, nil
+}
+
+func (c *cluster) Query(_ context.Context, q *wire.Query) (*wire.Answer, error) {
+	switch q := q.GetKind().(type) {
+	case *wire.Query_Config:
+		return &wire.Answer{Config: c.ledger.Delta(0), Number: c.ledger.Number()}, nil
+	case *wire.Query_Wait:
+		return &wire.Answer{Waited: &wire.Waited{Done: true, Expired: []string{"gate-9"}, Elapsed: 42}}, nil
+	case *wire.Query_Audit:
+		return &wire.Answer{Audits: c.ledger.Audits(q.Audit.GetAfter(), int(q.Audit.GetLimit()))}, nil
+	}
+	return &wire.Answer{Status: &wire.Status{Leader: "state-1", Number: c.ledger.Number(), Revision: c.ledger.Revision()}}, nil
+}
+
+const (
+	base = "customers:\n  north: {keys: [" + digest + "], models: [small]}\nmodels:\n  small: {input: 1, output: 2, quality: 0.7, versions: [v1, v2]}\n"
+	// digest is that of no key that is used anywhere.
+	digest = "0123456789abcdef0123456789abcdef0123456789abcdef0123456789abcdef"
+)
+
+func folder(t *testing.T, files ...string) string {
+	t.Helper()
+	dir := t.TempDir()
+	for i, data := range files {
+		if err := os.WriteFile(filepath.Join(dir, string(rune('a'+i))+".yaml"), []byte(data), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return dir
+}
+
+// ctl runs one command line and returns its exit code and output.
+func ctl(c *cluster, line ...string) (int, string) {
+	var out bytes.Buffer
+	connect := func(context.Context, []string, string) (Cluster, string, error) { return c, "ana", nil }
+	i := 1
+	if line[0] == "rollout" {
+		i = 2
+	}
+	args := append(append(append([]string{}, line[:i]...), "--state", "x:1", "--keys", "k"), line[i:]...)
+	code := Run(context.Background(), args, connect, &out, &out)
+	return code, out.String()
+}
+
+// Guards against wrong exit codes and silent acceptance of bad input.
+func TestCommands(t *testing.T) {
+	dir := folder(t, base)
+	tests := map[string]struct {
+		line []string
+		code int
+		want string
+	}{
+		"apply":                 {[]string{"apply", dir}, Done, "no change"},
+		"apply bad folder":      {[]string{"apply", folder(t, base, "models: {small: {price: 1}}")}, Usage, "b.yaml:1: models/small/price: unknown field"},
+		"apply nothing":         {[]string{"apply", folder(t)}, Usage, "no .yaml file"},
+		"flag after argument":   {[]string{"apply", dir, "--wait"}, Usage, "flags go before"},
+		"withdraw and wait":     {[]string{"withdraw", "--wait", "small", "v2"}, Done, "lease of gate-9 had to expire"},
+		"withdraw unknown":      {[]string{"withdraw", "small", "v9"}, Usage, "small/v9 does not exist"},
+		"restore":               {[]string{"restore", "small", "v2"}, Usage, "not withdrawn"},
+		"rollout":               {[]string{"rollout", "start", "small", "v1", "v2"}, Done, "accepted as change 2"},
+		"rollout bad steps":     {[]string{"rollout", "start", "--steps", "0.5,0.1", "small", "v1", "v2"}, Usage, "steps must grow"},
+		"rollout to itself":     {[]string{"rollout", "start", "small", "v1", "v1"}, Usage, "name two versions"},
+		"rollout step too soon": {[]string{"rollout", "step", "small"}, Usage, "has no roll-out"},
+		"settle unknown id":     {[]string{"settle", "a/b/c", "ran"}, Failed, "not on record"},
+		"settle wrong word":     {[]string{"settle", "a/b/c", "maybe"}, Usage, "neither ran nor notrun"},
+		"audit":                 {[]string{"audit"}, Done, "ana"},
+		"unknown command":       {[]string{"aply", dir}, Usage, ""},
+		"status as JSON":        {[]string{"status", "--json"}, Done, `"leader":"state-1"`},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := &cluster{ledger: ledger.New()}
+			if code, out := ctl(c, "apply", dir); code != Done {
+				t.Fatalf("first apply: got code %d, %s", code, out)
+			}
+			code, out := ctl(c, tt.line...)
+			if code != tt.code || !strings.Contains(strings.ReplaceAll(out, ": ", ":"), strings.ReplaceAll(tt.want, ": ", ":")) {
+				t.Errorf("got code %d, %s, want code %d, %s", code, out, tt.code, tt.want)
+			}
+		})
+	}
+}
+
+// Guards against two operators whose changes get the same number: one wins,
+// the other is told, and nothing of the loser is applied.
+func TestApplyRace(t *testing.T) {
+	c := &cluster{ledger: ledger.New()}
+	first := folder(t, base)
+	second := folder(t, base, "customers: {north: {weight: 7}}")
+	c.before = func() {
+		if code, out := ctl(c, "apply", first); code != Done {
+			t.Errorf("winner: got code %d, %s", code, out)
+		}
+	}
+	code, out := ctl(c, "apply", second)
+	if code != Conflict || !strings.Contains(out, "made by ana") {
+		t.Errorf("loser: got code %d, %s, want code %d that names the winner", code, out, Conflict)
+	}
+	v, err := conf.Empty().Apply(c.ledger.Delta(0))
+	if err != nil || v.Customers["north"].Weight != 0 {
+		t.Errorf("got weight %d and %v, want the winner's configuration", v.Customers["north"].Weight, err)
+	}
+	if code, out := ctl(c, "apply", second); code != Done || !strings.Contains(out, "change 2") {
+		t.Errorf("second try: got code %d, %s", code, out)
+	}
+}
+
+// Guards against a lost answer that leads to a second change.
+func TestApplyLostAnswer(t *testing.T) {
+	c := &cluster{ledger: ledger.New(), lose: true}
+	dir := folder(t, base)
+	if code, out := ctl(c, "apply", dir); code != Unknown {
+		t.Errorf("got code %d, %s, want %d", code, out, Unknown)
+	}
+	if code, out := ctl(c, "apply", dir); code != Done || c.ledger.Number() != 1 {
+		t.Errorf("got code %d, %s and number %d, want one change", code, out, c.ledger.Number())
+	}
+}
+
+// Guards against an apply that undoes a withdrawal, and a withdrawal that
+// leaves its roll-out running.
+func TestWithdrawStaysOverApply(t *testing.T) {
+	c := &cluster{ledger: ledger.New()}
+	dir := folder(t, base)
+	for _, line := range [][]string{
+		{"apply", dir},
+		{"rollout", "start", "small", "v1", "v2"},
+		{"withdraw", "--reason", "wrong answers", "small", "v2"},
+		{"apply", folder(t, base, "customers: {north: {weight: 3}}")},
+	} {
+		if code, out := ctl(c, line...); code != Done {
+			t.Fatalf("%v: got code %d, %s", line, code, out)
+		}
+	}
+	v, err := conf.Empty().Apply(c.ledger.Delta(0))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got := v.Versions("north", "small"); len(got) != 1 || got[0] != "v1" {
+		t.Errorf("got versions %v, want only v1", got)
+	}
+	if got := v.Rollouts["small"].Phase; got != conf.Reverted {
+		t.Errorf("got roll-out %s, want %s", got, conf.Reverted)
+	}
+}
--- /dev/null
+++ b/ctl/admin/apply.go
@@ -0,0 +1,173 @@
+package admin
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"citronledge.example/core/conf"
+	"citronledge.example/core/fault"
+	"citronledge.example/core/ident"
+	"citronledge.example/core/ledger"
+	"citronledge.example/core/wire"
+)
+
+// Check reads a settings folder and prints each value with the file and line
+// that it came from, or returns all problems.
+func (a *Admin) Check(dir string) error {
+	folder, err := conf.ReadFolder(dir)
+	if err != nil {
+		return usage(err.Error())
+	}
+	entries, err := folder.Entries()
+	if err != nil {
+		return err
+	}
+	if a.JSON {
+		return a.print(leaves(folder))
+	}
+	for _, leaf := range folder.Leaves() {
+		fmt.Fprintf(a.Out, "%-45s %-30s %s\n", leaf.Path, fmt.Sprint(leaf.Value), leaf.Place)
+	}
+	fmt.Fprintf(a.Out, "ok: %d items\n", len(entries))
+	return nil
+}
+
+type leafLine struct {
+	Path  string `json:"path"`
+	Value any    `json:"value"`
+	File  string `json:"file"`
+	Line  int    `json:"line"`
+}
+
+func leaves(folder *conf.Folder) []leafLine {
+	var list []leafLine
+	for _, leaf := range folder.Leaves() {
+		list = append(list, leafLine{leaf.Path, leaf.Value, leaf.Place.File, leaf.Place.Line})
+	}
+	return list
+}
+
+// Diff prints what Apply would change.
+func (a *Admin) Diff(ctx context.Context, dir string) error {
+	view, _, diff, err := a.compare(ctx, dir)
+	if err != nil {
+		return err
+	}
+	if a.JSON {
+		return a.print(diffLines(view, diff))
+	}
+	for _, line := range diffLines(view, diff) {
+		if line.Old != "" {
+			fmt.Fprintf(a.Out, "- %s %s\n", line.Key, line.Old)
+		}
+		if line.New != "" {
+			fmt.Fprintf(a.Out, "+ %s %s\n", line.Key, line.New)
+		}
+	}
+	fmt.Fprintf(a.Out, "%d items differ\n", len(diff))
+	return nil
+}
+
+type diffLine struct {
+	Key string `json:"key"`
+	Old string `json:"old,omitempty"`
+	New string `json:"new,omitempty"`
+}
+
+func diffLines(view *conf.View, diff []*wire.Entry) []diffLine {
+	list := []diffLine{}
+	for _, e := range diff {
+		old, _ := view.Value(e.GetKey())
+		list = append(list, diffLine{Key: e.GetKey(), Old: string(old), New: string(e.GetValue())})
+	}
+	return list
+}
+
+func (a *Admin) compare(ctx context.Context, dir string) (*conf.View, uint64, []*wire.Entry, error) {
+	folder, err := conf.ReadFolder(dir)
+	if err != nil {
+		return nil, 0, nil, usage(err.Error())
+	}
+	entries, err := folder.Entries()
+	if err != nil {
+		return nil, 0, nil, err
+	}
+	view, number, err := a.current(ctx)
+	if err != nil {
+		return nil, 0, nil, err
+	}
+	return view, number, conf.Diff(view, entries), nil
+}
+
+// Wait tells how long a command waits until its change is in force
+// everywhere; zero means that it does not wait.
+type Wait time.Duration
+
+// Apply makes the cluster's configuration equal to the folder. If another
+// operator's change gets the same number, nothing is changed and the error
+// tells who made that change; the command may then be given again.
+func (a *Admin) Apply(ctx context.Context, dir, note string, wait Wait) error {
+	_, number, diff, err := a.compare(ctx, dir)
+	if err != nil {
+		return err
+	}
+	if len(diff) == 0 {
+		return a.report(ctx, &wire.Changed{Number: number, Repeat: true}, 0)
+	}
+	return a.change(ctx, number+1, diff, note, wait)
+}
+
+// change proposes entries as one change.
+func (a *Admin) change(ctx context.Context, number uint64, entries []*wire.Entry, note string, wait Wait) error {
+	c := &wire.Change{Number: number, Entries: entries, Note: note, Digest: ledger.Digest(entries)}
+	result, err := a.propose(ctx, &wire.Command{Kind: &wire.Command_Change{Change: c}})
+	if err != nil {
+		return err
+	}
+	return a.report(ctx, result.GetChanged(), wait)
+}
+
+func (a *Admin) report(ctx context.Context, changed *wire.Changed, wait Wait) error {
+	var waited *wire.Waited
+	if wait > 0 {
+		var err error
+		if waited, err = a.waitInForce(ctx, ident.Revision(changed.GetRevision()), wait); err != nil {
+			return err
+		}
+	}
+	if a.JSON {
+		return a.print(map[string]any{
+			"number": changed.GetNumber(), "revision": changed.GetRevision(), "repeat": changed.GetRepeat(),
+			"waited": waited != nil, "expired": waited.GetExpired(), "elapsed": waited.GetElapsed(),
+		})
+	}
+	switch {
+	case changed.GetRevision() == 0:
+		fmt.Fprintf(a.Out, "no change: the configuration equals the folder (number %d)\n", changed.GetNumber())
+	case changed.GetRepeat():
+		fmt.Fprintf(a.Out, "already accepted as change %d, revision %d\n", changed.GetNumber(), changed.GetRevision())
+	default:
+		fmt.Fprintf(a.Out, "accepted as change %d, revision %d\n", changed.GetNumber(), changed.GetRevision())
+	}
+	if waited != nil {
+		fmt.Fprintf(a.Out, "in force everywhere after %d ms\n", waited.GetElapsed())
+		for _, name := range waited.GetExpired() {
+			fmt.Fprintf(a.Out, "lease of %s had to expire: it did not acknowledge\n", name)
+		}
+	}
+	return nil
+}
+
+func (a *Admin) waitInForce(ctx context.Context, r ident.Revision, wait Wait) (*wire.Waited, error) {
+	q := &wire.WaitQuery{Revision: uint64(r), Timeout: uint32(time.Duration(wait) / time.Millisecond)}
+	answer, err := a.query(ctx, &wire.Query{Kind: &wire.Query_Wait{Wait: q}})
+	if err != nil {
+		return nil, err
+	}
+	waited := answer.GetWaited()
+	if !waited.GetDone() {
+		return waited, fault.New(fault.Timeout, fmt.Sprintf("revision %d is accepted but not yet in force at %v; see ctl status", r, waited.GetMissing()))
+	}
+	return waited, nil
+}
