--- /dev/null
+++ b/gate/front/part.go
@@ -0,0 +1,139 @@
+package front
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"k8s.io/klog/v2"
+
+	"citronledge.example/core/group"
+	"citronledge.example/core/ident"
+)
+
+const (
+	headerTime = 5 * time.Second
+	idleTime   = 120 * time.Second
+)
+
+// Holder is what the part needs of the client of the state cluster.
+type Holder interface {
+	// Valid tells whether the lease allows new work now.
+	Valid(now time.Time) bool
+}
+
+// Drainer ends accepted work and returns how much of it is left.
+type Drainer interface {
+	Drain(ctx context.Context) int
+}
+
+// Lister is a Drainer that names the requests that are running.
+type Lister interface {
+	Drainer
+	Running() []ident.Request
+}
+
+// Parts are what a gate consists of.
+type Parts struct {
+	Listen    string
+	Cert, Key string // files; empty for plain HTTP
+	Handler   http.Handler
+	// Tasks run until the gate stops, also while it drains. The one that holds
+	// the lease gives it back at its end, which is after the last bill.
+	Tasks map[string]func(ctx context.Context) error
+	// Router and Book are drained in this order.
+	Router Lister
+	Book   Drainer
+	State  Holder
+}
+
+// Part is a whole gate inside the program frame; it implements server.Part.
+type Part struct {
+	Parts
+	srv *http.Server
+}
+
+// NewPart returns a gate that does not listen yet.
+func NewPart(parts Parts) *Part {
+	return &Part{Parts: parts, srv: &http.Server{
+		Handler: parts.Handler, ReadHeaderTimeout: headerTime, IdleTimeout: idleTime,
+	}}
+}
+
+// Run implements server.Part.
+func (p *Part) Run(ctx context.Context, ready func()) error {
+	ln, err := net.Listen("tcp", p.Listen)
+	if err != nil {
+		return eris.Wrap(err, "cannot listen for callers; set --listen to a free address")
+	}
+	klog.InfoS("Listening for callers", "addr", ln.Addr().String(), "tls", p.Cert != "")
+	g := group.New(ctx)
+	for name, task := range p.Tasks {
+		g.Go(name, task)
+	}
+	g.Go("http", func(context.Context) error { return p.listen(ln) })
+	g.Go("ready", func(ctx context.Context) error {
+		if p.leased(ctx) {
+			ready()
+		}
+		return nil
+	})
+	g.Go("close", func(ctx context.Context) error {
+		<-ctx.Done()
+		return p.srv.Close()
+	})
+	return g.Wait()
+}
+
+func (p *Part) listen(ln net.Listener) error {
+	var err error
+	if p.Cert != "" {
+		err = p.srv.ServeTLS(ln, p.Cert, p.Key)
+	} else {
+		err = p.srv.Serve(ln)
+	}
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+// leased waits for the first lease.
+func (p *Part) leased(ctx context.Context) bool {
+	const every = 20 * time.Millisecond
+	tick := time.NewTicker(every)
+	defer tick.Stop()
+	for !p.State.Valid(time.Now()) {
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return false
+		}
+	}
+	return true
+}
+
+// Drain implements server.Part: it refuses new requests, finishes the running
+// ones and commits their bills.
+func (p *Part) Drain(ctx context.Context) []string {
+	closed := make(chan struct{})
+	go func() {
+		defer close(closed)
+		_ = p.srv.Shutdown(ctx) // what it could not finish is listed below
+	}()
+	var cut []string
+	if p.Router.Drain(ctx) > 0 {
+		for _, id := range p.Router.Running() {
+			cut = append(cut, "request "+string(id))
+		}
+	}
+	<-closed
+	if n := p.Book.Drain(ctx); n > 0 {
+		cut = append(cut, strconv.Itoa(n)+" bills")
+	}
+	return cut
+}
