--- a/core/ledger/ledger.go
+++ b/core/ledger/ledger.go
@@ -55,7 +55,7 @@
 	runs    runs
 	calls   calls
 	bills   bills
-	pins    pins
+	pins    *pins
 	audits  []*wire.Audit
 	audited uint64 // index of the last audit record
 }
@@ -63,7 +63,7 @@
 // New returns the empty state.
 func New() *Ledger {
 	return &Ledger{
-		config: newConfig(), runs: newRuns(), calls: newCalls(), bills: newBills(), pins: newPins(),
+		config: newConfig(), runs: newRuns(), calls: newCalls(), bills: newBills(), pins: &pins{},
 	}
 }
 
@@ -142,7 +142,7 @@
 // advance moves the time forward and lets everything expire that is due.
 func (l *Ledger) advance(now uint64) {
 	l.time = max(l.time, now)
-	l.pins.expire(l.time)
+	l.pins.sweep(l.time)
 	l.runs.expire(l.time)
 	l.lapse()
 }
--- a/core/ledger/ledger_test.go
+++ b/core/ledger/ledger_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"bytes"
+	"fmt"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -340,6 +342,40 @@
 	roundTrip(t, r.l)
 }
 
+// TestFreeze guards against a snapshot that mixes the state at its index with
+// later commands, which a restored member would apply twice.
+func TestFreeze(t *testing.T) {
+	r := newRig(t)
+	r.want(enroll(), "")
+	r.want(change(1, set("limits", `{"body":1}`)), "")
+	for i := range uint64(100) {
+		r.want(pin(fmt.Sprint("s", i), "v1", ""), "")
+		r.want(bill(1, i+1), "")
+	}
+	r.want(begin(1, "k", "", "d", "r"), "")
+	r.pass(time.Second)
+	want, err := r.l.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	encode := r.l.Freeze()
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		if got, err := encode(); err != nil || !bytes.Equal(got, want) {
+			t.Errorf("got another state (%v) than at the call of Freeze", err)
+		}
+	})
+	for n := range uint64(20) {
+		r.want(change(n+2, set("limits", "{}"), set("customers/a", "{}")), "")
+		r.want(bill(1, 1000+n), "")
+		r.do(hand("k", 1, "b", 1))
+		r.do(finish("k", 1, 200))
+		r.want(pin(fmt.Sprint("s", n), "v9", ""), "")
+		r.want(pin(fmt.Sprint("t", n), "v9", ""), "")
+	}
+	wg.Wait()
+}
+
 // TestOpen guards the list that shows requests without a bill.
 func TestOpen(t *testing.T) {
 	r := newRig(t)
--- a/core/ledger/snap.go
+++ b/core/ledger/snap.go
@@ -3,8 +3,10 @@
 import (
 	"maps"
 	"slices"
+	"strings"
 
 	"github.com/rotisserie/eris"
+	"google.golang.org/protobuf/encoding/protowire"
 	"google.golang.org/protobuf/proto"
 
 	"citronledge.example/core/chart"
@@ -13,17 +15,45 @@
 
 const format = 1 // of the snapshot
 
-// Snapshot returns the state. Equal states give equal bytes. It holds up
-// Apply only while it collects the records, not while it encodes them.
-func (l *Ledger) Snapshot() ([]byte, error) {
-	s := l.collect()
-	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(s)
-	return data, eris.Wrap(err, "cannot encode the snapshot")
+// Snapshot returns the state. Equal states give equal bytes.
+func (l *Ledger) Snapshot() ([]byte, error) { return l.Freeze()() }
+
+// Freeze returns a function that encodes the state as it is now. The function
+// is called once and may run while commands are applied. Freeze itself takes milliseconds,
+// whatever the number of pins.
+func (l *Ledger) Freeze() (encode func() ([]byte, error)) {
+	s, calls, pins := l.collect()
+	return func() ([]byte, error) {
+		slices.SortFunc(s.Entries, func(a, b *wire.Entry) int { return strings.Compare(a.GetKey(), b.GetKey()) })
+		slices.SortFunc(calls, func(a, b *call) int { return strings.Compare(a.op.GetId(), b.op.GetId()) })
+		for _, c := range calls {
+			s.Calls = append(s.Calls, &wire.Call{Operation: c.op, Digest: c.digest, Nonce: c.nonce})
+		}
+		data, err := proto.MarshalOptions{Deterministic: true}.Marshal(s)
+		if err != nil {
+			return nil, eris.Wrap(err, "cannot encode the snapshot")
+		}
+		return appendPins(data, pins, s.GetTime())
+	}
 }
 
-func (l *Ledger) collect() *wire.Snapshot {
-	l.mu.RLock()
-	defer l.mu.RUnlock()
+// appendPins adds the pins as further elements of the field Snapshot.pins.
+func appendPins(data []byte, list *[shards]shard, now uint64) (_ []byte, err error) {
+	field := (&wire.Snapshot{}).ProtoReflect().Descriptor().Fields().ByName("pins").Number()
+	sticks(list, now, func(m *wire.Stick) {
+		data = protowire.AppendTag(data, field, protowire.BytesType)
+		data = protowire.AppendVarint(data, uint64(proto.Size(m)))
+		if err == nil {
+			data, err = proto.MarshalOptions{UseCachedSize: true}.MarshalAppend(data, m)
+		}
+	})
+	return data, eris.Wrap(err, "cannot encode the pins")
+}
+
+// collect returns the parts of the state. None of them is changed later.
+func (l *Ledger) collect() (*wire.Snapshot, []*call, *[shards]shard) {
+	l.mu.Lock() // for freezing the pins
+	defer l.mu.Unlock()
 	s := &wire.Snapshot{
 		Format: format, Index: l.index, Time: l.time,
 		Revision: l.config.revision, Floor: l.config.floor, Number: l.config.number,
@@ -31,9 +61,7 @@
 		Changes: slices.Clone(l.config.changes), Bills: slices.Clone(l.bills.list),
 		Audits: slices.Clone(l.audits), Totals: l.bills.sums(),
 	}
-	for _, key := range slices.Sorted(maps.Keys(l.config.entries)) {
-		s.Entries = append(s.Entries, l.config.entries[key])
-	}
+	s.Entries = slices.AppendSeq(make([]*wire.Entry, 0, len(l.config.entries)), maps.Values(l.config.entries))
 	for _, id := range slices.Sorted(maps.Keys(l.runs.list)) {
 		r := l.runs.list[id]
 		s.Runs = append(s.Runs, &wire.Run{
@@ -41,17 +69,8 @@
 			Billed: slices.Clone([]*wire.Span(r.billed)),
 		})
 	}
-	for _, id := range slices.Sorted(maps.Keys(l.calls.list)) {
-		c := l.calls.list[id]
-		s.Calls = append(s.Calls, &wire.Call{Operation: c.op, Digest: c.digest, Nonce: c.nonce})
-	}
-	for e := l.pins.order.Front(); e != nil; e = e.Next() {
-		p := e.Value.(*pinned)
-		s.Pins = append(s.Pins, &wire.Stick{
-			Customer: p.key.customer, Session: p.key.session, Model: p.key.model, Version: p.version, Used: p.used,
-		})
-	}
-	return s
+	calls := slices.AppendSeq(make([]*call, 0, len(l.calls.list)), maps.Values(l.calls.list))
+	return s, calls, l.pins.freeze()
 }
 
 // Restore replaces the state by a snapshot. After an error the state is as
@@ -96,7 +115,7 @@
 		l.bills.totals[t.GetCustomer()] = t
 	}
 	for _, p := range s.GetPins() {
-		l.pins.put(pinKey{p.GetCustomer(), p.GetSession(), p.GetModel()}, p.GetVersion(), p.GetUsed())
+		l.pins.put(pinKey{p.GetCustomer(), p.GetSession(), p.GetModel()}, pinned{p.GetVersion(), p.GetUsed()})
 	}
 	l.fillRuns(s)
 	return l.fillCalls(s)
--- a/state/node/epoch.go
+++ b/state/node/epoch.go
@@ -156,8 +156,9 @@
 		e.tallies[id] = r.GetTallies()
 	}
 	h := e.holders[id]
-	if h != nil {
-		h.revision = max(h.revision, r.GetRevision())
+	moved := h != nil && r.GetRevision() > h.revision
+	if moved {
+		h.revision = r.GetRevision()
 	}
 	if r.GetRevision() >= e.force && !e.lags(r.GetRevision(), now) {
 		if h == nil {
@@ -167,7 +168,9 @@
 		h.until = now.Add(ident.LeaseGuard)
 		grant.Ttl = uint32(ident.LeaseTime / time.Millisecond)
 	}
-	n.advance(e, now)
+	if moved { // else nothing can have come into force; expiry has its own timer
+		n.advance(e, now)
+	}
 	return grant
 }
 
--- a/state/raft/raft.go
+++ b/state/raft/raft.go
@@ -19,6 +19,13 @@
 	Restore(snapshot []byte) error
 }
 
+// Freezer is a Machine with a cheap way to take a snapshot: the returned
+// function encodes the state as it was at the call, and may run while further
+// commands are applied.
+type Freezer interface {
+	Freeze() (encode func() ([]byte, error))
+}
+
 // Member is one process of the cluster.
 type Member struct {
 	Name, Addr string
--- a/state/raft/snap.go
+++ b/state/raft/snap.go
@@ -141,8 +141,18 @@
 	return n.restore(snap)
 }
 
-// save writes a snapshot when enough was applied since the last one. Only
-// the encoding stops the loop; the file is written beside it.
+// encoder returns the function that encodes the state as it is now. Unless
+// the machine is a Freezer, encoding has stopped the loop by then.
+func (n *Node) encoder() func() ([]byte, error) {
+	if f, ok := n.machine.(Freezer); ok {
+		return f.Freeze()
+	}
+	data, err := n.machine.Snapshot()
+	return func() ([]byte, error) { return data, err }
+}
+
+// save writes a snapshot when enough was applied since the last one. The file
+// is written beside the loop.
 func (n *Node) save() {
 	index, _, size := n.store.LastSnapshot()
 	many := n.applied-index >= n.snapEntries && n.grown >= size
@@ -150,17 +160,15 @@
 	if n.saving || n.applied <= index || !many && !large {
 		return
 	}
-	data, err := n.machine.Snapshot()
-	if err != nil {
-		n.grown = 0 // tried again after as much work
-		klog.ErrorS(err, "the machine cannot encode a snapshot", "member", n.name)
-		return
-	}
+	encode := n.encoder()
 	term, _ := n.store.Term(n.applied)
-	snap := store.Snapshot{Index: n.applied, Term: term, Roster: formatRoster(n.rosterAt(n.applied)), Data: data}
-	n.saving, n.grown = true, 0
+	snap := store.Snapshot{Index: n.applied, Term: term, Roster: formatRoster(n.rosterAt(n.applied))}
+	n.saving, n.grown = true, 0 // after a failure it is tried again after as much work
 	n.work.Go(func() {
-		err := n.store.WriteSnapshot(snap)
+		var err error
+		if snap.Data, err = encode(); err == nil {
+			err = n.store.WriteSnapshot(snap)
+		}
 		select {
 		case n.calls <- func() { n.saved(snap, err) }:
 		case <-n.done:
