gate: end connections by an answer at shutdown, resume streams freely

Cause: a trial with real side processes and stub engines showed three faults. http.Server.Shutdown closed idle connections while callers sent on them (2 of 5,486 requests got EOF). A side process of a plain service reports no slots, and every call was refused. Resumed streams used up the budget for extra work (5 of 60 streams ended with an error event). Ruled out: turning keep-alives off at once (it closes the same idle connections). Change: a draining gate closes its listener, answers with Connection: close for 1 s more, and then shuts down; services without a number get 64 slots; going on after new tokens counts neither as a try nor as extra work, up to 8 attempts.

--- a/gate/front/part.go
+++ b/gate/front/part.go
@@ -6,6 +6,8 @@
 	"net"
 	"net/http"
 	"strconv"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -18,6 +20,8 @@
 const (
 	headerTime = 5 * time.Second
 	idleTime   = 120 * time.Second
+	// linger is how long a draining gate answers on connections kept open.
+	linger = time.Second
 )
 
 // Holder is what the part needs of the client of the state cluster.
@@ -54,14 +58,26 @@
 // Part is a whole gate inside the program frame; it implements server.Part.
 type Part struct {
 	Parts
-	srv *http.Server
+	srv     *http.Server
+	closing atomic.Bool
+
+	mu sync.Mutex // guards ln
+	ln net.Listener
 }
 
 // NewPart returns a gate that does not listen yet.
 func NewPart(parts Parts) *Part {
-	return &Part{Parts: parts, srv: &http.Server{
-		Handler: parts.Handler, ReadHeaderTimeout: headerTime, IdleTimeout: idleTime,
-	}}
+	p := &Part{Parts: parts}
+	p.srv = &http.Server{Handler: http.HandlerFunc(p.handle), ReadHeaderTimeout: headerTime, IdleTimeout: idleTime}
+	return p
+}
+
+// handle ends connections with their next answer once the gate drains.
+func (p *Part) handle(w http.ResponseWriter, r *http.Request) {
+	if p.closing.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	p.Handler.ServeHTTP(w, r)
 }
 
 // Run implements server.Part.
@@ -70,6 +86,9 @@
 	if err != nil {
 		return eris.Wrap(err, "cannot listen for callers; set --listen to a free address")
 	}
+	p.mu.Lock()
+	p.ln = ln
+	p.mu.Unlock()
 	klog.InfoS("Listening for callers", "addr", ln.Addr().String(), "tls", p.Cert != "")
 	g := group.New(ctx)
 	for name, task := range p.Tasks {
@@ -96,7 +115,7 @@
 	} else {
 		err = p.srv.Serve(ln)
 	}
-	if errors.Is(err, http.ErrServerClosed) {
+	if errors.Is(err, http.ErrServerClosed) || p.closing.Load() {
 		return nil
 	}
 	return err
@@ -120,18 +139,26 @@
 // Drain implements server.Part: it refuses new requests, finishes the running
 // ones and commits their bills.
 func (p *Part) Drain(ctx context.Context) []string {
-	closed := make(chan struct{})
-	go func() {
-		defer close(closed)
-		_ = p.srv.Shutdown(ctx) // what it could not finish is listed below
-	}()
+	p.closing.Store(true)
+	p.mu.Lock()
+	if p.ln != nil {
+		_ = p.ln.Close()
+	}
+	p.mu.Unlock()
 	var cut []string
 	if p.Router.Drain(ctx) > 0 {
 		for _, id := range p.Router.Running() {
 			cut = append(cut, "request "+string(id))
 		}
 	}
-	<-closed
+	// A connection that is closed while its caller sends the next request
+	// leaves the caller without an answer. So connections in use are ended by
+	// an answer, and only those that stay idle are closed.
+	select {
+	case <-time.After(linger):
+	case <-ctx.Done():
+	}
+	_ = p.srv.Shutdown(ctx) // what it could not finish is in the list
 	if n := p.Book.Drain(ctx); n > 0 {
 		cut = append(cut, strconv.Itoa(n)+" bills")
 	}
--- a/gate/pool/index.go
+++ b/gate/pool/index.go
@@ -7,6 +7,10 @@
 	"citronledge.example/core/policy"
 )
 
+// serviceSlots is the number of calls at once for an instance of a plain
+// service that does not report a number: unlike engines, services have none.
+const serviceSlots = 64
+
 // index is an immutable lookup of backend servers by what they serve.
 type index struct {
 	all      map[ident.Backend]*backend
@@ -85,13 +89,17 @@
 		return policy.Candidate{}, false
 	}
 	running := int(b.running.Load())
+	slots := int(b.load.GetSlots())
+	if slots == 0 && b.load.GetService() != "" {
+		slots = serviceSlots
+	}
 	return policy.Candidate{
 		Backend:  b.id,
 		InFlight: running,
 		Long:     int(b.long.Load()),
 		Reported: running + b.foreign(),
 		Age:      now.Sub(b.heard) + time.Duration(b.load.GetAge())*time.Millisecond,
-		Slots:    int(b.load.GetSlots()),
+		Slots:    slots,
 		Uptime:   now.Sub(b.since),
 	}, true
 }
--- a/gate/route/record.go
+++ b/gate/route/record.go
@@ -60,6 +60,12 @@
 	r.Steps = append(r.Steps, s)
 }
 
+func (r *Record) attempts() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.Steps)
+}
+
 func (r *Record) version(reason policy.Reason) { r.Version = reason }
 
 func (r *Record) note(text string) {
--- a/gate/route/stream.go
+++ b/gate/route/stream.go
@@ -10,6 +10,9 @@
 	"citronledge.example/core/ident"
 )
 
+// maxEfforts bounds the attempts for a stream that breaks again and again.
+const maxEfforts = 8
+
 const doneEvent = "data: [DONE]\n\n"
 
 var (
@@ -134,7 +137,7 @@
 	var avoid ident.Backend
 	var target ident.Target
 	begun := time.Now()
-	for n := 1; ; n++ {
+	for n, had := 1, 0; ; n, had = n+1, x.sent {
 		if !x.headed {
 			t, reason, err := x.target(ctx, model)
 			if err != nil {
@@ -150,7 +153,11 @@
 			s, _ := l.sink.(*live)
 			return x.finish(ctx, s)
 		}
-		if !x.again(ctx, n, l) {
+		// An effort that brought tokens was no waste: going on repeats none of
+		// them, so it counts neither as a try nor as extra work.
+		if x.sent > had && x.rec.attempts() < maxEfforts && ctx.Err() == nil && x.leased() == nil {
+			n = 0
+		} else if !x.again(ctx, n, l) {
 			return x.breakOff(ctx, l.err)
 		}
 		avoid = l.id
