gate: settle the rest of a batch when the ledger refuses a bill

Cause: the ledger refuses bills of unknown incarnations and settles the others of the command, but the gate took the fault for a failure of the whole batch and sent all of it again for ever, with the answers of up to 64 requests waiting for it. Ruled out: splitting a refused batch (the ledger has settled the rest already). Change: a batch with a result is done; what was refused is counted and logged. The loser of a hedge is listened to for 10 ms instead of 50. Without a lease an unknown key is no 401. Refusals are logged at verbosity 1. Before and after: TestAdoptedRecords with a refused record; the batch is settled and no bill stays open. Conclusion: one bad record no longer holds up a gate.

--- a/gate/bill/bill.go
+++ b/gate/bill/bill.go
@@ -3,6 +3,7 @@
 package bill
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"sync"
@@ -53,6 +54,7 @@
 	idle  chan struct{}
 
 	late    prometheus.Counter
+	refused prometheus.Counter
 	batches prometheus.Counter
 	length  prometheus.GaugeFunc
 }
@@ -79,7 +81,7 @@
 
 // Metrics registers the metrics of the book.
 func Metrics(r prometheus.Registerer) Option {
-	return func(b *Book) { r.MustRegister(b.late, b.batches, b.length) }
+	return func(b *Book) { r.MustRegister(b.late, b.refused, b.batches, b.length) }
 }
 
 // New returns an empty book; Run commits its bills.
@@ -89,6 +91,9 @@
 	b.late = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "citronledge_gate_late_bills_total", Help: "Bills that were not committed when their answer was delivered.",
 	})
+	b.refused = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "citronledge_gate_refused_bills_total", Help: "Bills that the state cluster refused for good.",
+	})
 	b.batches = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "citronledge_gate_bill_batches_total", Help: "Commands that committed bills.",
 	})
@@ -273,11 +278,15 @@
 		Time:  uint64(time.Now().UnixMilli()),
 		Kind:  &wire.Command_Bills{Bills: &wire.Bills{Bills: bills}},
 	})
-	if err != nil {
-		return err
+	done := res.GetBilled()
+	if done == nil {
+		return cmp.Or(err, error(fault.New(fault.Internal, "the state cluster answered bills without a result; run the same release everywhere")))
 	}
-	if res.GetBilled() == nil {
-		return fault.New(fault.Internal, "the state cluster answered bills without a result; run the same release everywhere")
+	// The ledger settles the others when it refuses some, for example those of
+	// an incarnation that is not on record. Sending them again would not help.
+	if n := len(batch) - int(done.GetFresh()+done.GetRepeat()); n > 0 {
+		b.refused.Add(float64(n))
+		klog.ErrorS(err, "Bills were refused for good", "bills", n)
 	}
 	b.batches.Inc()
 	b.finish(batch)
--- a/gate/front/admit_test.go
+++ b/gate/front/admit_test.go
@@ -78,19 +78,24 @@
 			Incarnation: 1, Sequence: 77, Customer: "acme", Request: "old",
 			Usages: []*wire.Usage{{Model: "small", Version: "v1", Output: 9}},
 		}}
+		// One that the ledger refuses must not hold up the others.
+		lost := &wire.Record{Bill: &wire.Bill{Incarnation: 99, Sequence: 1, Customer: "acme"}}
 		for _, id := range []string{"a", "b"} {
 			s := w.sides[id]
 			s.mu.Lock()
 			st := s.ctl
 			s.mu.Unlock()
-			_ = st.Send(&wire.Control{Kind: &wire.Control_Records{Records: &wire.Records{Records: []*wire.Record{rec}}}})
+			_ = st.Send(&wire.Control{Kind: &wire.Control_Records{Records: &wire.Records{Records: []*wire.Record{lost, rec}}}})
 		}
 		bills := w.bills()
 		if len(bills) != 1 || bills[0].GetSequence() != 77 || bills[0].GetUsages()[0].GetOutput() != 9 {
 			t.Errorf("got bills %v, want one under the old number", bills)
 		}
-		if got := w.sides["a"].billed() + w.sides["b"].billed(); got != 2 {
-			t.Errorf("got %d settled messages, want one for each side process", got)
+		if got := w.sides["a"].billed() + w.sides["b"].billed(); got != 4 {
+			t.Errorf("got %d settled records, want both for each side process", got)
+		}
+		if n := w.book.Open(); n != 0 {
+			t.Errorf("got %d bills open, want 0", n)
 		}
 	})
 }
--- a/gate/front/front.go
+++ b/gate/front/front.go
@@ -36,6 +36,8 @@
 type State interface {
 	// View returns the configuration in force at this gate.
 	View() *conf.View
+	// Valid tells whether the lease allows new work now.
+	Valid(now time.Time) bool
 }
 
 // Router answers requests; it is a *route.Router outside tests.
@@ -102,7 +104,7 @@
 		// are matched by it.
 		x.id = ident.Request(f.prefix + strconv.FormatUint(f.count.Add(1), 36))
 		w.Header().Set("X-Request-Id", string(x.id))
-		err := x.authenticate()
+		err := x.authenticate(f.state.Valid(time.Now()))
 		if err == nil {
 			err = handle(x)
 		}
@@ -110,12 +112,17 @@
 	}
 }
 
-func (x *exchange) authenticate() error {
+// authenticate finds the customer. Without a lease the configuration may be
+// old or empty, so an unknown key proves nothing.
+func (x *exchange) authenticate(leased bool) error {
 	scheme, key, _ := strings.Cut(x.r.Header.Get("Authorization"), " ")
 	if !strings.EqualFold(scheme, "Bearer") || key == "" {
 		return fault.New(fault.Unauthorized, "the request has no key; send the header Authorization: Bearer KEY")
 	}
 	customer, ok := x.view.Authenticate(strings.TrimSpace(key))
+	if !ok && !leased {
+		return fault.New(fault.NoLease, "this gate has no contact with the state cluster; send the request again to reach another gate").After(time.Second)
+	}
 	if !ok {
 		return fault.New(fault.Unauthorized, "the key is not known; ask the operators for a valid key")
 	}
--- a/gate/pool/do.go
+++ b/gate/pool/do.go
@@ -6,6 +6,8 @@
 	"io"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"citronledge.example/core/fault"
 	"citronledge.example/core/ident"
 	"citronledge.example/core/link"
@@ -13,9 +15,15 @@
 )
 
 // endGrace is how long a cancelled attempt is listened to for its usage. The
-// side process ends a cancelled attempt at once; a slow one is not waited for,
-// because the answer of the winning attempt waits here too.
-const endGrace = 50 * time.Millisecond
+// side process ends a cancelled attempt at once; a slow one is not waited for.
+const (
+	endGrace  = 50 * time.Millisecond
+	lostGrace = 10 * time.Millisecond // with ErrLost as the cause
+)
+
+// ErrLost is the cause of cancelling an attempt because another one has
+// answered, whose caller is waiting.
+var ErrLost = eris.New("another attempt answered first")
 
 // Attempt is one run of a request on one backend server.
 type Attempt struct {
@@ -60,7 +68,11 @@
 		return Outcome{}, fault.New(fault.Unavailable, "the link to backend server "+string(a.Backend)+" is down; retry")
 	}
 	stop := context.AfterFunc(ctx, func() {
-		_ = st.SetDeadline(time.Now().Add(endGrace))
+		grace := endGrace
+		if errors.Is(context.Cause(ctx), ErrLost) {
+			grace = lostGrace
+		}
+		_ = st.SetDeadline(time.Now().Add(grace))
 		_ = st.Close()
 	})
 	defer func() {
--- a/gate/route/race.go
+++ b/gate/route/race.go
@@ -15,7 +15,7 @@
 type race struct {
 	mu      sync.Mutex
 	winner  int // 1 or 2; 0 while open
-	cancels [3]context.CancelFunc
+	cancels [3]context.CancelCauseFunc
 	first   ident.Backend // of the first contender, which the hedge avoids
 }
 
@@ -28,7 +28,7 @@
 		c.winner = i
 		for n, cancel := range c.cancels {
 			if n != i && cancel != nil {
-				cancel()
+				cancel(pool.ErrLost)
 			}
 		}
 	}
@@ -67,8 +67,8 @@
 	if !ok {
 		return x.lap(ctx, e, mk(func() bool { return c.claim(1) }), func() bool { return c.claim(1) })
 	}
-	first, cancel := context.WithCancel(ctx)
-	defer cancel()
+	first, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
 	c.cancels[1] = cancel
 	e.placed = c.place
 	hedge := make(chan lap, 1)
@@ -110,8 +110,8 @@
 // hedge runs the second contender, unless the race is decided or the budget
 // for extra work is spent.
 func (x *run) hedge(ctx context.Context, c *race, e effort, mk func(claim func() bool) contender) lap {
-	second, cancel := context.WithCancel(ctx)
-	defer cancel()
+	second, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
 	c.mu.Lock()
 	open, avoid := c.winner == 0, c.first
 	c.cancels[2] = cancel
--- a/gate/route/record.go
+++ b/gate/route/record.go
@@ -79,8 +79,8 @@
 	r.Outcome = outcome(err)
 	r.Revision = x.r.state.View().Revision
 	log := klog.V(1)
-	if err != nil || x.broken {
-		log = klog.V(0) // refusals and failures are logged by default
+	if x.broken || (err != nil && len(r.Steps) > 0) {
+		log = klog.V(0) // failures are logged by default; refusals come in floods
 	}
 	if !log.Enabled() {
 		return
