--- a/gate/front/world_test.go
+++ b/gate/front/world_test.go
@@ -192,6 +192,10 @@
 		return
 	}
 	k.send(head(k.work, 200, "text/event-stream"))
+	k.events()
+}
+
+func (k *task) events() {
 	for i := int(k.work.GetResume()); i < streamed; i++ {
 		k.send(event(i))
 	}
--- a/gate/pool/backend.go
+++ b/gate/pool/backend.go
@@ -179,7 +179,8 @@
 		g.Ttl = uint32(left / time.Millisecond)
 	}
 	b.mu.Lock()
-	if r.GetRevision() != uint64(view.Revision) {
+	// A side process that is ahead has a newer configuration from another gate.
+	if r.GetRevision() < uint64(view.Revision) {
 		g.Delta = b.pool.delta(b.sent, view, ident.Revision(r.GetRevision()))
 	}
 	b.sent = view
@@ -211,7 +212,7 @@
 // delta returns what brings a side process from a revision to view: the
 // difference if sent is that revision, else everything.
 func (p *Pool) delta(sent, view *conf.View, at ident.Revision) *wire.Delta {
-	if sent == nil || sent.Revision != at || at > view.Revision {
+	if sent == nil || sent.Revision != at {
 		return view.Full()
 	}
 	p.steps.Lock()
--- /dev/null
+++ b/gate/route/route_test.go
@@ -0,0 +1,85 @@
+package route
+
+import (
+	"context"
+	"errors"
+	"testing"
+
+	"citronledge.example/core/ident"
+	"citronledge.example/gate/pool"
+)
+
+// Two contenders of one race must never both answer the caller.
+func TestRaceHasOneWinner(t *testing.T) {
+	c := &race{}
+	ctx, cancel := context.WithCancelCause(context.Background())
+	c.cancels[1] = cancel
+	if !c.claim(2) || c.claim(1) || !c.claim(2) {
+		t.Error("want the first claim to hold and every other one to fail")
+	}
+	if !errors.Is(context.Cause(ctx), pool.ErrLost) {
+		t.Errorf("got cause %v, want the loser cancelled", context.Cause(ctx))
+	}
+}
+
+// A wrong count of tokens loses or doubles tokens when a stream goes on.
+func TestFilled(t *testing.T) {
+	cases := map[string]struct {
+		event string
+		want  bool
+	}{
+		"token":            {`data: {"delta":{"content":"x"}}`, true},
+		"token with space": {`data: {"delta": {"content": "x"}}`, true},
+		"empty":            {`data: {"delta":{"content":""}}`, false},
+		"null":             {`data: {"delta":{"content": null}}`, false},
+		"none":             {`data: {"delta":{"role":"assistant"}}`, false},
+		"quoted in a text": {`data: {"delta":{"role":"say \"content\":\"x\""}}`, false},
+		"second choice":    {`data: {"choices":[{"delta":{"content":""}},{"delta":{"content":"y"}}]}`, true},
+	}
+	for name, c := range cases {
+		if got := filled([]byte(c.event), content); got != c.want {
+			t.Errorf("%s: got %t, want %t", name, got, c.want)
+		}
+	}
+}
+
+// Two spellings of one business key would pay twice.
+func TestBusinessKey(t *testing.T) {
+	same := []string{`{"home":"h","day":7}`, `{"day":7.0,"home":" h "}`, `{"home":"h","day":"7","x":1}`}
+	want, err := businessKey([]string{"home", "day"}, []byte(same[0]))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, body := range same {
+		if got, err := businessKey([]string{"home", "day"}, []byte(body)); got != want || err != nil {
+			t.Errorf("%s: got %q, %v; want %q", body, got, err, want)
+		}
+	}
+	for _, body := range []string{`{"home":"h","day":8}`, `{"home":"h\",\"7","day":7}`} {
+		if got, _ := businessKey([]string{"home", "day"}, []byte(body)); got == want {
+			t.Errorf("%s: got the key of another operation", body)
+		}
+	}
+	for _, body := range []string{`{"home":"h"}`, `{"home":"h","day":7e1}`, `{"home":["h"],"day":7}`, `[]`, ``} {
+		if got, err := businessKey([]string{"home", "day"}, []byte(body)); err == nil {
+			t.Errorf("%s: got %q, want an error", body, got)
+		}
+	}
+}
+
+// The ring must not grow, and must forget the oldest.
+func TestRing(t *testing.T) {
+	g := newRing()
+	for i := range ringSize + 2 {
+		g.add(&Record{Request: ident.Request(string(rune('A')) + string(rune(i+1)))})
+	}
+	if len(g.list) != ringSize || len(g.byID) != ringSize {
+		t.Errorf("got %d records and %d ids, want %d", len(g.list), len(g.byID), ringSize)
+	}
+	if _, ok := g.find(ident.Request("A" + string(rune(2)))); ok {
+		t.Error("got a record that should be forgotten")
+	}
+	if got := g.recent(1); got[0].Request != ident.Request("A"+string(rune(ringSize+2))) {
+		t.Errorf("got %q as the newest", got[0].Request)
+	}
+}
