guard: test that the configuration only goes forward

Cause: removing the comparison of revisions in Views.Apply made no test fail. Ruled out: relying on the gates to send only newer deltas; each gate lags on its own. Change: TestViewsOnlyGoForward covers older, overlapping, missing and unreadable deltas.

--- a/side/guard/guard_test.go
+++ b/side/guard/guard_test.go
@@ -8,6 +8,7 @@
 
 	"citronledge.example/core/fault"
 	"citronledge.example/core/ident"
+	"citronledge.example/core/wire"
 )
 
 // Guards against a command that reaches an engine which checks no fences
@@ -63,3 +64,32 @@
 		}
 	})
 }
+
+// Guards against a configuration that goes back, as a gate that lags behind
+// would have it, and against changes that are skipped.
+func TestViewsOnlyGoForward(t *testing.T) {
+	entry := func(key, value string) *wire.Entry { return &wire.Entry{Key: key, Value: []byte(value)} }
+	v := NewViews()
+	steps := []struct {
+		name  string
+		delta *wire.Delta
+		fails bool
+		want  ident.Revision
+	}{
+		{"full", &wire.Delta{Revision: 5, Full: true, Entries: []*wire.Entry{entry("withdrawn/m/v1", "{}")}}, false, 5},
+		{"older full", &wire.Delta{Revision: 4, Full: true}, false, 5},
+		{"same", &wire.Delta{From: 4, Revision: 5}, false, 5},
+		{"gap", &wire.Delta{From: 6, Revision: 7}, true, 5},
+		{"overlap", &wire.Delta{From: 3, Revision: 6, Entries: []*wire.Entry{entry("withdrawn/m/v2", "{}")}}, false, 6},
+		{"unreadable", &wire.Delta{From: 6, Revision: 7, Entries: []*wire.Entry{entry("models/m", "[")}}, true, 6},
+		{"none", nil, false, 6},
+	}
+	for _, s := range steps {
+		if err := v.Apply(s.delta); (err != nil) != s.fails || v.View().Revision != s.want {
+			t.Errorf("%s: got revision %d, error %v; want %d", s.name, v.View().Revision, err, s.want)
+		}
+	}
+	if got := len(v.View().Withdrawn); got != 2 {
+		t.Errorf("got %d withdrawn versions, want both", got)
+	}
+}
