launch, demo: start the whole system on loopback

Cause: make demo and tests with real processes need a launcher. Ruled out: ports chosen by each process (peers and settings need them before the start); ports from the range of outgoing connections, where one of those can take a port between its choice and the start of the process. Change: package launch prepares, starts, polls and stops state processes, gates, side processes and stand-ins; the program demo runs its steps and names the one that failed.

--- /dev/null
+++ b/demo/cmd/demo/main.go
@@ -0,0 +1,230 @@
+// Command demo starts the whole system on loopback, sends requests, prints
+// the answers, the bills and the audit trail, and stops everything.
+package main
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"net/http"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"github.com/peterbourgon/ff/v3"
+
+	"citronledge.example/core/wire"
+	"citronledge.example/demo/launch"
+)
+
+const (
+	limit   = 55 * time.Second // of the whole demo
+	insurer = "bengal-crop-insurance"
+	atelier = "atelier-sfax"
+	// keyPrefix and a customer's name make the bearer key of the examples.
+	keyPrefix = "demo-"
+)
+
+func main() {
+	if err := run(os.Args[1:]); err != nil {
+		if !errors.Is(err, flag.ErrHelp) {
+			fmt.Fprintln(os.Stderr, "demo:", err)
+		}
+		os.Exit(1)
+	}
+}
+
+func run(args []string) error {
+	fs := flag.NewFlagSet("demo", flag.ContinueOnError)
+	bin := fs.String("bin", "bin", "folder of the programs; make build fills it")
+	examples := fs.String("examples", "examples", "folder of the example settings")
+	keep := fs.Bool("keep", false, "keep the folder with data and logs")
+	if err := ff.Parse(fs, args, ff.WithEnvVarPrefix("DEMO")); err != nil {
+		return err
+	}
+	dir, err := os.MkdirTemp("", "citronledge-demo-")
+	if err != nil {
+		return err
+	}
+	if *keep {
+		fmt.Println("data and logs:", dir)
+	} else {
+		defer func() { _ = os.RemoveAll(dir) }()
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	sys, err := launch.New(
+		launch.WithBin(*bin), launch.WithDir(dir),
+		launch.WithSettings(filepath.Join(*examples, "jhalmuri"), filepath.Join(*examples, "association")),
+		launch.WithModels("swift/v1,swift/v2,sage/v1,bench/v1,master/v1,master/v2"),
+		launch.WithServices("payments", "registry"),
+	)
+	if err != nil {
+		return err
+	}
+	defer sys.Kill() // whatever a failed step has left
+	return (&demo{sys: sys}).run(ctx)
+}
+
+type demo struct {
+	sys *launch.System
+}
+
+func (d *demo) run(ctx context.Context) error {
+	steps := []struct {
+		name string
+		do   func(context.Context) error
+	}{
+		{"start the system and apply the settings", d.sys.Start},
+		{"chat", d.chat},
+		{"stream", d.stream},
+		{"cascade", d.cascade},
+		{"payout", d.payout},
+		{"registration", d.registration},
+		{"bills", d.bills},
+		{"audit trail", d.audit},
+		{"stop everything with SIGTERM", d.sys.Stop},
+	}
+	for _, s := range steps {
+		start := time.Now()
+		fmt.Printf("== %s\n", s.name)
+		if err := s.do(ctx); err != nil {
+			return fmt.Errorf("step %q failed: %w", s.name, err)
+		}
+		fmt.Printf("   done in %d ms\n", time.Since(start).Milliseconds())
+	}
+	return nil
+}
+
+func (d *demo) caller(gate int, customer string) launch.Caller {
+	return launch.Caller{Gate: d.sys.Gates[gate], Key: keyPrefix + customer}
+}
+
+func expect(r launch.Reply, err error) error {
+	if err != nil {
+		return err
+	}
+	if r.Status != http.StatusOK {
+		return fmt.Errorf("got status %d: %s", r.Status, r.Body)
+	}
+	return nil
+}
+
+func (d *demo) chat(ctx context.Context) error {
+	r, err := d.caller(0, insurer).Chat(ctx, launch.Prompt("swift", "What is the state of claim 4711?", 12, false))
+	if err := expect(r, err); err != nil {
+		return err
+	}
+	fmt.Printf("   %s: %s\n", r.Version, r.Text)
+	return nil
+}
+
+func (d *demo) stream(ctx context.Context) error {
+	r, err := d.caller(1, atelier).Chat(ctx, launch.Prompt("master/v1", "Which tolerance class has a level of 0.02 mm/m?", 20, true))
+	if err := expect(r, err); err != nil {
+		return err
+	}
+	if !r.Done || r.Events != 20 {
+		return fmt.Errorf("got %d parts, end %v; want 20 and an end", r.Events, r.Done)
+	}
+	fmt.Printf("   %s in %d parts: %s\n", r.Version, r.Events, r.Text)
+	return nil
+}
+
+func (d *demo) cascade(ctx context.Context) error {
+	r, err := d.caller(0, insurer).Chat(ctx, launch.Prompt("auto", "Summarise the season of claim 4711.", 12, false))
+	if err := expect(r, err); err != nil {
+		return err
+	}
+	fmt.Printf("   %s: %s\n", r.Version, r.Text)
+	return nil
+}
+
+// payout sends a payout, the same again, and the same household and day under
+// another key. The service must have run once.
+func (d *demo) payout(ctx context.Context) error {
+	body := map[string]any{"household": "H-17", "day": "2026-06-14", "amount": 1200}
+	first, err := d.caller(0, insurer).Call(ctx, "/v1/payouts", "payout-1", body)
+	if err := expect(first, err); err != nil {
+		return err
+	}
+	again, err := d.caller(1, insurer).Call(ctx, "/v1/payouts", "payout-1", body)
+	if err := expect(again, err); err != nil {
+		return fmt.Errorf("resent key: %w", err)
+	}
+	other, err := d.caller(1, insurer).Call(ctx, "/v1/payouts", "payout-2", body)
+	if err != nil {
+		return err
+	}
+	fmt.Printf("   first:       %s\n   resent key:  %s\n   another key: %d %s\n", first.Body, again.Body, other.Status, other.Body)
+	keys, business, err := launch.Runs(ctx, d.sys.Services[0])
+	if err != nil {
+		return err
+	}
+	fmt.Printf("   runs at the service: %v\n", business)
+	if string(first.Body) != string(again.Body) || other.Status != http.StatusConflict || keys["payout-1"] != 1 || keys["payout-2"] != 0 {
+		return fmt.Errorf("the payout did not run exactly once: %v", keys)
+	}
+	return nil
+}
+
+func (d *demo) registration(ctx context.Context) error {
+	r, err := d.caller(0, atelier).Call(ctx, "/v1/certificates", "certificate-1", map[string]any{"vial": "V-204", "class": "A"})
+	if err := expect(r, err); err != nil {
+		return err
+	}
+	fmt.Printf("   %s\n", r.Body)
+	return nil
+}
+
+func (d *demo) bills(ctx context.Context) error {
+	bills, err := d.sys.Bills(ctx, "")
+	if err != nil {
+		return err
+	}
+	seen := map[string]bool{}
+	for _, b := range bills {
+		fmt.Printf("   %s incarnation %d number %d:%s\n", b.GetCustomer(), b.GetIncarnation(), b.GetSequence(), usages(b))
+		if seen[b.GetRequest()] {
+			return fmt.Errorf("request %s has two bills", b.GetRequest())
+		}
+		seen[b.GetRequest()] = true
+	}
+	// chat, stream, cascade, payout and registration; a replayed answer and a
+	// refusal cost nothing.
+	if len(bills) != 5 {
+		return fmt.Errorf("got %d bills, want 5", len(bills))
+	}
+	return nil
+}
+
+func usages(b *wire.Bill) string {
+	text := ""
+	for _, u := range b.GetUsages() {
+		if u.GetModel() == "" {
+			text += " call"
+			continue
+		}
+		text += fmt.Sprintf(" %s/%s %d+%d tokens %.1f micro-units", u.GetModel(), u.GetVersion(), u.GetInput(), u.GetOutput(), u.GetCost())
+	}
+	return text
+}
+
+func (d *demo) audit(ctx context.Context) error {
+	audits, err := d.sys.Audits(ctx)
+	if err != nil {
+		return err
+	}
+	if len(audits) == 0 {
+		return errors.New("the audit trail is empty")
+	}
+	for _, a := range audits {
+		fmt.Printf("   %d %s %s %s: %s %s\n", a.GetIndex(), a.GetActor(), a.GetAction(), a.GetSubject(), a.GetOutcome(), a.GetNote())
+	}
+	return nil
+}
--- /dev/null
+++ b/demo/launch/call.go
@@ -0,0 +1,160 @@
+package launch
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+
+	"github.com/rotisserie/eris"
+)
+
+// Caller is one caller of a gate.
+type Caller struct {
+	Gate *Proc
+	Key  string
+}
+
+// Reply is what a caller got.
+type Reply struct {
+	Status  int
+	Header  http.Header
+	Body    []byte
+	Text    string // content of a chat, with the parts of a stream joined
+	Version string // the model field: MODEL/VERSION
+	Events  int    // parts of a stream with content
+	Done    bool   // the stream came to its end
+}
+
+// Post sends a JSON body and returns the open response.
+func (c Caller) Post(ctx context.Context, path string, body any, header map[string]string) (*http.Response, error) {
+	data, err := json.Marshal(body)
+	if err != nil {
+		return nil, err
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.Gate.Addr+path, bytes.NewReader(data))
+	if err != nil {
+		return nil, err
+	}
+	req.Header.Set("Authorization", "Bearer "+c.Key)
+	req.Header.Set("Content-Type", "application/json")
+	for name, value := range header {
+		req.Header.Set(name, value)
+	}
+	return http.DefaultClient.Do(req)
+}
+
+// Call makes a call to a plain service.
+func (c Caller) Call(ctx context.Context, path, key string, body any) (Reply, error) {
+	resp, err := c.Post(ctx, path, body, map[string]string{"Idempotency-Key": key})
+	if err != nil {
+		return Reply{}, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(resp.Body)
+	return Reply{Status: resp.StatusCode, Header: resp.Header, Body: data}, err
+}
+
+// Prompt returns the body of a chat.
+func Prompt(model, text string, tokens int, stream bool) map[string]any {
+	return map[string]any{
+		"model": model, "max_tokens": tokens, "stream": stream,
+		"messages": []map[string]string{{"role": "user", "content": text}},
+	}
+}
+
+// part is an answer or an event of a streamed one.
+type part struct {
+	Model   string `json:"model"`
+	Choices []struct {
+		Message struct {
+			Content string `json:"content"`
+		} `json:"message"`
+		Delta struct {
+			Content string `json:"content"`
+		} `json:"delta"`
+	} `json:"choices"`
+}
+
+// Chat sends a chat and reads the whole answer.
+func (c Caller) Chat(ctx context.Context, body map[string]any) (Reply, error) {
+	return c.Watch(ctx, body, func(int) {})
+}
+
+// Watch is Chat that tells after each part of a stream how many have come.
+func (c Caller) Watch(ctx context.Context, body map[string]any, came func(events int)) (Reply, error) {
+	resp, err := c.Post(ctx, "/v1/chat/completions", body, nil)
+	if err != nil {
+		return Reply{}, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	r := Reply{Status: resp.StatusCode, Header: resp.Header}
+	if strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream") {
+		return r, r.readStream(resp.Body, came)
+	}
+	if r.Body, err = io.ReadAll(resp.Body); err != nil {
+		return r, err
+	}
+	if r.Status == http.StatusOK {
+		err = r.add(r.Body)
+	}
+	return r, err
+}
+
+func (r *Reply) readStream(body io.Reader, came func(int)) error {
+	lines := bufio.NewScanner(body)
+	for lines.Scan() {
+		data, ok := strings.CutPrefix(lines.Text(), "data: ")
+		switch {
+		case !ok:
+		case data == "[DONE]":
+			r.Done = true
+		default:
+			if err := r.add([]byte(data)); err != nil {
+				return err
+			}
+			came(r.Events)
+		}
+	}
+	return lines.Err()
+}
+
+func (r *Reply) add(data []byte) error {
+	var p part
+	if err := json.Unmarshal(data, &p); err != nil {
+		return eris.Wrap(err, "the answer is not JSON")
+	}
+	if r.Version != "" && p.Model != "" && p.Model != r.Version {
+		return eris.Errorf("the stream changed from %s to %s", r.Version, p.Model)
+	}
+	r.Version = p.Model
+	for _, choice := range p.Choices {
+		r.Text += choice.Message.Content + choice.Delta.Content
+		if choice.Delta.Content != "" {
+			r.Events++
+		}
+	}
+	return nil
+}
+
+// Runs asks a plain service how often each key and business operation ran.
+func Runs(ctx context.Context, service *Proc) (keys, business map[string]int, err error) {
+	var page struct {
+		Keys     map[string]int `json:"keys"`
+		Business map[string]int `json:"business"`
+	}
+	err = get(ctx, "http://"+service.Addr+"/runs", func(r *http.Response) error { return json.NewDecoder(r.Body).Decode(&page) })
+	return page.Keys, page.Business, err
+}
+
+// Running asks an engine how many chats it runs now.
+func Running(ctx context.Context, engine *Proc) (int, error) {
+	var page struct {
+		Running int `json:"running"`
+	}
+	err := get(ctx, "http://"+engine.Addr+"/load", func(r *http.Response) error { return json.NewDecoder(r.Body).Decode(&page) })
+	return page.Running, err
+}
