--- a/core/group/group_test.go
+++ b/core/group/group_test.go
@@ -44,3 +44,48 @@
 		})
 	}
 }
+
+// Guards against a panic of a server that accepts connections: its accept
+// task starts tasks while another goroutine waits for the group.
+func TestGoWhileWaiting(t *testing.T) {
+	g := New(context.Background())
+	waiting := make(chan struct{})
+	ran := 0
+	g.Go("accept", func(context.Context) error {
+		<-waiting
+		for range 100 {
+			done := make(chan struct{})
+			g.Go("session", func(context.Context) error {
+				ran++
+				close(done)
+				return nil
+			})
+			<-done
+		}
+		return nil
+	})
+	result := make(chan error)
+	go func() {
+		close(waiting)
+		result <- g.Wait()
+	}()
+	if err := <-result; err != nil || ran != 100 {
+		t.Errorf("got %v after %d tasks, want nil after 100", err, ran)
+	}
+}
+
+// Guards against a task that panics and leaves the others running.
+func TestPanicStops(t *testing.T) {
+	g := New(context.Background())
+	g.Go("broken", func(context.Context) error { panic("defect") })
+	g.Go("other", func(ctx context.Context) error {
+		<-ctx.Done()
+		return nil
+	})
+	defer func() {
+		if recover() == nil {
+			t.Error("Wait hid the panic")
+		}
+	}()
+	_ = g.Wait()
+}
