--- a/state/raft/sim_test.go
+++ b/state/raft/sim_test.go
@@ -20,12 +20,13 @@
 // that all machines apply the same commands at the same index.
 type world struct {
 	t       *testing.T
-	rng     *rand.Rand
+	rng     *rand.Rand // for the goroutine of the test
 	names   []string
 	hosts   map[string]*host
 	options []Option
 
 	mu      sync.Mutex // guards all below
+	noise   *rand.Rand
 	cuts    map[[2]string]bool
 	drop    float64
 	twice   float64
@@ -56,7 +57,7 @@
 func simulate(t *testing.T, seed uint64, size int, f func(t *testing.T, w *world), opts ...Option) {
 	synctest.Test(t, func(t *testing.T) {
 		w := &world{
-			t: t, rng: rand.New(rand.NewPCG(seed, 2)), hosts: map[string]*host{}, options: opts,
+			t: t, rng: rand.New(rand.NewPCG(seed, 2)), noise: rand.New(rand.NewPCG(seed, 3)), hosts: map[string]*host{}, options: opts,
 			cuts: map[[2]string]bool{}, delay: 2 * time.Millisecond,
 			leaders: map[uint64]string{}, history: map[uint64]string{}, acked: map[string]uint64{},
 		}
@@ -194,15 +195,15 @@
 		w.t.Errorf("chunk of %d bytes", len(p.Chunk.Data))
 	}
 	copies := 1
-	if w.rng.Float64() < w.twice {
+	if w.noise.Float64() < w.twice {
 		copies = 2
 	}
 	for range copies {
-		if h.dead || w.cuts[[2]string{h.name, to.Name}] || w.rng.Float64() < w.drop {
+		if h.dead || w.cuts[[2]string{h.name, to.Name}] || w.noise.Float64() < w.drop {
 			continue
 		}
 		// Different delays reorder packets.
-		time.AfterFunc(time.Duration(w.rng.Int64N(int64(w.delay))), func() { w.deliver(h.name, to.Name, p) })
+		time.AfterFunc(time.Duration(w.noise.Int64N(int64(w.delay))), func() { w.deliver(h.name, to.Name, p) })
 	}
 }
 
