load, ctl: start the system for the load run; list all bills

Cause: the load tool needed a running system, and ctl bills showed only the first 1000 bills while it called them the newest. Ruled out: a fixed system left running by hand (the figures would depend on what it had done before).

--- a/ctl/admin/command.go
+++ b/ctl/admin/command.go
@@ -200,10 +200,14 @@
 
 	fs = s.flags("bills")
 	customer := fs.String("customer", "", "only this customer")
+	from := fs.Uint64("after", 0, "start after this index")
 	open := fs.Bool("open", false, "show the billing numbers that have no bill")
 	bills := s.command("bills", "bills", "show bills", fs,
 		s.online(func(ctx context.Context, a *Admin, _ []string) error {
-			return a.Bills(ctx, ident.Customer(*customer), *open)
+			if *open {
+				return a.OpenBills(ctx)
+			}
+			return a.Bills(ctx, ident.Customer(*customer), *from)
 		}))
 
 	fs = s.flags("operations")
--- a/ctl/admin/show.go
+++ b/ctl/admin/show.go
@@ -133,26 +133,31 @@
 	return nil
 }
 
-// Bills prints the newest bills of a customer, or of all customers if it is
-// empty. With open it prints the billing numbers that have no bill.
-func (a *Admin) Bills(ctx context.Context, customer ident.Customer, open bool) error {
-	q := &wire.BillsQuery{Customer: string(customer), Open: open, Limit: page}
-	answer, err := a.query(ctx, &wire.Query{Kind: &wire.Query_Bills{Bills: q}})
-	if err != nil {
-		return err
-	}
-	if open {
-		return a.openBills(answer.GetOpen())
+// Bills prints the bills that are kept in full, of one customer or, if it is
+// empty, of all customers, from after an index.
+func (a *Admin) Bills(ctx context.Context, customer ident.Customer, after uint64) error {
+	var list []*wire.Bill
+	for {
+		q := &wire.BillsQuery{Customer: string(customer), After: after, Limit: page}
+		answer, err := a.query(ctx, &wire.Query{Kind: &wire.Query_Bills{Bills: q}})
+		if err != nil {
+			return err
+		}
+		list = append(list, answer.GetBills()...)
+		if len(answer.GetBills()) < page {
+			break
+		}
+		after = list[len(list)-1].GetIndex()
 	}
 	if a.JSON {
-		var list []proto.Message
-		for _, b := range answer.GetBills() {
-			list = append(list, b)
+		var messages []proto.Message
+		for _, b := range list {
+			messages = append(messages, b)
 		}
-		return a.lines(list)
+		return a.lines(messages)
 	}
 	w := a.table("TIME\tREQUEST\tCUSTOMER\tBILL\tMODELS\tINPUT\tOUTPUT\tCOST")
-	for _, b := range answer.GetBills() {
+	for _, b := range list {
 		models, input, output, cost := sum(b)
 		fmt.Fprintf(w, "%s\t%s\t%s\t%d/%d\t%s\t%d\t%d\t%.2f\n", clock(b.GetTime()), b.GetRequest(), b.GetCustomer(),
 			b.GetIncarnation(), b.GetSequence(), models, input, output, cost)
@@ -171,7 +176,13 @@
 	return strings.Join(names, "+"), input, output, cost
 }
 
-func (a *Admin) openBills(list []*wire.Billing) error {
+// OpenBills prints the billing numbers that were given out and have no bill.
+func (a *Admin) OpenBills(ctx context.Context) error {
+	answer, err := a.query(ctx, &wire.Query{Kind: &wire.Query_Bills{Bills: &wire.BillsQuery{Open: true}}})
+	if err != nil {
+		return err
+	}
+	list := answer.GetOpen()
 	if a.JSON {
 		var messages []proto.Message
 		for _, b := range list {
--- a/demo/cmd/load/main.go
+++ b/demo/cmd/load/main.go
@@ -1,60 +1,98 @@
-// Command load measures what a gate adds to a plain chat, against the same
-// request sent straight to the engine, and the request rate of a gate.
+// Command load starts the system on loopback and measures what one gate adds
+// to a plain chat, against the same request sent straight to the engine, and
+// how many requests one gate serves.
 package main
 
 import (
 	"context"
+	"errors"
 	"flag"
 	"fmt"
 	"os"
 	"os/signal"
+	"path/filepath"
 	"time"
 
 	"github.com/peterbourgon/ff/v3"
 
+	"citronledge.example/demo/launch"
 	"citronledge.example/demo/load"
 )
 
-const slices = 20 // turns between the two targets
+const (
+	slices   = 20 // turns between the two targets
+	customer = "bengal-crop-insurance"
+	startup  = time.Minute
+)
 
 func main() {
 	ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt)
 	defer cancel()
 	if err := run(ctx, os.Args[1:]); err != nil {
-		fmt.Fprintln(os.Stderr, "load:", err)
+		if !errors.Is(err, flag.ErrHelp) {
+			fmt.Fprintln(os.Stderr, "load:", err)
+		}
 		os.Exit(1)
 	}
 }
 
 func run(ctx context.Context, args []string) error {
 	fs := flag.NewFlagSet("load", flag.ContinueOnError)
-	gate := fs.String("gate", "", "URL of the gate")
-	engine := fs.String("engine", "", "URL of an engine for the comparison; empty for none")
-	key := fs.String("key", "", "bearer key of the customer")
-	model := fs.String("model", "", "model to ask for")
-	tokens := fs.Int("tokens", 1, "output tokens of one request")
-	clients := fs.Int("clients", 1, "concurrent closed loops")
-	requests := fs.Int("requests", 10_000, "number of requests")
-	duration := fs.Duration("duration", 20*time.Second, "limit of the run")
-	if err := ff.Parse(fs, args, ff.WithEnvVarPrefix("CITRONLEDGE_LOAD")); err != nil {
+	bin := fs.String("bin", "bin", "folder of the programs; make build fills it")
+	examples := fs.String("examples", "examples", "folder of the example settings")
+	states := fs.Int("states", 3, "state processes")
+	engines := fs.Int("engines", 8, "engines with a side process each")
+	clients := fs.Int("clients", 128, "concurrent closed loops for the request rate")
+	requests := fs.Int("requests", 20_000, "requests of each part")
+	duration := fs.Duration("duration", 40*time.Second, "limit of each part")
+	if err := ff.Parse(fs, args, ff.WithEnvVarPrefix("LOAD")); err != nil {
+		return err
+	}
+	dir, err := os.MkdirTemp("", "citronledge-load-")
+	if err != nil {
 		return err
 	}
-	if *gate == "" || *key == "" || *model == "" {
-		return fmt.Errorf("--gate, --key and --model are needed")
+	defer func() { _ = os.RemoveAll(dir) }()
+	sys, err := launch.New(
+		launch.WithBin(*bin), launch.WithDir(dir),
+		launch.WithSettings(filepath.Join(*examples, "jhalmuri")),
+		launch.WithModels("swift/v1,swift/v2,sage/v1"),
+		launch.WithSizes(*states, 1, *engines),
+		launch.WithToken(0), launch.WithEngine("--first", "0s", "--slots", "64"),
+	)
+	if err != nil {
+		return err
 	}
-	through := load.Target{URL: *gate, Key: *key, Model: *model, Tokens: *tokens}
-	plan := load.Plan{Clients: *clients, Requests: *requests, Duration: *duration}
-	if *engine == "" {
-		fmt.Println("gate  ", load.Run(ctx, through, plan))
-		return nil
+	defer sys.Kill()
+	starting, cancel := context.WithTimeout(ctx, startup)
+	defer cancel()
+	if err := sys.Start(starting); err != nil {
+		return err
 	}
-	direct := through
-	direct.URL = *engine
-	a, b := load.Compare(ctx, through, direct, plan, slices)
-	fmt.Println("gate  ", a)
-	fmt.Println("direct", b)
+	gate := load.Target{URL: "http://" + sys.Gates[0].Addr, Key: "demo-" + customer, Model: "swift", Tokens: 1}
+	direct := gate
+	direct.URL, direct.Model = "http://"+sys.Engines[0].Addr, "swift/v1"
+	measure(ctx, gate, direct, load.Plan{Clients: *clients, Requests: *requests, Duration: *duration})
+	return sys.Stop(ctx)
+}
+
+func measure(ctx context.Context, gate, direct load.Target, p load.Plan) {
+	load.Run(ctx, gate, load.Plan{Clients: p.Clients, Requests: p.Requests / 10, Duration: p.Duration}) // warm up
+	idle := p
+	idle.Clients = 1
+	a, b := load.Compare(ctx, gate, direct, idle, slices)
+	show("one client, gate  ", a)
+	show("one client, direct", b)
 	for _, q := range []float64{50, 99} {
-		fmt.Printf("added p%g=%dus\n", q, a.Latency.ValueAtQuantile(q)-b.Latency.ValueAtQuantile(q))
+		fmt.Printf("one client, added p%g=%dus\n", q, a.Latency.ValueAtQuantile(q)-b.Latency.ValueAtQuantile(q))
+	}
+	show(fmt.Sprintf("%d clients, gate  ", p.Clients), load.Run(ctx, gate, p))
+	show(fmt.Sprintf("%d clients, direct", p.Clients), load.Run(ctx, direct, p))
+}
+
+func show(what string, r load.Result) {
+	fmt.Printf("%s %s\n", what, r)
+	if r.Failed > 0 {
+		fmt.Printf("%s first failure: %s\n", what, r.First)
 	}
-	return nil
 }
--- a/demo/launch/launch.go
+++ b/demo/launch/launch.go
@@ -49,6 +49,9 @@
 // WithToken sets the time that an engine needs for one token.
 func WithToken(d time.Duration) Option { return func(s *System) { s.token = d } }
 
+// WithEngine adds arguments for each engine.
+func WithEngine(args ...string) Option { return func(s *System) { s.engine = args } }
+
 // WithServices sets the names of the plain services.
 func WithServices(names ...string) Option { return func(s *System) { s.names = names } }
 
@@ -75,6 +78,7 @@
 	folders, names []string
 	models         string
 	token          time.Duration
+	engine         []string
 	sizes          [3]int
 
 	all   []*Proc
@@ -120,7 +124,7 @@
 			"--state", strings.Join(addresses(s.States), ","), "--ratings", "http://"+s.Ratings.Addr+"/"))
 	}
 	for i := range s.sizes[2] {
-		e := s.stub(fmt.Sprintf("engine-%d", i+1), "--models", s.models, "--token", s.token.String())
+		e := s.stub(fmt.Sprintf("engine-%d", i+1), append([]string{"--models", s.models, "--token", s.token.String()}, s.engine...)...)
 		s.Engines = append(s.Engines, e)
 		s.Sides = append(s.Sides, s.framed(fmt.Sprintf("runner-%d", i+1), "side", zones[i%len(zones)], s.port(),
 			"--engine", "http://"+e.Addr))
