server: give all metrics one prefix and hide unused log settings

Ruled out: a prefix in each package, which is how they came to differ. Change: the shared frame puts citronledge_ before every name; only -v and -vmodule of klog remain. Conclusion: docs/operating.md can name the metrics.

--- a/core/server/server.go
+++ b/core/server/server.go
@@ -33,8 +33,11 @@
 
 // Server is the frame of one program.
 type Server struct {
-	// Registry collects the metrics of the program.
-	Registry *prometheus.Registry
+	// Registry takes the metrics of the program and puts "citronledge_"
+	// before their names.
+	Registry prometheus.Registerer
+
+	metrics *prometheus.Registry
 
 	set    Settings
 	status func() any
@@ -47,8 +50,16 @@
 // New returns the frame of a program that has read its settings. The status
 // function gives the content of the status page; it may be nil.
 func New(set Settings, status func() any) *Server {
-	s := &Server{Registry: prometheus.NewRegistry(), set: set, status: status, pages: map[string]http.Handler{}, state: life.Start()}
-	s.Registry.MustRegister(
+	metrics := prometheus.NewRegistry()
+	s := &Server{
+		Registry: prometheus.WrapRegistererWithPrefix("citronledge_", metrics),
+		metrics:  metrics,
+		set:      set,
+		status:   status,
+		pages:    map[string]http.Handler{},
+		state:    life.Start(),
+	}
+	metrics.MustRegister(
 		collectors.NewGoCollector(),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
 	)
@@ -166,7 +177,7 @@
 		_, _ = w.Write([]byte(state + "\n"))
 	})
 	r.GET("/status", func(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) { s.writeStatus(w) })
-	r.Handler(http.MethodGet, "/metrics", promhttp.HandlerFor(s.Registry, promhttp.HandlerOpts{}))
+	r.Handler(http.MethodGet, "/metrics", promhttp.HandlerFor(s.metrics, promhttp.HandlerOpts{}))
 	for path, h := range s.pages {
 		r.Handler(http.MethodGet, path, h)
 	}
--- a/core/server/settings.go
+++ b/core/server/settings.go
@@ -40,7 +40,18 @@
 	fs.DurationVar(&s.Deadline, "deadline", defaultDeadline, "time after which a shutdown cuts running work")
 	fs.BoolVar(&s.Check, "check", false, "check the settings and exit")
 	fs.String("config", "", "YAML file with the same settings")
-	klog.InitFlags(fs)
+	registerLogs(fs)
+}
+
+// registerLogs adds the two settings of klog that matter for a program that
+// logs to its standard error.
+func registerLogs(fs *flag.FlagSet) {
+	all := flag.NewFlagSet("klog", flag.ContinueOnError)
+	klog.InitFlags(all)
+	for _, name := range []string{"v", "vmodule"} {
+		f := all.Lookup(name)
+		fs.Var(f.Value, f.Name, f.Usage)
+	}
 }
 
 // Parse reads flags, environment variables with a prefix and the YAML file
--- a/gate/bill/bill.go
+++ b/gate/bill/bill.go
@@ -89,16 +89,16 @@
 	b := &Book{kick: make(chan struct{}, senders), idle: make(chan struct{}), last: map[ident.Incarnation]ident.Sequence{}}
 	close(b.idle)
 	b.late = prometheus.NewCounter(prometheus.CounterOpts{
-		Name: "citronledge_gate_late_bills_total", Help: "Bills that were not committed when their answer was delivered.",
+		Name: "gate_late_bills_total", Help: "Bills that were not committed when their answer was delivered.",
 	})
 	b.refused = prometheus.NewCounter(prometheus.CounterOpts{
-		Name: "citronledge_gate_refused_bills_total", Help: "Bills that the state cluster refused for good.",
+		Name: "gate_refused_bills_total", Help: "Bills that the state cluster refused for good.",
 	})
 	b.batches = prometheus.NewCounter(prometheus.CounterOpts{
-		Name: "citronledge_gate_bill_batches_total", Help: "Commands that committed bills.",
+		Name: "gate_bill_batches_total", Help: "Commands that committed bills.",
 	})
 	b.length = prometheus.NewGaugeFunc(prometheus.GaugeOpts{
-		Name: "citronledge_gate_bills_open", Help: "Bills that are not committed yet.",
+		Name: "gate_bills_open", Help: "Bills that are not committed yet.",
 	}, func() float64 { return float64(b.Open()) })
 	for _, opt := range opts {
 		opt(b)
--- a/gate/pool/pool.go
+++ b/gate/pool/pool.go
@@ -107,13 +107,13 @@
 func New(opts ...Option) *Pool {
 	p := &Pool{backends: map[ident.Backend]*backend{}, peers: map[class]*policy.Peers{}}
 	p.metrics.links = prometheus.NewGaugeFunc(prometheus.GaugeOpts{
-		Name: "citronledge_gate_links", Help: "Links to side processes that are up.",
+		Name: "gate_links", Help: "Links to side processes that are up.",
 	}, func() float64 { return float64(p.up()) })
 	p.metrics.crossed = prometheus.NewCounter(prometheus.CounterOpts{
-		Name: "citronledge_gate_crossed_replies_total", Help: "Replies for another request or attempt, which were dropped.",
+		Name: "gate_crossed_replies_total", Help: "Replies for another request or attempt, which were dropped.",
 	})
 	p.metrics.cut = prometheus.NewCounter(prometheus.CounterOpts{
-		Name: "citronledge_gate_cut_replies_total", Help: "Replies that ended without an end message.",
+		Name: "gate_cut_replies_total", Help: "Replies that ended without an end message.",
 	})
 	for _, opt := range opts {
 		opt(p)
--- a/gate/route/metrics.go
+++ b/gate/route/metrics.go
@@ -22,10 +22,10 @@
 
 func newMetrics(r *Router) metrics {
 	counter := func(name, help string) prometheus.Counter {
-		return prometheus.NewCounter(prometheus.CounterOpts{Name: "citronledge_gate_" + name, Help: help})
+		return prometheus.NewCounter(prometheus.CounterOpts{Name: "gate_" + name, Help: help})
 	}
 	vec := func(name, help string, labels ...string) *prometheus.CounterVec {
-		return prometheus.NewCounterVec(prometheus.CounterOpts{Name: "citronledge_gate_" + name, Help: help}, labels)
+		return prometheus.NewCounterVec(prometheus.CounterOpts{Name: "gate_" + name, Help: help}, labels)
 	}
 	return metrics{
 		requests: vec("requests_total", "Requests by kind of work and outcome.", "kind", "outcome"),
@@ -34,11 +34,11 @@
 		hedges:   counter("hedges_total", "Attempts made beside a slow one."),
 		resumes:  counter("resumes_total", "Streams that went on on another backend server."),
 		added: prometheus.NewHistogram(prometheus.HistogramOpts{
-			Name: "citronledge_gate_added_seconds", Help: "Time of a request outside its attempts.",
+			Name: "gate_added_seconds", Help: "Time of a request outside its attempts.",
 			Buckets: prometheus.ExponentialBuckets(50e-6, 2, 16),
 		}),
 		waiting: prometheus.NewGaugeFunc(prometheus.GaugeOpts{
-			Name: "citronledge_gate_queue_length", Help: "Requests that wait for a slot.",
+			Name: "gate_queue_length", Help: "Requests that wait for a slot.",
 		}, func() float64 { return float64(r.Waiting()) }),
 	}
 }
