route: look on for a slot when a side process is full

Ruled out: subtracting other gates' load faster (reports lag). Change: a refusal for lack of a slot, with nothing run, is no try; the request looks on for up to 2 s, every 20 ms or so. Before and after: TestFullSideProcess, full for 500 ms: was 429, now 200.

--- a/gate/front/admit_test.go
+++ b/gate/front/admit_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"citronledge.example/core/conf"
+	"citronledge.example/core/fault"
 	"citronledge.example/core/wire"
 )
 
@@ -109,3 +110,21 @@
 		}
 	})
 }
+
+// Several gates fill the same slots. A side process that is full for a moment
+// must not lead to refusals of admitted requests.
+func TestFullSideProcess(t *testing.T) {
+	inBubble(t, func(t *testing.T, w *world) {
+		free := time.Now().Add(500 * time.Millisecond)
+		w.handle(func(k *task) {
+			if time.Now().Before(free) {
+				k.send(refused(fault.Busy))
+				return
+			}
+			k.serve()
+		}, "a", "b")
+		if rec, _ := w.do(request{body: plain}); rec.Code != 200 {
+			t.Errorf("got %s, want an answer once a slot is free", code(rec))
+		}
+	})
+}
--- a/gate/route/call.go
+++ b/gate/route/call.go
@@ -38,7 +38,7 @@
 func (x *run) repeatable(ctx context.Context, need pool.Need) error {
 	var avoid ident.Backend
 	begun := time.Now()
-	for n := 1; ; n++ {
+	for {
 		e := effort{need: need, avoid: avoid}
 		l := x.raced(ctx, e, func(claim func() bool) contender { return &copier{x: x, claim: claim} })
 		if l.err == nil {
@@ -51,7 +51,7 @@
 			x.broken = true
 			return ErrCut
 		}
-		if !x.again(ctx, n, l) {
+		if !x.again(ctx, l) {
 			return l.err
 		}
 		avoid = l.id
@@ -136,14 +136,14 @@
 // handOver tries side processes until one has taken the operation over.
 func (x *run) handOver(ctx context.Context, need pool.Need, op *wire.Operation) error {
 	var avoid ident.Backend
-	for n := 1; ; n++ {
+	for {
 		a := &stored{}
 		out, id, err := x.try(ctx, effort{need: need, avoid: avoid, op: op.GetId(), fence: op.GetFence()}, a)
 		if err == nil && out.Ran {
 			x.bill(ctx)
 			return x.reply(a.head.GetStatus(), a.head.GetHeaders(), a.body)
 		}
-		if out.Ran || !x.again(ctx, n, lap{out: out, id: id, err: err}) {
+		if out.Ran || !x.again(ctx, lap{out: out, id: id, err: err}) {
 			return x.abort(ctx, op, err)
 		}
 		avoid = id
--- a/gate/route/chat.go
+++ b/gate/route/chat.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"strings"
 	"time"
@@ -15,6 +16,13 @@
 // maxTries bounds the efforts for one request, each with at most one hedge.
 const maxTries = 3
 
+// fullTime and fullEvery bound the search for a slot after a side process had
+// none left.
+const (
+	fullTime  = 2 * time.Second
+	fullEvery = 20 * time.Millisecond
+)
+
 // answer collects a whole reply.
 type answer struct {
 	head   *wire.Head
@@ -84,7 +92,8 @@
 func (x *run) whole(ctx context.Context, model ident.Model) (*answer, error) {
 	var avoid ident.Backend
 	begun := time.Now()
-	for n := 1; ; n++ {
+	x.tries = 0
+	for {
 		target, reason, err := x.target(ctx, model)
 		if err != nil {
 			return nil, err
@@ -98,7 +107,7 @@
 			a.output = l.out.Usage.GetOutput()
 			return a, nil
 		}
-		if !x.again(ctx, n, l) {
+		if !x.again(ctx, l) {
 			return nil, l.err
 		}
 		avoid = l.id
@@ -107,19 +116,23 @@
 
 // again tells whether a failed effort is tried once more. Only efforts that
 // may have run count against the budget for extra work.
-func (x *run) again(ctx context.Context, n int, l lap) bool {
-	if n >= maxTries || ctx.Err() != nil || x.leased() != nil {
+func (x *run) again(ctx context.Context, l lap) bool {
+	x.tries++
+	if ctx.Err() != nil || x.leased() != nil {
 		return false
 	}
 	switch fault.From(l.err).Kind {
 	case fault.Upstream, fault.Unavailable, fault.NoLease, fault.Stale, fault.Internal:
 	case fault.Busy:
-		if l.id == "" {
-			return false // all were full; another look would not help
+		if !l.out.Ran {
+			return l.id != "" && x.patient(ctx)
 		}
 	default:
 		return false
 	}
+	if x.tries >= maxTries {
+		return false
+	}
 	if l.out.Ran && !x.r.tools.spend() {
 		x.rec.note("retry budget spent")
 		return false
@@ -128,6 +141,27 @@
 	return true
 }
 
+// patient waits a moment after a side process had no slot. Several gates fill
+// the same slots, each without knowing the newest work of the others, so an
+// admitted request looks on for a while.
+func (x *run) patient(ctx context.Context) bool {
+	if x.full.IsZero() {
+		x.full = time.Now()
+	}
+	if time.Since(x.full) > fullTime {
+		return false
+	}
+	x.tries--
+	timer := time.NewTimer(fullEvery/2 + rand.N(fullEvery))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // deliver writes a whole answer. The bill is committed first.
 func (x *run) deliver(ctx context.Context, a *answer) error {
 	x.bill(ctx)
--- a/gate/route/route.go
+++ b/gate/route/route.go
@@ -241,6 +241,10 @@
 	// once the stream went on on another backend server.
 	sent    int
 	resumed bool
+	// tries counts the efforts for one model that failed; full is when a side
+	// process first had no slot for the request.
+	tries int
+	full  time.Time
 	// broken is set if the caller was told by an error event that the answer
 	// is not complete.
 	broken bool
--- a/gate/route/stream.go
+++ b/gate/route/stream.go
@@ -137,7 +137,8 @@
 	var avoid ident.Backend
 	var target ident.Target
 	begun := time.Now()
-	for n, had := 1, 0; ; n, had = n+1, x.sent {
+	x.tries = 0
+	for had := 0; ; had = x.sent {
 		if !x.headed {
 			t, reason, err := x.target(ctx, model)
 			if err != nil {
@@ -156,8 +157,8 @@
 		// An effort that brought tokens was no waste: going on repeats none of
 		// them, so it counts neither as a try nor as extra work.
 		if x.sent > had && x.rec.attempts() < maxEfforts && ctx.Err() == nil && x.leased() == nil {
-			n = 0
-		} else if !x.again(ctx, n, l) {
+			x.tries = 0
+		} else if !x.again(ctx, l) {
 			return x.breakOff(ctx, l.err)
 		}
 		avoid = l.id
