--- a/demo/launch/launch.go
+++ b/demo/launch/launch.go
@@ -26,7 +26,7 @@
 const (
 	// stopTime is the deadline of the shutdown of one process.
 	stopTime  = 20 * time.Second
-	readyTime = 20 * time.Second
+	readyTime = 40 * time.Second
 )
 
 var zones = []string{"zone-a", "zone-b", "zone-c"}
--- /dev/null
+++ b/demo/launch/launch_test.go
@@ -0,0 +1,278 @@
+package launch
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"citronledge.example/core/wire"
+)
+
+// testTime bounds one test; on an idle machine each takes a few seconds.
+const testTime = 100 * time.Second
+
+var bin string
+
+func TestMain(m *testing.M) {
+	os.Exit(build(m))
+}
+
+// build builds the programs once for all tests.
+func build(m *testing.M) int {
+	dir, err := os.MkdirTemp("", "citronledge-bin-")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	cmd := exec.Command("go", "build", "-o", dir+"/",
+		"citronledge.example/gate/cmd/gate", "citronledge.example/side/cmd/side",
+		"citronledge.example/state/cmd/state", "citronledge.example/stub/cmd/stub")
+	cmd.Dir = "../.." // the workspace knows all modules
+	if out, err := cmd.CombinedOutput(); err != nil {
+		fmt.Fprintf(os.Stderr, "cannot build the programs: %v\n%s", err, out)
+		return 1
+	}
+	bin = dir
+	return m.Run()
+}
+
+// start starts a system whose engines need a time for a token.
+func start(t *testing.T, token time.Duration) (context.Context, *System) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), testTime)
+	t.Cleanup(cancel)
+	s, err := New(WithBin(bin), WithDir(t.TempDir()), WithSettings("../../examples/jhalmuri"),
+		WithModels("swift/v1,swift/v2,sage/v1"), WithServices("payments"), WithToken(token))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		s.Kill()
+		if t.Failed() {
+			for _, p := range s.all {
+				t.Logf("log of %s:\n%s", p.Name, p.Tail())
+			}
+		}
+	})
+	if err := s.Start(ctx); err != nil {
+		t.Fatal(err)
+	}
+	return ctx, s
+}
+
+const customer = "bengal-crop-insurance"
+
+func caller(s *System, gate int) Caller { return Caller{Gate: s.Gates[gate], Key: "demo-" + customer} }
+
+// whole tells why a streamed answer is not the whole one, or "". The words of
+// the engine are numbered from the third on.
+func whole(r Reply, tokens int) string {
+	words := strings.Fields(r.Text)
+	if r.Status != http.StatusOK || !r.Done || r.Events != tokens || len(words) != tokens {
+		return fmt.Sprintf("status %d, end %v, %d parts, %d words; want %d: %q", r.Status, r.Done, r.Events, len(words), tokens, r.Text)
+	}
+	for i, word := range words[2:] {
+		if word != fmt.Sprintf("w%d", i+2) {
+			return fmt.Sprintf("word %d is %q", i+2, word)
+		}
+	}
+	return ""
+}
+
+// busy returns the side process whose engine runs a chat.
+func busy(ctx context.Context, t *testing.T, s *System) *Proc {
+	t.Helper()
+	for i, e := range s.Engines {
+		n, err := Running(ctx, e)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if n > 0 {
+			return s.Sides[i]
+		}
+	}
+	t.Fatal("no engine runs the chat")
+	return nil
+}
+
+// Guards against a caller that sees the loss of a backend server in
+// mid-stream: tokens missing or twice, or an end that is no end.
+func TestKillSideInStream(t *testing.T) {
+	ctx, s := start(t, 20*time.Millisecond)
+	killed := false
+	r, err := caller(s, 0).Watch(ctx, Prompt("swift", "claim 7", 100, true), func(events int) {
+		if events == 20 && !killed {
+			killed = true
+			if err := busy(ctx, t, s).Kill(); err != nil {
+				t.Error(err)
+			}
+		}
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if why := whole(r, 100); why != "" || !killed {
+		t.Errorf("killed %v: %s", killed, why)
+	}
+	if err := s.Stop(ctx); err != nil && !strings.Contains(err.Error(), "killed") {
+		t.Error(err)
+	}
+}
+
+// Guards against work that is never billed when its gate is killed, and
+// against a cut stream with an end.
+func TestKillGateInStream(t *testing.T) {
+	ctx, s := start(t, 20*time.Millisecond)
+	r, err := caller(s, 0).Watch(ctx, Prompt("swift", "claim 7", 400, true), func(events int) {
+		if events == 20 {
+			if err := s.Gates[0].Kill(); err != nil {
+				t.Error(err)
+			}
+		}
+	})
+	if err == nil || r.Done {
+		t.Errorf("got error %v, end %v; want a broken stream", err, r.Done)
+	}
+	var bills []*wire.Bill
+	err = poll(ctx, func() (bool, error) {
+		var err error
+		bills, err = s.Bills(ctx, customer)
+		return len(bills) > 0, err
+	}, func() string { return "the killed gate's request has no bill" })
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(bills) != 1 || len(bills[0].GetUsages()) != 1 || bills[0].GetUsages()[0].GetOutput() < 20 {
+		t.Errorf("got bills %v, want one with at least 20 tokens", bills)
+	}
+	if other, err := caller(s, 1).Chat(ctx, Prompt("swift", "claim 8", 4, true)); err != nil || whole(other, 4) != "" {
+		t.Errorf("got %+v, %v from the other gate", other, err)
+	}
+}
+
+// load sends chats through both gates until stop; a refusal that says "not
+// run" is sent again. It returns the number of whole answers.
+func load(ctx context.Context, t *testing.T, s *System, clients int, stop <-chan struct{}) int {
+	var wg sync.WaitGroup
+	var done atomic.Int64
+	for i := range clients {
+		wg.Go(func() {
+			for n := 0; ctx.Err() == nil; n++ {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				r, err := caller(s, i%2).Chat(ctx, Prompt("swift", fmt.Sprintf("claim %d of %d", n, i), 5, true))
+				switch {
+				case err == nil && r.Status == http.StatusOK && whole(r, 5) == "":
+					done.Add(1)
+				case err == nil && r.Status != http.StatusOK && strings.Contains(string(r.Body), `"ran":"no"`):
+				default:
+					t.Errorf("got %+v, error %v", r, err)
+					return
+				}
+			}
+		})
+	}
+	wg.Wait()
+	return int(done.Load())
+}
+
+// Guards against answers or bills that are lost with the leader.
+func TestKillLeaderUnderLoad(t *testing.T) {
+	ctx, s := start(t, 5*time.Millisecond)
+	stop := make(chan struct{})
+	go func() {
+		defer close(stop)
+		leader, err := s.Leader(ctx)
+		if err == nil {
+			err = leader.Kill()
+		}
+		if err == nil {
+			_, err = s.Leader(ctx) // the next one answers
+		}
+		if err == nil {
+			_, err = caller(s, 0).Call(ctx, "/v1/payouts", "after", map[string]any{"household": "H-1", "day": "d"})
+		}
+		if err != nil {
+			t.Error(err)
+		}
+	}()
+	done := load(ctx, t, s, 8, stop)
+	if done == 0 {
+		t.Error("got no answer at all")
+	}
+	bills := 0
+	err := poll(ctx, func() (bool, error) {
+		list, err := s.Bills(ctx, customer)
+		bills = 0
+		seen := map[string]bool{}
+		for _, b := range list {
+			if seen[b.GetRequest()] {
+				return false, fmt.Errorf("request %s has two bills", b.GetRequest())
+			}
+			seen[b.GetRequest()] = true
+			if len(b.GetUsages()) > 0 && b.GetUsages()[0].GetModel() != "" {
+				bills++
+			}
+		}
+		return bills >= done, err
+	}, func() string { return fmt.Sprintf("got %d bills, want %d", bills, done) })
+	if err != nil {
+		t.Error(err)
+	}
+}
+
+// Guards against a planned stop that cuts a stream.
+func TestTermUnderStreams(t *testing.T) {
+	ctx, s := start(t, 20*time.Millisecond)
+	const streams, tokens = 12, 100
+	var wg sync.WaitGroup
+	var came atomic.Int64
+	half := make(chan struct{})
+	for i := range streams {
+		wg.Go(func() {
+			r, err := caller(s, i%2).Watch(ctx, Prompt("swift", fmt.Sprintf("claim %d", i), tokens, true), func(events int) {
+				if events == 10 && came.Add(1) == streams {
+					close(half)
+				}
+			})
+			if why := whole(r, tokens); err != nil || why != "" {
+				t.Errorf("stream %d: %v %s", i, err, why)
+			}
+		})
+	}
+	select {
+	case <-half:
+	case <-ctx.Done():
+		t.Fatal("the streams have not started")
+	}
+	for _, p := range []*Proc{s.Sides[0], s.Gates[0]} {
+		if err := p.Signal(syscall.SIGTERM); err != nil {
+			t.Error(err)
+		}
+	}
+	wg.Wait()
+	for _, p := range []*Proc{s.Sides[0], s.Gates[0]} {
+		if err := p.Wait(ctx); err != nil {
+			t.Error(err)
+		}
+	}
+	if err := s.Stop(ctx); err != nil {
+		t.Error(err)
+	}
+	if logs, _ := filepath.Glob(filepath.Join(s.dir, "*.log")); len(logs) == 0 {
+		t.Error("no logs were written")
+	}
+}
