--- a/demo/cmd/demo/main.go
+++ b/demo/cmd/demo/main.go
@@ -11,12 +11,12 @@
 	"os"
 	"os/signal"
 	"path/filepath"
+	"strings"
 	"syscall"
 	"time"
 
 	"github.com/peterbourgon/ff/v3"
 
-	"citronledge.example/core/wire"
 	"citronledge.example/demo/launch"
 )
 
@@ -182,14 +182,17 @@
 	return nil
 }
 
+// bills prints the bills and checks that there is one for each request.
 func (d *demo) bills(ctx context.Context) error {
+	if err := d.print(ctx, "bills"); err != nil {
+		return err
+	}
 	bills, err := d.sys.Bills(ctx, "")
 	if err != nil {
 		return err
 	}
 	seen := map[string]bool{}
 	for _, b := range bills {
-		fmt.Printf("   %s incarnation %d number %d:%s\n", b.GetCustomer(), b.GetIncarnation(), b.GetSequence(), usages(b))
 		if seen[b.GetRequest()] {
 			return fmt.Errorf("request %s has two bills", b.GetRequest())
 		}
@@ -203,28 +206,19 @@
 	return nil
 }
 
-func usages(b *wire.Bill) string {
-	text := ""
-	for _, u := range b.GetUsages() {
-		if u.GetModel() == "" {
-			text += " call"
-			continue
-		}
-		text += fmt.Sprintf(" %s/%s %d+%d tokens %.1f micro-units", u.GetModel(), u.GetVersion(), u.GetInput(), u.GetOutput(), u.GetCost())
-	}
-	return text
-}
+func (d *demo) audit(ctx context.Context) error { return d.print(ctx, "audit") }
 
-func (d *demo) audit(ctx context.Context) error {
-	audits, err := d.sys.Audits(ctx)
+// print prints what ctl prints.
+func (d *demo) print(ctx context.Context, args ...string) error {
+	text, err := d.sys.Ctl(ctx, args...)
 	if err != nil {
 		return err
 	}
-	if len(audits) == 0 {
-		return errors.New("the audit trail is empty")
+	if strings.TrimSpace(text) == "" {
+		return fmt.Errorf("ctl %s printed nothing", args[0])
 	}
-	for _, a := range audits {
-		fmt.Printf("   %d %s %s %s: %s %s\n", a.GetIndex(), a.GetActor(), a.GetAction(), a.GetSubject(), a.GetOutcome(), a.GetNote())
+	for line := range strings.Lines(text) {
+		fmt.Print("   ", line)
 	}
 	return nil
 }
--- a/demo/launch/launch.go
+++ b/demo/launch/launch.go
@@ -18,7 +18,6 @@
 	"github.com/rotisserie/eris"
 
 	"citronledge.example/core/client"
-	"citronledge.example/core/conf"
 	"citronledge.example/core/link"
 	"citronledge.example/stub/roster"
 )
@@ -71,11 +70,12 @@
 	// Client talks to the state cluster as an operator.
 	Client *client.Client
 
-	bin, dir, keys string
-	folders, names []string
-	models         string
-	token          time.Duration
-	sizes          [3]int
+	bin, dir        string
+	keys, operators string // key files
+	folders, names  []string
+	models          string
+	token           time.Duration
+	sizes           [3]int
 
 	all   []*Proc
 	ports map[string]bool
@@ -89,13 +89,13 @@
 		o(s)
 	}
 	s.keys = filepath.Join(s.dir, "keys.yaml")
-	operators := filepath.Join(s.dir, "operator.yaml")
-	err := errors.Join(writeKeys(s.keys, "process", "operator"), writeKeys(operators, "operator"))
+	s.operators = filepath.Join(s.dir, "operator.yaml")
+	err := errors.Join(writeKeys(s.keys, "process", "operator"), writeKeys(s.operators, "operator"))
 	if err != nil {
 		return nil, eris.Wrap(err, "cannot write the key files")
 	}
 	s.prepare()
-	keys, err := link.LoadKeys(operators)
+	keys, err := link.LoadKeys(s.operators)
 	if err := errors.Join(err, s.err); err != nil {
 		return nil, err
 	}
@@ -278,28 +278,29 @@
 	_ = s.Client.Close()
 }
 
-// folder merges the settings folders. Files keep the order of their names.
-func (s *System) folder() (*conf.Folder, error) {
+// folder copies the settings folders into one and returns its path. Files
+// keep the order of their names.
+func (s *System) folder() (string, error) {
 	dir := filepath.Join(s.dir, "settings")
 	if err := os.MkdirAll(dir, 0o700); err != nil {
-		return nil, err
+		return "", err
 	}
 	for _, from := range s.folders {
 		names, err := filepath.Glob(filepath.Join(from, "*.yaml"))
 		if err != nil {
-			return nil, err
+			return "", err
 		}
 		for _, name := range names {
 			data, err := os.ReadFile(name)
 			if err != nil {
-				return nil, err
+				return "", err
 			}
 			base := strings.TrimSuffix(filepath.Base(name), ".yaml")
 			to := filepath.Join(dir, base+"-"+filepath.Base(from)+".yaml")
 			if err := os.WriteFile(to, data, 0o600); err != nil {
-				return nil, err
+				return "", err
 			}
 		}
 	}
-	return conf.ReadFolder(dir)
+	return dir, nil
 }
--- a/demo/launch/launch_test.go
+++ b/demo/launch/launch_test.go
@@ -36,7 +36,7 @@
 	defer func() { _ = os.RemoveAll(dir) }()
 	cmd := exec.Command("go", "build", "-o", dir+"/",
 		"citronledge.example/gate/cmd/gate", "citronledge.example/side/cmd/side",
-		"citronledge.example/state/cmd/state", "citronledge.example/stub/cmd/stub")
+		"citronledge.example/ctl/cmd/ctl", "citronledge.example/state/cmd/state", "citronledge.example/stub/cmd/stub")
 	cmd.Dir = "../.." // the workspace knows all modules
 	if out, err := cmd.CombinedOutput(); err != nil {
 		fmt.Fprintf(os.Stderr, "cannot build the programs: %v\n%s", err, out)
--- a/side/guard/views.go
+++ b/side/guard/views.go
@@ -29,6 +29,9 @@
 	return v.view
 }
 
+// Changed returns a channel that is closed by the next change of the view.
+func (v *Views) Changed() <-chan struct{} { return v.notice.Wait() }
+
 // Apply brings the view forward. It never goes back: a delta to a revision
 // that is in force already is ignored. An error means that a full delta is
 // needed, because some changes are missing.
--- a/side/serve/chat_test.go
+++ b/side/serve/chat_test.go
@@ -160,6 +160,11 @@
 		if got := w.server.guard.Views.View().Revision; got != 13 {
 			t.Errorf("got revision %d after a gap, want 13 from a full delta", got)
 		}
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		if last := g.renews[len(g.renews)-1]; last.GetRevision() != 13 {
+			t.Errorf("got %v, want the revision told at once", last)
+		}
 	})
 }
 
--- a/side/serve/control.go
+++ b/side/serve/control.go
@@ -72,7 +72,7 @@
 	full bool // the next renewal asks for a full delta
 	last time.Time
 
-	backend, drain <-chan struct{}
+	backend, drain, view <-chan struct{}
 }
 
 func (s *Server) writeControl(ctx context.Context, g *gate, st *link.Stream) error {
@@ -93,6 +93,9 @@
 			return nil
 		case <-renew.C:
 			err = w.renew()
+		case <-w.view:
+			// The renewal tells the gate that the revision is in force here.
+			err = w.renew()
 		case <-load.C:
 			err = w.load()
 		case <-w.backend:
@@ -117,6 +120,7 @@
 }
 
 func (w *writer) renew() error {
+	w.view = w.s.guard.Views.Changed()
 	revision := uint64(w.s.guard.Views.View().Revision)
 	if w.full {
 		revision, w.full = 0, false
