--- /dev/null
+++ b/demo/launch/bill_test.go
@@ -0,0 +1,68 @@
+package launch
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+)
+
+// Guards against usage records that are never settled, which would hold up
+// the planned stop of a side process: of attempts that failed and were taken
+// over elsewhere, and of callers that went away.
+func TestRecordsAreSettled(t *testing.T) {
+	ctx, s := start(t, 5*time.Millisecond)
+	fault(ctx, t, s.Engines[0], `{"break":3}`)
+	for i := range 12 {
+		r, err := caller(s, i%2).Chat(ctx, Prompt("swift", fmt.Sprintf("claim %d", i), 8, true))
+		if why := whole(r, 8); err != nil || why != "" {
+			t.Errorf("chat %d: %v %s", i, err, why)
+		}
+	}
+	gone, cancel := context.WithCancel(ctx)
+	_, err := caller(s, 0).Watch(gone, Prompt("swift", "claim 13", 2000, true), func(events int) {
+		if events == 2 {
+			cancel()
+		}
+	})
+	if err == nil {
+		t.Error("the caller did not go away")
+	}
+	for _, p := range s.Sides {
+		left := 0
+		err := poll(ctx, func() (bool, error) {
+			var page struct {
+				Detail struct {
+					Records int `json:"records"`
+				} `json:"detail"`
+			}
+			err := get(ctx, "http://"+p.Admin+"/status", func(r *http.Response) error { return json.NewDecoder(r.Body).Decode(&page) })
+			left = page.Detail.Records
+			return left == 0, err
+		}, func() string { return fmt.Sprintf("%s keeps %d records", p.Name, left) })
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	bills, err := s.Bills(ctx, customer)
+	if err != nil || len(bills) != 13 {
+		t.Errorf("got %d bills, %v; want 13", len(bills), err)
+	}
+}
+
+// fault switches the faults of a stand-in.
+func fault(ctx context.Context, t *testing.T, p *Proc, body string) {
+	t.Helper()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+p.Addr+"/faults", bytes.NewBufferString(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = resp.Body.Close()
+}
--- a/demo/launch/payout_test.go
+++ b/demo/launch/payout_test.go
@@ -1,7 +1,6 @@
 package launch
 
 import (
-	"bytes"
 	"context"
 	"net/http"
 	"strings"
@@ -11,20 +10,6 @@
 
 var payout = map[string]any{"household": "H-17", "day": "2026-06-14", "amount": 1200}
 
-// slow makes the payment service answer late, after it has run the call.
-func slow(ctx context.Context, t *testing.T, s *System, body string) {
-	t.Helper()
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+s.Services[0].Addr+"/faults", bytes.NewBufferString(body))
-	if err != nil {
-		t.Fatal(err)
-	}
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		t.Fatal(err)
-	}
-	_ = resp.Body.Close()
-}
-
 // begin sends a payout through the first gate and waits until the service
 // runs it. The channel gives the answer.
 func begin(ctx context.Context, t *testing.T, s *System) <-chan Reply {
@@ -60,7 +45,7 @@
 // gate is killed during the call and the caller sends the key again.
 func TestKillGateDuringPayout(t *testing.T) {
 	ctx, s := start(t, time.Millisecond)
-	slow(ctx, t, s, `{"slow":1000}`)
+	fault(ctx, t, s.Services[0], `{"slow":1000}`)
 	answer := begin(ctx, t, s)
 	if err := s.Gates[0].Kill(); err != nil {
 		t.Fatal(err)
@@ -87,7 +72,7 @@
 // killed during the call: nobody knows the outcome any more.
 func TestKillSideDuringPayout(t *testing.T) {
 	ctx, s := start(t, time.Millisecond)
-	slow(ctx, t, s, `{"slow":60000}`)
+	fault(ctx, t, s.Services[0], `{"slow":60000}`)
 	answer := begin(ctx, t, s)
 	if err := s.ServiceSides[0].Kill(); err != nil {
 		t.Fatal(err)
@@ -95,7 +80,7 @@
 	if r := <-answer; r.Status < http.StatusInternalServerError || strings.Contains(string(r.Body), `"ran":"no"`) {
 		t.Errorf("got %d %s, want an unknown outcome", r.Status, r.Body)
 	}
-	slow(ctx, t, s, `{}`)
+	fault(ctx, t, s.Services[0], `{}`)
 	if err := s.ServiceSides[0].Start(); err != nil {
 		t.Fatal(err)
 	}
