--- a/core/policy/flow.go
+++ b/core/policy/flow.go
@@ -11,21 +11,23 @@
 
 // entry is a ticket in the queue or in a slot.
 type entry struct {
-	ticket Ticket
-	class  int
-	weight int
-	cost   time.Duration // predicted time in the slot
-	order  uint64        // of arrival
-	began  time.Time     // of running
-	at     [2]int        // positions in the piles
-}
-
-// slack is the longest wait with which the ticket still meets its deadline.
+	ticket  Ticket
+	class   int
+	weight  int
+	cost    time.Duration // predicted time in the slot
+	reserve time.Duration // time in the slot that it seldom exceeds
+	order   uint64        // of arrival
+	began   time.Time     // of running
+	at      [2]int        // positions in the piles
+}
+
+// slack is the longest wait with which the ticket meets its deadline, but for
+// unusually long work.
 func (e *entry) slack(now time.Time) time.Duration {
 	if e.ticket.Deadline.IsZero() {
 		return math.MaxInt64
 	}
-	return e.ticket.Deadline.Sub(now) - e.cost
+	return e.ticket.Deadline.Sub(now) - e.reserve
 }
 
 func (e *entry) late(now time.Time, wait time.Duration) bool { return wait > e.slack(now) }
@@ -85,7 +87,7 @@
 	if x.IsZero() || y.IsZero() {
 		return !x.IsZero()
 	}
-	return x.Add(-a.cost).Before(y.Add(-b.cost))
+	return x.Add(-a.reserve).Before(y.Add(-b.reserve))
 }
 
 // flow is the waiting work of one customer in one class.
--- a/core/policy/queue.go
+++ b/core/policy/queue.go
@@ -56,6 +56,15 @@
 	mostRetry  = 30 * time.Second
 	// costGain is the weight of a new observation in the learned costs.
 	costGain = 0.05
+	// highPart is the share of tickets that is to end within the time reserved
+	// for them. With the mean reserved, tickets that start at the last moment
+	// miss their deadline half of the time: at the crest of a swing that took
+	// 21 % of the slot time.
+	highPart = 0.95
+	// highGain is the step by which the reserved time is learned, mostHigh its
+	// limit in multiples of the mean.
+	highGain = 0.1
+	mostHigh = 4
 	// unknownCost is taken until the first ticket of a kind is done.
 	unknownCost = time.Second
 )
@@ -86,6 +95,22 @@
 type learned struct {
 	cost    time.Duration // mean
 	stretch float64       // mean ratio of the time taken to the prediction
+	high    float64       // high percentile of the ratio to the corrected prediction
+}
+
+// observe learns from a finished entry.
+func (k *learned) observe(e *entry, took time.Duration) {
+	k.cost += time.Duration(costGain * float64(took-k.cost))
+	if e.ticket.Cost > 0 {
+		k.stretch += costGain * (float64(took)/float64(e.ticket.Cost) - k.stretch)
+	}
+	// Steps up and down balance when the share highPart is below.
+	if took > e.cost && float64(took) > k.high*float64(e.cost) {
+		k.high *= math.Exp(highGain * highPart)
+	} else {
+		k.high *= math.Exp(-highGain * (1 - highPart))
+	}
+	k.high = min(mostHigh, max(1, k.high))
 }
 
 // NewQueue returns an empty queue.
@@ -120,7 +145,8 @@
 	e := q.enter(t)
 	c := q.classes[e.class]
 	if c.waiting == 0 && q.free(e.class) {
-		if e.late(now, 0) {
+		// With a free slot the mean decides: nothing is gained by waiting.
+		if !t.Deadline.IsZero() && now.Add(e.cost).After(t.Deadline) {
 			return Admission{Action: Refuse, Retry: e.retry(0), Reason: Late}
 		}
 		q.start(now, e)
@@ -154,6 +180,10 @@
 		e.cost = unknownCost
 	}
 	e.cost = max(1, e.cost)
+	e.reserve = e.cost
+	if k != nil {
+		e.reserve = time.Duration(float64(e.cost) * k.high)
+	}
 	return e
 }
 
@@ -312,13 +342,10 @@
 	}
 	k := q.kinds[e.ticket.Kind]
 	if k == nil {
-		k = &learned{cost: took, stretch: 1}
+		k = &learned{cost: took, stretch: 1, high: 1}
 		q.kinds[e.ticket.Kind] = k
 	}
-	k.cost += time.Duration(costGain * float64(took-k.cost))
-	if e.ticket.Cost > 0 {
-		k.stretch += costGain * (float64(took)/float64(e.ticket.Cost) - k.stretch)
-	}
+	k.observe(e, took)
 }
 
 // Cancel forgets a ticket, waiting or running, without learning from it.
--- a/core/policy/trial.go
+++ b/core/policy/trial.go
@@ -54,21 +54,23 @@
 	// haltError bounds the probability that a roll-out of a version that is
 	// no worse is ever halted, however often Judge looks.
 	haltError = 0.01
-	// tests is the number of measures; each gets an equal part of haltError.
-	tests = 3
 	// baseError is the part of a test's error that goes to the uncertainty
 	// about the base version. It is small because the base has most of the
 	// answers, so a wide bound costs little.
 	baseError = 0.1
 	// advanceError bounds the error that a step is called safe.
 	advanceError = 0.05
+	// tests is the number of measures.
+	tests = 3
 )
 
 // measure is a mean of values from 0 to 1, of which more is worse.
 type measure struct {
 	reason Reason
-	// ignore is the difference that does not halt: versions are never quite
-	// equal, and the two do not see exactly the same conditions.
+	// part of the error: ratings are scarce, so their test gets most of it.
+	part float64
+	// ignore is the difference that does not halt, since versions are never
+	// quite equal.
 	ignore float64
 	// accept is the largest difference at which the next step is safe.
 	accept     float64
@@ -78,19 +80,32 @@
 // Judge compares a version under trial with its base. It may be called on the
 // growing sums as often as wanted: Halt comes with a probability of at most
 // 1 % over a whole roll-out if the version is no worse than its base. Advance
-// tells that each measure is known to be worse by no more than its tolerance;
-// it holds for the sums given, so for one step pass the differences since the
-// step began, and for Halt the whole sums. Without ratings of both versions it
-// never says Advance, because nothing is known about the quality.
-func Judge(base, next Stats) (Verdict, Reason) {
+// tells that each measure is known to be worse by no more than its tolerance.
+// Without ratings of both versions it never says Advance, because nothing is
+// known about the quality.
+//
+// The sums of several steps mix times with different shares. If the conditions
+// change in between, for example by heat, the base has more of the good times
+// and the trial more of the bad ones. JudgeStep avoids that.
+func Judge(base, next Stats) (Verdict, Reason) { return judge(base, next, haltError) }
+
+// JudgeStep is Judge on the sums since a step of the roll-out began (see Sub),
+// steps counted from 0. The steps divide the error of 1 %: step k gets
+// 6/(pi*(k+1))^2 of it, which adds up to 1 for any number of steps.
+func JudgeStep(step int, base, next Stats) (Verdict, Reason) {
+	k := math.Pi * float64(max(0, step)+1)
+	return judge(base, next, haltError*6/(k*k))
+}
+
+func judge(base, next Stats, level float64) (Verdict, Reason) {
 	list := measures(base, next)
 	for i := range list {
-		if list[i].harmful() {
+		if list[i].harmful(level * list[i].part) {
 			return Halt, list[i].reason
 		}
 	}
 	for i := range list {
-		if !list[i].harmless() {
+		if !list[i].harmless(advanceError / 2) {
 			return Continue, list[i].reason
 		}
 	}
@@ -99,44 +114,54 @@
 
 func measures(base, next Stats) [tests]measure {
 	return [tests]measure{
-		{Failures, 0.002, 0.02, count(base.Failures, base.Answers), count(next.Failures, next.Answers)},
-		{Slowness, 0.01, 0.05, count(base.Slow, base.Answers), count(next.Slow, next.Answers)},
-		{Ratings, 0.01, 0.05, base.faults(), next.faults()},
+		{Failures, 0.2, 0.002, 0.02, count(base.Failures, base.Answers), count(next.Failures, next.Answers)},
+		{Slowness, 0.2, 0.01, 0.05, count(base.Slow, base.Answers), count(next.Slow, next.Answers)},
+		{Ratings, 0.6, 0.005, 0.05, base.faults(), next.faults()},
 	}
 }
 
 // harmful tests whether the mean of next is above an upper bound of that of
-// base, by a test martingale against each.
-func (m *measure) harmful() bool {
-	const level = haltError / tests
+// base, by a test martingale against each. The first comparison is with the
+// mean of base itself: it is cheap, and nearly always enough.
+func (m *measure) harmful(level float64) bool {
 	if !m.base.valid() || !m.next.valid() {
 		return false
 	}
-	limit := m.base.upper(level*baseError) + m.ignore
-	return limit < 1 && m.next.above(limit) >= math.Log(1/(level*(1-baseError)))
+	need := math.Log(1 / (level * (1 - baseError)))
+	if m.next.above(m.base.mean()+m.ignore) < need {
+		return false
+	}
+	return m.next.above(m.base.upper(level*baseError)+m.ignore) >= need
 }
 
-func (m *measure) harmless() bool {
+// harmless tests whether next is above base by less than accept.
+func (m *measure) harmless(level float64) bool {
 	if !m.base.valid() || !m.next.valid() {
 		return false
 	}
-	const level = advanceError / 2
+	if m.next.below(m.base.mean()+m.accept) < math.Log(1/level) {
+		return false
+	}
 	return m.next.upper(level) <= m.base.lower(level)+m.accept
 }
 
 // sums of n values from 0 to 1.
 type sums struct {
 	n, sum, squares float64
+	// binary tells that the values are 0 or 1.
+	binary bool
 }
 
+func (s sums) mean() float64 { return min(1, max(0, s.sum/s.n)) }
+
 func count(bad, all int64) sums {
-	return sums{float64(all), float64(bad), float64(bad)}
+	return sums{float64(all), float64(bad), float64(bad), true}
 }
 
 // faults turns ratings into values of which more is worse.
 func (s Stats) faults() sums {
 	n := float64(s.Rated)
-	return sums{n, n - s.Quality, n - 2*s.Quality + s.Squares}
+	return sums{n, n - s.Quality, n - 2*s.Quality + s.Squares, false}
 }
 
 // valid guards against sums that no values from 0 to 1 can have, for example
@@ -149,11 +174,12 @@
 
 // above returns the logarithm of a test martingale against "the mean is at
 // most m": its expectation is at most 1 at every time, so it exceeds 1/error
-// ever with a probability of at most error (Ville's inequality). It is the
-// mean of the martingales of a grid of parameters of two families:
+// ever with a probability of at most error (Ville's inequality). It is a mean of
+// the martingales of a grid of parameters of two families:
 //
 //   - for values that are 0 or 1, the likelihood ratio of a larger mean q to m;
-//     by convexity it holds for all values from 0 to 1;
+//     by convexity it holds for all values from 0 to 1, and for values that are
+//     0 or 1 it is used alone;
 //   - exp(a*x - psi(a)*x*x) with x = (value-m)/m and psi(a) = -ln(1-a)-a (Fan,
 //     Grama and Liu 2015), which gains from a small variance.
 func (s sums) above(m float64) float64 {
@@ -169,35 +195,42 @@
 	var logs [2 * gridSize]float64
 	squares := max(0, s.squares-2*m*s.sum+s.n*m*m) / (m * m)
 	excess := (s.sum - s.n*m) / m
-	for i := range gridSize {
-		q := m + (1-m)*grid[i]
-		logs[2*i] = s.sum*math.Log(q/m) + (s.n-s.sum)*math.Log((1-q)/(1-m))
-		a := grid[i]
-		logs[2*i+1] = a*excess + (math.Log1p(-a)+a)*squares
+	for i, a := range grid {
+		q := m + (1-m)*a
+		logs[i] = s.sum*math.Log(q/m) + (s.n-s.sum)*math.Log((1-q)/(1-m))
+		logs[gridSize+i] = a*excess + (math.Log1p(-a)+a)*squares
+	}
+	ratio := logMean(logs[:gridSize])
+	if s.binary {
+		return ratio
 	}
-	return logMean(logs[:])
+	return logSum(math.Log(ratioWeight)+ratio, math.Log(1-ratioWeight)+logMean(logs[gridSize:]))
 }
 
 // below is the mirror image: the mean is at least m.
 func (s sums) below(m float64) float64 {
-	return sums{s.n, s.n - s.sum, s.n - 2*s.sum + s.squares}.above(1 - m)
+	return sums{s.n, s.n - s.sum, s.n - 2*s.sum + s.squares, s.binary}.above(1 - m)
 }
 
+// ratioWeight is the weight of the likelihood ratio for ratings: enough to
+// follow a service that rates only good or bad.
+const ratioWeight = 0.2
+
 // grid spreads the parameters geometrically, since neither the size of the
 // harm nor the number of values is known beforehand.
-const gridSize = 8
+var grid = [gridSize]float64{0.5, 0.3, 0.15, 0.08, 0.04, 0.015}
 
-var grid = [gridSize]float64{0.6, 0.4, 0.25, 0.15, 0.08, 0.04, 0.02, 0.01}
+const gridSize = 6
 
 // upper is an upper confidence bound of the mean that holds at all times at
 // once: the least m that below refutes.
 func (s sums) upper(level float64) float64 {
-	return s.search(max(0, s.sum/s.n), 1, func(m float64) bool { return s.below(m) >= math.Log(1/level) })
+	return s.search(s.mean(), 1, func(m float64) bool { return s.below(m) >= math.Log(1/level) })
 }
 
 // lower is a lower confidence bound that holds at all times at once.
 func (s sums) lower(level float64) float64 {
-	return s.search(min(1, s.sum/s.n), 0, func(m float64) bool { return s.above(m) >= math.Log(1/level) })
+	return s.search(s.mean(), 0, func(m float64) bool { return s.above(m) >= math.Log(1/level) })
 }
 
 // search halves the interval between the mean and a limit; refuted is false
@@ -216,13 +249,15 @@
 
 // logMean returns the logarithm of the mean of the exponentials.
 func logMean(logs []float64) float64 {
-	top := math.Inf(-1)
-	for _, l := range logs {
-		top = max(top, l)
-	}
-	sum := 0.0
-	for _, l := range logs {
-		sum += math.Exp(l - top)
+	sum := logs[0]
+	for _, l := range logs[1:] {
+		sum = logSum(sum, l)
 	}
-	return top + math.Log(sum/float64(len(logs)))
+	return sum - math.Log(float64(len(logs)))
+}
+
+// logSum returns the logarithm of the sum of two exponentials.
+func logSum(a, b float64) float64 {
+	a, b = max(a, b), min(a, b)
+	return a + math.Log1p(math.Exp(b-a))
 }
