--- a/core/policy/budget.go
+++ b/core/policy/budget.go
@@ -7,13 +7,13 @@
 }
 
 // NewBudget returns a budget that gains share for each request and holds at
-// most burst; it starts full, so burst is the extra work allowed above share
-// in total. A share of zero or less, or a burst under one, allows none.
+// most burst. It starts with one, so that an idle gate can retry; thus the
+// extra work is at most one more than share of the requests at any time. A
+// share of zero or less, or a burst under one, allows none.
 func NewBudget(share, burst float64) *Budget {
-	share, burst = max(0, share), max(0, burst)
-	b := &Budget{share: share, burst: burst}
+	b := &Budget{share: max(0, share), burst: max(0, burst)}
 	if share > 0 {
-		b.have = burst
+		b.have = min(1, b.burst)
 	}
 	return b
 }
--- a/core/policy/cascade.go
+++ b/core/policy/cascade.go
@@ -6,9 +6,16 @@
 	"citronledge.example/core/ident"
 )
 
-// probeShare is the share of requests that try a cheaper step than planned,
-// so that a model that was rated badly once can show that it is better now.
-const probeShare = 0.02
+const (
+	// probeShare is the share of requests that try a cheaper step than
+	// planned, so that a model that was rated badly once can show that it is
+	// better now.
+	probeShare = 0.02
+	// learnShare is the share while the step has less than learnWeight recent
+	// ratings. It is bounded because ratings may never come.
+	learnShare  = 0.06
+	learnWeight = 20
+)
 
 // Step is one model of a cascade, as seen for one kind of request.
 type Step struct {
@@ -99,7 +106,14 @@
 // a small share of the seeds. The answer of the earlier step should be offered
 // to the rating service even when it is not kept.
 func Explore(seed uint64, p CascadePlan, steps []Step) CascadePlan {
-	if p.Start < 1 || p.Start >= len(steps) || unit(seed) >= probeShare {
+	if p.Start < 1 || p.Start >= len(steps) {
+		return p
+	}
+	share := probeShare
+	if steps[p.Start-1].Quality.Weight < learnWeight {
+		share = learnShare
+	}
+	if unit(seed) >= share {
 		return p
 	}
 	p.Start--
--- a/core/policy/measure_fleet_test.go
+++ b/core/policy/measure_fleet_test.go
@@ -73,7 +73,7 @@
 	for range fleetGates {
 		g := &node{
 			inflight: make([]int, fleetSize), list: make([]Candidate, fleetSize),
-			peers: NewPeers(0.5), hedger: NewHedger(0.97), budget: NewBudget(0.05, 10),
+			peers: NewPeers(0.5), hedger: NewHedger(0.96), budget: NewBudget(0.05, 30),
 		}
 		f.gates = append(f.gates, g)
 	}
@@ -235,12 +235,12 @@
 	const load = 0.4
 	var r results
 	r.seeds(2, 30, func(seed uint64, r *results) {
+		calm := runFleet(seed, "choose", load, func(*fleet) {})
 		for _, policy := range []string{"choose", "round_robin", "least_reported"} {
-			calm := runFleet(seed, policy, load, func(*fleet) {})
 			f := runFleet(seed, policy, load, slowed(seed))
 			for name, p := range map[string]float64{"p99": 0.99, "p999": 0.999} {
 				r.add("tail_"+name, policy, "s", quantile(f.latencies, p))
-				r.add("tail_"+name+"_calm", policy, "s", quantile(calm.latencies, p))
+				r.add("tail_"+name+"_calm", "choose", "s", quantile(calm.latencies, p))
 				r.add("tail_"+name+"_ratio", policy, "of_calm", quantile(f.latencies, p)/quantile(calm.latencies, p))
 			}
 			r.add("extra_attempts_slowed", policy, "of_requests", float64(f.hedges)/float64(f.requests))
--- a/core/policy/peers.go
+++ b/core/policy/peers.go
@@ -9,7 +9,7 @@
 
 const (
 	// peerGain is the weight of a new latency or outcome in the moving mean.
-	peerGain = 0.3
+	peerGain = 0.4
 	// peerSamples is the least number of observations before an ejection.
 	peerSamples = 3
 	// slowFactor times the median of the peers is slow. Twice is reached by
@@ -20,8 +20,11 @@
 	failLimit = 0.5
 	// firstEject is the time out of use after the first ejection; it doubles
 	// up to lastEject while the backend server stays bad.
-	firstEject = 2 * time.Second
+	firstEject = 4 * time.Second
 	lastEject  = 30 * time.Second
+	// trialLatency times the median is assumed of one that comes back, so that
+	// it gets little work until an answer shows that it is well.
+	trialLatency = 2
 	// peerReview is the interval between two comparisons of all peers.
 	peerReview = 100 * time.Millisecond
 )
@@ -115,7 +118,7 @@
 func (p *Peers) restore(now time.Time, e *peer) {
 	if e.out && !now.Before(e.until) {
 		e.out = false
-		e.latency, e.failure = p.median, 0
+		e.latency, e.failure = trialLatency*p.median, 0
 		e.samples = 1
 	}
 }
