policy: explore longer while ratings leave a step undecided

Change: the larger share of probes lasts until the target lies outside the estimate's bounds; the operator's figure counts as 2 ratings instead of 5.

--- a/core/policy/cascade.go
+++ b/core/policy/cascade.go
@@ -11,10 +11,9 @@
 	// planned, so that a model that was rated badly once can show that it is
 	// better now.
 	probeShare = 0.02
-	// learnShare is the share while the step has less than learnWeight recent
-	// ratings. It is bounded because ratings may never come.
-	learnShare  = 0.06
-	learnWeight = 20
+	// learnShare is the share while the ratings leave it open whether the step
+	// meets the target. It is small because ratings may never come.
+	learnShare = 0.06
 )
 
 // Step is one model of a cascade, as seen for one kind of request.
@@ -105,12 +104,12 @@
 // Explore replaces a plan by one that starts a step earlier, with a check, for
 // a small share of the seeds. The answer of the earlier step should be offered
 // to the rating service even when it is not kept.
-func Explore(seed uint64, p CascadePlan, steps []Step) CascadePlan {
+func Explore(seed uint64, p CascadePlan, steps []Step, target ident.Quality) CascadePlan {
 	if p.Start < 1 || p.Start >= len(steps) {
 		return p
 	}
 	share := probeShare
-	if steps[p.Start-1].Quality.Weight < learnWeight {
+	if q := steps[p.Start-1].Quality; 2*q.Mean-q.Low >= target {
 		share = learnShare
 	}
 	if unit(seed) >= share {
--- a/core/policy/measure_cascade_test.go
+++ b/core/policy/measure_cascade_test.go
@@ -52,7 +52,9 @@
 func (f *traffic) rate(kind ident.Kind, step int, size float64) Score {
 	f.cost += prices[step] * size
 	mean := f.truth(kind, step)
-	q := ident.Quality(min(1, max(0, mean+0.08*f.rng.NormFloat64())))
+	// The noise is clipped on both sides alike, so that it has no bias.
+	room := min(mean, 1-mean)
+	q := ident.Quality(mean + min(room, max(-room, 0.08*f.rng.NormFloat64())))
 	lost := f.lost > 0 && f.now.Sub(epoch) > f.lost
 	if lost || f.rng.Float64() >= f.rated {
 		return Score{}
@@ -84,7 +86,7 @@
 			Quality: f.est.Estimate(f.now, kind, ident.Target{Model: m, Version: "v1"}, priors[i]),
 		}
 	}
-	p := Explore(f.rng.Uint64(), Plan(steps[:], qualityTarget), steps[:])
+	p := Explore(f.rng.Uint64(), Plan(steps[:], qualityTarget), steps[:], qualityTarget)
 	for step := p.Start; ; step++ {
 		score := f.rate(kind, step, size)
 		keep := true
--- a/core/policy/quality.go
+++ b/core/policy/quality.go
@@ -13,7 +13,7 @@
 	ratingHalf = 30 * time.Minute
 	// priorWeight is the number of ratings that the operator's figure is
 	// worth. Its error is not known; a few ratings are to overrule it.
-	priorWeight = 5
+	priorWeight = 2
 	// priorSpread is the standard deviation assumed before ratings show it.
 	priorSpread = 0.2
 	// lowDeviations sets the lower bound at about the 5th percentile.
