client: move on from a silent leader without trying it twice

Cause: after a leader went silent (SIGSTOP), a client without a lease stream kept its command there for 2 s, so that a change was in force only 2.03 s after it was proposed; the next dial could go to the same process.

Ruled out: a shorter limit alone, because one slow commit would then end the session that carries the lease.

Change: a try takes 1 s at most; the process given up last is passed over once; while renewals are answered, a slow command ends only its own stream.

Conclusion: TestSilentLeader keeps the scenario.

--- a/core/client/call.go
+++ b/core/client/call.go
@@ -94,7 +94,7 @@
 	}
 	if err := exchange(ctx, st, q, r, limit); err != nil {
 		_ = st.Close()
-		if ctx.Err() == nil {
+		if ctx.Err() == nil && !c.answers() {
 			c.leave(s, "")
 		}
 		return true, "", err
@@ -108,6 +108,15 @@
 	return false, "", nil
 }
 
+// answers tells whether the leader answers renewals. Then a command that takes
+// long, perhaps for a slow disk, is no reason to give up the session that
+// carries the lease.
+func (c *Client) answers() bool {
+	c.leaseMu.Lock()
+	defer c.leaseMu.Unlock()
+	return time.Since(c.heard) < silentAfter
+}
+
 func exchange(ctx context.Context, st *link.Stream, q, r proto.Message, limit time.Duration) error {
 	_ = st.SetDeadline(time.Now().Add(limit))
 	stop := context.AfterFunc(ctx, func() { _ = st.SetDeadline(time.Unix(1, 0)) })
--- a/core/client/client.go
+++ b/core/client/client.go
@@ -22,8 +22,9 @@
 	// dialTime bounds one connection attempt. A lost VM does not answer at
 	// all, and the lease does not last through two longer attempts.
 	dialTime = 700 * time.Millisecond
-	// tryTime bounds one try of a command or query; an election takes 0.6 s.
-	tryTime = 2 * time.Second
+	// tryTime bounds one try of a command or query; a commit takes
+	// milliseconds and an election up to 0.6 s.
+	tryTime = time.Second
 	// silentAfter is the time without an answer to a renewal after which the
 	// leader counts as lost. It leaves time to find the next one before the
 	// lease ends.
@@ -72,6 +73,7 @@
 	sess *session
 	next int    // index of the address to try next
 	hint string // address of the leader as told by a follower
+	left string // address that was given up last
 
 	view        atomic.Pointer[conf.View]
 	full        atomic.Bool // a delta could not be applied: ask for a full one
@@ -79,6 +81,7 @@
 
 	leaseMu sync.Mutex
 	until   time.Time
+	heard   time.Time // last grant by the leader
 
 	watchMu sync.Mutex
 	watch   chan struct{} // closed at the next change of the view
@@ -135,8 +138,7 @@
 	addr := c.hint
 	c.hint = ""
 	if addr == "" {
-		addr = c.addrs[c.next%len(c.addrs)]
-		c.next++
+		addr = c.pick()
 	}
 	raw, err := c.open(ctx, addr)
 	if err != nil {
@@ -146,6 +148,19 @@
 	return c.sess, nil
 }
 
+// pick returns the next address in turn, but not the one that was given up
+// last: a silent process would cost another dialTime.
+func (c *Client) pick() string {
+	addr := c.addrs[c.next%len(c.addrs)]
+	c.next++
+	if addr == c.left {
+		addr = c.addrs[c.next%len(c.addrs)]
+		c.next++
+	}
+	c.left = ""
+	return addr
+}
+
 // open dials with a time limit that also covers the handshake.
 func (c *Client) open(ctx context.Context, addr string) (*link.Session, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTime)
@@ -182,7 +197,7 @@
 	if leader == s.addr {
 		return // it has become leader in the meantime
 	}
-	c.sess, c.hint = nil, leader
+	c.sess, c.hint, c.left = nil, leader, s.addr
 	_ = s.Close()
 }
 
--- a/core/client/lease.go
+++ b/core/client/lease.go
@@ -273,6 +273,7 @@
 func (c *Client) extend(until time.Time) {
 	c.leaseMu.Lock()
 	defer c.leaseMu.Unlock()
+	c.heard = time.Now()
 	if until.After(c.until) {
 		c.until = until
 	}
--- a/state/cmd/state/main_test.go
+++ b/state/cmd/state/main_test.go
@@ -235,6 +235,44 @@
 	}
 }
 
+// TestSilentLeader guards leases and changes while the leader is cut off
+// without a sign, and against a leader that acts on what it knew when it
+// comes back.
+func TestSilentLeader(t *testing.T) {
+	c := newCluster(t)
+	cl, other := c.client(), c.client()
+	ctx, stop := context.WithCancel(context.Background())
+	held := make(chan error, 1)
+	go func() { held <- cl.Hold(ctx) }()
+	c.until("first lease", func() bool { return cl.Valid(time.Now()) })
+	c.change(other, 1)
+	leader := c.status(other).GetLeader()
+	if err := c.procs[leader].Process.Signal(syscall.SIGSTOP); err != nil {
+		t.Fatal(err)
+	}
+	lost, start := time.Duration(0), time.Now()
+	c.until("lease from the next leader", func() bool {
+		if !cl.Valid(time.Now()) {
+			lost += 5 * time.Millisecond
+		}
+		return cl.Lease().After(start.Add(4 * time.Second))
+	})
+	t.Logf("without a lease for about %v", lost)
+	start = time.Now()
+	c.change(other, 2)
+	t.Logf("change in force after %v", time.Since(start))
+	if err := c.procs[leader].Process.Signal(syscall.SIGCONT); err != nil {
+		t.Fatal(err)
+	}
+	c.until("return of the silent process", func() bool { return c.voters(other) })
+	c.change(other, 3)
+	c.until("all changes in the view", func() bool { return len(cl.View().Customers) == 3 })
+	stop()
+	if err := <-held; err != nil {
+		t.Error(err)
+	}
+}
+
 // TestSettings guards against settings whose faults are told one at a time.
 func TestSettings(t *testing.T) {
 	keys := filepath.Join(t.TempDir(), "keys")
