route: rate streamed answers of a roll-out, start tallies anew

Cause: only whole answers were rated, so a roll-out served by streams had no ratings and could not advance. Tallies went on over a new incarnation, and the leader, which adds up incarnations, would have counted the same answers twice. Ruled out: rating every answer (ratings are used only by cascades and roll-outs). Change: while a version is on trial, up to 64 KiB of a stream is kept for its rating; tallies start at 0 in an incarnation. Conclusion: streams count in the test of a roll-out.

--- a/gate/front/rules_test.go
+++ b/gate/front/rules_test.go
@@ -338,3 +338,31 @@
 		}
 	})
 }
+
+// The test of a roll-out sees every answer, streamed ones too, with its
+// rating, and nothing twice after the gate got a new number.
+func TestTallies(t *testing.T) {
+	inBubble(t, func(t *testing.T, w *world) {
+		w.c.put(t, map[string]any{"rollouts/small": conf.Rollout{From: "v1", To: "v2", Steps: []ident.Share{1}, Phase: conf.Running}})
+		asked := make(chan route.Question, 2)
+		w.rater = func(q route.Question) (ident.Quality, time.Duration) {
+			asked <- q
+			return 0.5, time.Millisecond
+		}
+		w.router.Tallies()
+		w.do(request{body: stream})
+		w.do(request{body: plain})
+		time.Sleep(time.Second)
+		list := w.router.Tallies()
+		if len(list) != 1 || list[0].GetVersion() != "v2" || list[0].GetAnswers() != 2 || list[0].GetRated() != 2 || list[0].GetQuality() != 1 {
+			t.Errorf("got tallies %v, want two rated answers of v2", list)
+		}
+		if q := <-asked; q.Answer != "t0t1t2t3t4" {
+			t.Errorf("got the text %q for rating, want the streamed tokens", q.Answer)
+		}
+		w.c.set(func() { w.c.inc++ })
+		if list := w.router.Tallies(); len(list) != 0 {
+			t.Errorf("got tallies %v under a new number, want none", list)
+		}
+	})
+}
--- a/gate/front/world_test.go
+++ b/gate/front/world_test.go
@@ -98,7 +98,11 @@
 	return c.leased
 }
 
-func (c *cluster) Incarnation() ident.Incarnation { return c.inc }
+func (c *cluster) Incarnation() ident.Incarnation {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.inc
+}
 
 func (c *cluster) set(f func()) {
 	c.mu.Lock()
--- a/gate/route/rating.go
+++ b/gate/route/rating.go
@@ -95,12 +95,17 @@
 	return policy.Score{}
 }
 
-// rateLater asks for the rating of a delivered answer, for the estimates of a
-// cascade and for the test of a roll-out.
+// wanted tells whether the rating of an answer is of use: for the estimates
+// of a cascade or for the test of a roll-out.
+func (r *Router) wanted(x *run, t ident.Target) bool {
+	roll, ok := r.state.View().Rollouts[t.Model]
+	trial := ok && (roll.To == t.Version || roll.From == t.Version)
+	return r.rater != nil && (trial || x.req.Target.Model == Auto)
+}
+
+// rateLater asks for the rating of a whole answer that is being delivered.
 func (r *Router) rateLater(x *run, a *answer) {
-	roll, ok := r.state.View().Rollouts[a.target.Model]
-	trial := ok && (roll.To == a.target.Version || roll.From == a.target.Version)
-	if r.rater != nil && a.head.GetStatus() == http.StatusOK && (trial || x.req.Target.Model == Auto) {
+	if a.head.GetStatus() == http.StatusOK && r.wanted(x, a.target) {
 		r.ask(x, a)
 	}
 }
--- a/gate/route/stream.go
+++ b/gate/route/stream.go
@@ -34,8 +34,13 @@
 	won   bool
 	// part is the start of an event whose end has not come yet.
 	part []byte
+	// keep collects the events for the rating service.
+	keep bool
 }
 
+// keepSize bounds the part of a stream that is kept for its rating.
+const keepSize = 64 << 10 // bytes
+
 // Chunk implements pool.Sink.
 func (s *live) Chunk(data []byte) error {
 	if !isEvents(s.head) {
@@ -97,6 +102,9 @@
 	if err := s.x.write(e); err != nil {
 		return err
 	}
+	if s.keep && len(s.body) < keepSize {
+		s.body = append(s.body, e...)
+	}
 	if token {
 		s.x.sent++
 		s.x.first()
@@ -148,11 +156,18 @@
 			target = t
 		}
 		e := effort{need: x.need(target), avoid: avoid, stream: true, resume: x.sent}
-		l := x.raced(ctx, e, func(claim func() bool) contender { return &live{x: x, claim: claim} })
+		keep := !x.headed && x.r.wanted(x, target)
+		l := x.raced(ctx, e, func(claim func() bool) contender {
+			return &live{x: x, claim: claim, keep: keep, answer: answer{target: target}}
+		})
 		if l.err == nil {
 			x.r.tools.answered(x.req.Kind, model, time.Since(begun))
 			s, _ := l.sink.(*live)
-			return x.finish(ctx, s)
+			err := x.finish(ctx, s)
+			if err == nil && s.keep && isEvents(s.head) {
+				x.r.ask(x, &s.answer)
+			}
+			return err
 		}
 		// An effort that brought tokens was no waste: going on repeats none of
 		// them, so it counts neither as a try nor as extra work.
--- a/gate/route/tools.go
+++ b/gate/route/tools.go
@@ -32,6 +32,7 @@
 	intime map[lesson]float64 // share of ratings in time
 	length map[lesson]float64 // mean output tokens
 	stats  map[ident.Target]policy.Stats
+	inc    ident.Incarnation // that the stats belong to
 }
 
 // lesson is what is learnt apart: a model and a kind of work.
@@ -163,9 +164,14 @@
 // Tallies returns the sums for the versions of running roll-outs, which go to
 // the leader with each renewal of the lease.
 func (r *Router) Tallies() []*wire.Tally {
-	view := r.state.View()
+	view, inc := r.state.View(), r.book.Incarnation()
 	r.tools.mu.Lock()
 	defer r.tools.mu.Unlock()
+	if r.tools.inc != inc {
+		// The leader adds up the sums of all incarnations, so what was told
+		// under an old number must not be told again under a new one.
+		r.tools.inc, r.tools.stats = inc, map[ident.Target]policy.Stats{}
+	}
 	var list []*wire.Tally
 	for target, s := range r.tools.stats {
 		roll, ok := view.Rollouts[target.Model]
