route: learn the cost of every model of a cascade

Cause: only held answers taught the length of answers, so the strong model, which is never held, counted as one token long. After the first cheap answer of n tokens the strong model looked n times too cheap, and the cascade would have skipped its cheap step. Ruled out: a fixed default length (wrong by orders of magnitude for reports). Before and after: TestExpectedCost: 200 and 2000; by the old rule it was 200 and 10. Conclusion: plans compare models by the cost that was billed.

--- a/gate/pool/do.go
+++ b/gate/pool/do.go
@@ -44,6 +44,8 @@
 	Ran bool
 	// Usage is what the attempt consumed; nil if the side process did not tell.
 	Usage *wire.Usage
+	// Whole is set if the reply came to its end without a fault.
+	Whole bool
 	// Chunks counts the chunks received, whether the sink got them or not.
 	Chunks int
 }
@@ -198,6 +200,7 @@
 	if !x.headed {
 		return fault.New(fault.Upstream, "the reply ended without a head; retry")
 	}
+	x.out.Whole = true
 	return nil
 }
 
--- a/gate/route/cascade.go
+++ b/gate/route/cascade.go
@@ -92,7 +92,6 @@
 // keep tells whether a held answer is good enough.
 func (x *run) keep(ctx context.Context, a *answer, target ident.Quality) bool {
 	l := lesson{kind: x.req.Kind, model: a.target.Model}
-	x.r.tools.learn(l, a.output)
 	var score policy.Score
 	if x.r.rater != nil {
 		score = x.r.rateNow(ctx, x, a)
--- a/gate/route/chat.go
+++ b/gate/route/chat.go
@@ -28,7 +28,6 @@
 	head   *wire.Head
 	body   []byte
 	target ident.Target
-	output int64 // tokens
 }
 
 // Head implements pool.Sink.
@@ -104,7 +103,6 @@
 		if l.err == nil {
 			x.r.tools.answered(x.req.Kind, model, time.Since(begun))
 			a, _ := l.sink.(*answer)
-			a.output = l.out.Usage.GetOutput()
 			return a, nil
 		}
 		if !x.again(ctx, l) {
--- a/gate/route/route_test.go
+++ b/gate/route/route_test.go
@@ -4,8 +4,10 @@
 	"context"
 	"errors"
 	"testing"
+	"time"
 
 	"citronledge.example/core/ident"
+	"citronledge.example/core/wire"
 	"citronledge.example/gate/pool"
 )
 
@@ -83,3 +85,17 @@
 		t.Errorf("got %q as the newest", got[0].Request)
 	}
 }
+
+// A model that has not answered yet must not look cheaper than one that has,
+// or a cascade would skip its cheap step after the first answer.
+func TestExpectedCost(t *testing.T) {
+	tools := newTools()
+	cheap, strong := lesson{ident.Chat, "small"}, lesson{ident.Chat, "large"}
+	tools.learn(cheap, &wire.Usage{Cost: 200}, 1)
+	now := time.Now()
+	a := tools.step(now, cheap, ident.Target{Model: "small"}, 1, 0.5, false)
+	b := tools.step(now, strong, ident.Target{Model: "large"}, 10, 0.9, false)
+	if a.Cost != 200 || b.Cost != 2000 {
+		t.Errorf("got costs %v and %v, want 200 and 2000", a.Cost, b.Cost)
+	}
+}
--- a/gate/route/tools.go
+++ b/gate/route/tools.go
@@ -30,7 +30,7 @@
 	hedger *policy.Hedger
 	rates  *policy.Estimator
 	intime map[lesson]float64 // share of ratings in time
-	length map[lesson]float64 // mean output tokens
+	length map[lesson]float64 // mean cost of an answer over the price of a token
 	stats  map[ident.Target]policy.Stats
 	inc    ident.Incarnation // that the stats belong to
 }
@@ -124,26 +124,47 @@
 	t.intime[l] = old + ratedDecay*(v-old)
 }
 
-func (t *tools) learn(l lesson, tokens int64) {
+// learn counts the cost of an answer, in tokens at the output price.
+func (t *tools) learn(l lesson, u *wire.Usage, price ident.Price) {
+	if u.GetCost() <= 0 || price <= 0 {
+		return
+	}
+	tokens := u.GetCost() / float64(price)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	old, ok := t.length[l]
 	if !ok {
-		old = float64(tokens)
+		old = tokens
 	}
-	t.length[l] = old + ratedDecay*(float64(tokens)-old)
+	t.length[l] = old + ratedDecay*(tokens-old)
+}
+
+// expect returns the expected length of an answer; the caller holds mu. A
+// model that was not seen yet is taken to answer at the mean length of the
+// others: with a length of its own making it would look too cheap or too dear.
+func (t *tools) expect(l lesson) float64 {
+	if tokens, ok := t.length[l]; ok {
+		return tokens
+	}
+	sum, n := 0.0, 0
+	for other, tokens := range t.length {
+		if other.kind == l.kind {
+			sum += tokens
+			n++
+		}
+	}
+	if n == 0 {
+		return 1
+	}
+	return sum / float64(n)
 }
 
 // step describes one model of a cascade to the plan.
 func (t *tools) step(now time.Time, l lesson, target ident.Target, price, prior float64, rated bool) policy.Step {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	tokens, ok := t.length[l]
-	if !ok {
-		tokens = 1 // all models alike until something was seen
-	}
 	s := policy.Step{
-		Model: l.model, Cost: ident.Cost(price * tokens),
+		Model: l.model, Cost: ident.Cost(price * t.expect(l)),
 		Quality: t.rates.Estimate(now, l.kind, target, ident.Quality(prior)),
 	}
 	if rated {
