--- a/core/policy/cascade.go
+++ b/core/policy/cascade.go
@@ -6,9 +6,15 @@
 	"citronledge.example/core/ident"
 )
 
-// probeShare is the share of requests that try a cheaper step than planned,
-// so that a model that was rated badly once can show that it is better now.
-const probeShare = 0.02
+const (
+	// probeShare is the share of requests that try a cheaper step than
+	// planned, so that a model that was rated badly once can show that it is
+	// better now.
+	probeShare = 0.02
+	// learnShare is the share while the ratings leave it open whether the step
+	// meets the target. It is small because ratings may never come.
+	learnShare = 0.06
+)
 
 // Step is one model of a cascade, as seen for one kind of request.
 type Step struct {
@@ -98,8 +104,15 @@
 // Explore replaces a plan by one that starts a step earlier, with a check, for
 // a small share of the seeds. The answer of the earlier step should be offered
 // to the rating service even when it is not kept.
-func Explore(seed uint64, p CascadePlan, steps []Step) CascadePlan {
-	if p.Start < 1 || p.Start >= len(steps) || unit(seed) >= probeShare {
+func Explore(seed uint64, p CascadePlan, steps []Step, target ident.Quality) CascadePlan {
+	if p.Start < 1 || p.Start >= len(steps) {
+		return p
+	}
+	share := probeShare
+	if q := steps[p.Start-1].Quality; 2*q.Mean-q.Low >= target {
+		share = learnShare
+	}
+	if unit(seed) >= share {
 		return p
 	}
 	p.Start--
