route: follow the new budget and exploration of the policy package

Ruled out: keeping the old burst in the gate (it would exceed the share of extra work of the design). The gate saves up 50 retries, since the loss of a backend server breaks all its attempts at once.

--- a/gate/route/cascade.go
+++ b/gate/route/cascade.go
@@ -25,7 +25,7 @@
 		return fault.New(fault.Forbidden, "no model of cascade "+string(name)+" is open to this customer now; ask the operators")
 	}
 	plan, steps := x.plan(view, models, c.Target)
-	plan = policy.Explore(seed("explore "+string(x.req.ID)), plan, steps)
+	plan = policy.Explore(seed("explore "+string(x.req.ID)), plan, steps, c.Target)
 	var held *answer // the best answer so far, which is below the target
 	for {
 		x.rec.note("cascade: " + string(plan.Reason))
--- a/gate/route/tools.go
+++ b/gate/route/tools.go
@@ -12,9 +12,9 @@
 )
 
 const (
-	// extraBurst is the extra work allowed above the share of the budget, so
-	// that a quiet gate can retry too.
-	extraBurst = 10
+	// extraBurst is how much unused extra work a gate saves up. The loss of a
+	// backend server breaks all its attempts at once, and each needs a retry.
+	extraBurst = 50
 	// hedgeAfter is the percentile of the latency after which a hedge starts.
 	hedgeAfter = 0.97
 	// ratedDecay weighs the newest answer in the share of ratings in time.
