serve: free the slot before the end, contain panics, always report slots

Ruled out: releasing the pass before the End (a drain would end the session with the End unsent). Change: Pass.Free gives the slot back before the End, Release ends the work after it; a panic ends its own work with an Internal fault, a metric and a log line; 32 slots hold when neither settings nor engine tell. Conclusion: back-to-back work at full slots is not refused.

--- a/side/cmd/side/main.go
+++ b/side/cmd/side/main.go
@@ -74,7 +74,7 @@
 	fs.StringVar(&s.listen, "listen", "", "address for the sessions of the gates")
 	fs.StringVar(&s.engine, "engine", "", "base URL of the model engine, http://HOST:PORT")
 	fs.StringVar(&s.service, "service", "", "plain service instead of an engine, NAME=URL")
-	fs.IntVar(&s.slots, "slots", 0, "requests that may run at once; 0 takes the engine's report")
+	fs.IntVar(&s.slots, "slots", 0, "requests that may run at once; 0 takes the engine's report, or 32 if it has none")
 	fs.BoolVar(&s.fencing, "fencing", false, "the engine refuses orders with an old fence")
 	fs.IntVar(&s.records, "records", 0, "bound on the usage records kept; 0 means 50000")
 }
--- a/side/guard/check.go
+++ b/side/guard/check.go
@@ -29,7 +29,7 @@
 	View     *conf.View
 	Leased   bool
 	Draining bool
-	Running  int // works that run here
+	Running  int // slots that are taken here
 	Report   Report
 }
 
--- a/side/guard/guard.go
+++ b/side/guard/guard.go
@@ -26,6 +26,7 @@
 
 	mu       sync.Mutex
 	running  map[*Pass]struct{}
+	taken    int // slots; a work may have freed its slot and still run
 	draining bool
 	notice   Notice
 
@@ -42,6 +43,7 @@
 type Pass struct {
 	guard *Guard
 	work  *wire.Work
+	freed bool // guarded by the mutex of the guard
 	// Timeout of the work.
 	Timeout time.Duration
 }
@@ -60,19 +62,36 @@
 	// withdrawal that came meanwhile counts.
 	view := g.Views.View()
 	f := Check(w, Facts{
-		View: view, Leased: g.Leases.Valid(time.Now()), Draining: g.draining, Running: len(g.running), Report: report,
+		View: view, Leased: g.Leases.Valid(time.Now()), Draining: g.draining, Running: g.taken, Report: report,
 	})
 	if f != nil {
 		return nil, f
 	}
 	p := &Pass{guard: g, work: w, Timeout: Timeout(w, view)}
 	g.running[p] = struct{}{}
+	g.taken++
 	return p, nil
 }
 
-// Release ends the work.
+// Free gives the slot back. Call it before the gate is told of the end: the
+// gate may send the next work as soon as it knows.
+func (p *Pass) Free() {
+	p.guard.mu.Lock()
+	defer p.guard.mu.Unlock()
+	p.free()
+}
+
+func (p *Pass) free() {
+	if !p.freed {
+		p.freed = true
+		p.guard.taken--
+	}
+}
+
+// Release ends the work, after the gate was told. A drain waits for it.
 func (p *Pass) Release() {
 	p.guard.mu.Lock()
+	p.free()
 	delete(p.guard.running, p)
 	p.guard.mu.Unlock()
 	p.guard.notice.Post()
--- a/side/serve/chat_test.go
+++ b/side/serve/chat_test.go
@@ -293,3 +293,46 @@
 		_ = st.Close()
 	})
 }
+
+// Guards against a defect in one work that ends the works of others.
+func TestPanicEndsOneWork(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		w := newWorld(t, false)
+		g := w.link("gate-1", nil, 2000, 0)
+		other := g.open(chat(1, 20, true))
+		time.Sleep(300 * time.Millisecond)
+		w.defect.Store(true)
+		if got := g.run(chat(2, 1, false)); got.kind() != fault.Internal || !got.end.GetRan() {
+			t.Errorf("got %v, want internal, ran", got.end)
+		}
+		w.defect.Store(false)
+		if got := collect(other); got.end == nil || got.end.GetFault() != nil {
+			t.Errorf("got %v for the other work, want it whole", got.end)
+		}
+		synctest.Wait()
+		if got := w.server.guard.Running(); got != 0 {
+			t.Errorf("got %d running, want 0", got)
+		}
+	})
+}
+
+// Guards against a gate that is told of the end of a work and refused the
+// next one for lack of its slot.
+func TestSlotIsFreeAtTheEnd(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		w := newWorld(t, false)
+		w.server.set.Slots = 1
+		g := w.link("gate-1", nil, 2000, 0)
+		for i := range 200 {
+			if got := g.run(chat(uint64(i+1), 1, i%2 == 0)); got.end.GetFault() != nil {
+				t.Fatalf("got %v for work %d, want an answer", got.end, i)
+			}
+		}
+		running := g.open(chat(300, 20, true))
+		time.Sleep(100 * time.Millisecond)
+		if got := g.run(chat(301, 1, false)); got.kind() != fault.Busy || got.end.GetRan() {
+			t.Errorf("got %v while the slot is taken, want busy", got.end)
+		}
+		collect(running)
+	})
+}
--- a/side/serve/metrics.go
+++ b/side/serve/metrics.go
@@ -13,6 +13,7 @@
 	works  *prometheus.CounterVec
 	tokens *prometheus.CounterVec
 	times  *prometheus.HistogramVec
+	panics prometheus.Counter
 }
 
 func newMetrics(reg prometheus.Registerer, s *Server) *metrics {
@@ -28,10 +29,11 @@
 			Buckets: prometheus.ExponentialBuckets(0.002, 2.5, 14), // 2 ms to 300 s
 		}, []string{"kind"}),
 	}
+	m.panics = prometheus.NewCounter(prometheus.CounterOpts{Name: "side_panics_total", Help: "Works that hit a defect."})
 	gauge := func(name, help string, value func() float64) prometheus.Collector {
 		return prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, value)
 	}
-	reg.MustRegister(m.works, m.tokens, m.times,
+	reg.MustRegister(m.works, m.tokens, m.times, m.panics,
 		gauge("side_running", "Works that run now.", func() float64 { return float64(s.guard.Running()) }),
 		gauge("side_revision", "Revision of the configuration in force.", func() float64 {
 			return float64(s.guard.Views.View().Revision)
--- a/side/serve/operate_test.go
+++ b/side/serve/operate_test.go
@@ -170,5 +170,10 @@
 		if got.end.GetFault() != nil || got.head.GetStatus() != 200 || !strings.Contains(got.text(), `"path":"/state/7"`) {
 			t.Errorf("got %v %v %q", got.head, got.end, got.text())
 		}
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		if l := g.loads[len(g.loads)-1]; l.GetService() != "payouts" || l.GetSlots() == 0 || !l.GetHealthy() {
+			t.Errorf("got load %v; gates send no work without slots", l)
+		}
 	})
 }
--- a/side/serve/server.go
+++ b/side/serve/server.go
@@ -29,7 +29,7 @@
 	Name    ident.Backend
 	Zone    ident.Zone
 	Keys    *link.Keys
-	Slots   int  // bound on the works that run at once; 0 takes the engine's
+	Slots   int  // bound on the works that run at once; 0 takes the engine's, or 32
 	Fencing bool // the engine checks fences
 	Engine  *engine.Client
 	Service *caller.Client
@@ -100,6 +100,9 @@
 	if s.set.Slots > 0 {
 		r.Slots = s.set.Slots
 	}
+	if r.Slots <= 0 {
+		r.Slots = defaultSlots
+	}
 	if r.Service != "" {
 		r.Running = s.guard.Running()
 	}
@@ -297,4 +300,8 @@
 	}
 }
 
+// defaultSlots holds when neither the settings nor the engine tell. Gates
+// send no work to a backend server that reports no slots.
+const defaultSlots = 32
+
 var errNoGate = eris.New("no gate is linked")
--- a/side/serve/work.go
+++ b/side/serve/work.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"runtime/debug"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -65,7 +66,23 @@
 		_ = st.Recv(&wire.Work{})
 		cancel()
 	}()
-	s.attempt(ctx, g, &reply{st: st, w: w})
+	r := &reply{st: st, w: w}
+	defer s.recovered(r)
+	s.attempt(ctx, g, r)
+}
+
+// recovered ends a work that panicked. A request that hits a defect must not
+// end the works of others, here and wherever the gate tries it next.
+func (s *Server) recovered(r *reply) {
+	p := recover()
+	if p == nil {
+		return
+	}
+	s.metrics.panics.Inc()
+	klog.ErrorS(nil, "Work panicked; report this defect", "request", r.w.GetRequest(), "customer", r.w.GetCustomer(),
+		"model", r.w.GetModel(), "version", r.w.GetVersion(), "route", r.w.GetRoute(), "backend", s.set.Name,
+		"stack", string(debug.Stack()))
+	_ = r.end(engine.Outcome{Ran: true, Fault: fault.New(fault.Internal, "the side process has a defect; report the request id")}, nil)
 }
 
 func (s *Server) attempt(ctx context.Context, g *gate, r *reply) {
@@ -76,7 +93,9 @@
 		return
 	}
 	defer pass.Release()
-	s.finish(g, r, s.run(ctx, g, r, pass), start)
+	out := s.run(ctx, g, r, pass)
+	pass.Free()
+	s.finish(g, r, out, start)
 }
 
 // run calls the backend server and sends all of the answer but its end.
--- a/side/serve/world_test.go
+++ b/side/serve/world_test.go
@@ -10,6 +10,7 @@
 	"runtime"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -73,6 +74,20 @@
 	ln      *pipes // of the side process
 	back    *pipes // of the backend server
 	dialing time.Duration
+	defect  atomic.Bool // calls of the engine panic
+}
+
+// fragile panics while the world has a defect.
+type fragile struct {
+	http.RoundTripper
+	w *world
+}
+
+func (f fragile) RoundTrip(r *http.Request) (*http.Response, error) {
+	if f.w.defect.Load() {
+		panic("defect")
+	}
+	return f.RoundTripper.RoundTrip(r)
 }
 
 var target = ident.Target{Model: "small", Version: "v1"}
@@ -94,14 +109,14 @@
 	if withService {
 		w.service = plain.New([]string{"household"})
 		handler = w.service
-		set.Service = caller.New("payouts", &url.URL{Scheme: "http", Host: "service"}, 4, w.dial)
+		set.Service = caller.New("payouts", &url.URL{Scheme: "http", Host: "service"}, 0, w.dial)
 	} else {
 		w.engine = stubengine.New(stubengine.Settings{
 			Models: []ident.Target{target, {Model: "small", Version: "v2"}, {Model: "big", Version: "v1"}},
 			Slots:  4, First: 100 * time.Millisecond, Token: 50 * time.Millisecond,
 		})
 		handler = w.engine
-		set.Engine = engine.New("http://engine", transport)
+		set.Engine = engine.New("http://engine", fragile{transport, w})
 	}
 	w.server = New(set)
 	srv := &http.Server{Handler: handler, ReadHeaderTimeout: time.Second}
