--- a/gate/front/world_test.go
+++ b/gate/front/world_test.go
@@ -141,6 +141,7 @@
 	settled []*wire.Billing
 	grants  []*wire.Grant
 	sess    *link.Session
+	ctl     *link.Stream
 }
 
 // task is one attempt at a side.
@@ -191,6 +192,10 @@
 		return
 	}
 	k.send(head(k.work, 200, "text/event-stream"))
+	k.events()
+}
+
+func (k *task) events() {
 	for i := int(k.work.GetResume()); i < streamed; i++ {
 		k.send(event(i))
 	}
@@ -213,6 +218,7 @@
 				return
 			}
 			if st.Kind() == wire.Kind_CONTROL {
+				s.set(func() { s.ctl = st })
 				go s.listen(st)
 				go s.control(sess, st)
 			} else {
