ledger, node: keep business keys for good; name operators by their key

The audit trail took the actor that ctl sent. Change: a finished operation with a business key stays without its answer; a resent key is told that it ran. A command of an operator's key is recorded under the name of the key.

--- a/core/ledger/ledger.go
+++ b/core/ledger/ledger.go
@@ -32,7 +32,8 @@
 	// KeepGone is the number of deleted keys kept for deltas. A receiver from
 	// before the oldest one gets a full delta.
 	KeepGone = 4096
-	// KeepOperations is how long a finished operation is replayed.
+	// KeepOperations is how long a finished operation is replayed. One that
+	// ran under a business key stays on record without its answer.
 	KeepOperations = 7 * 24 * time.Hour
 	// KeepRuns is how long a retired incarnation may still be billed.
 	KeepRuns = 30 * 24 * time.Hour
--- a/core/ledger/oper.go
+++ b/core/ledger/oper.go
@@ -66,6 +66,7 @@
 	return &call{digest: c.digest, nonce: c.nonce, op: &wire.Operation{
 		Id: op.Id, Fence: op.Fence, Phase: op.Phase, Status: op.Status, Headers: op.Headers, Body: op.Body,
 		Business: op.Business, Incarnation: op.Incarnation, Backend: op.Backend, Time: op.Time, Request: op.Request,
+		Expired: op.Expired,
 	}}
 }
 
@@ -161,6 +162,9 @@
 	}
 	switch old.phase() {
 	case done:
+		if old.op.GetExpired() {
+			return deny(old, fault.Conflict, "operation %s ran and its answer is no longer kept; look it up at the service", id)
+		}
 		return answer(old, false)
 	case unknown:
 		return deny(old, fault.Unknown, "the outcome of operation %s is unknown; it is not sent again until an operator settles it", id)
@@ -351,10 +355,10 @@
 // wait for an operator.
 func (c *call) deadline() (uint64, bool) {
 	keep := KeepOperations
-	switch c.phase() {
-	case unknown:
+	switch {
+	case c.phase() == unknown || c.op.GetExpired():
 		return 0, false
-	case handed:
+	case c.phase() == handed:
 		keep = HandedTime
 	}
 	ms := uint64(keep / time.Millisecond)
@@ -391,13 +395,17 @@
 	}
 }
 
-// drop removes a finished operation.
+// drop removes a finished operation. One that ran under a business key stays
+// without its answer, for good: the same registration may be sent again after
+// years. It takes about 200 bytes.
 func (l *Ledger) drop(c *call) {
-	id := c.op.GetId()
-	delete(l.calls.list, id)
-	if key := businessKey(c.op); key != "" && l.calls.business[key] == id {
-		delete(l.calls.business, key)
+	if c.phase() == done && c.op.GetBusiness() != "" {
+		next := c.next()
+		next.op.Expired, next.op.Headers, next.op.Body = true, nil, nil
+		l.store(next)
+		return
 	}
+	delete(l.calls.list, c.op.GetId())
 }
 
 // Operations returns one operation by id, or all in a phase, or all, by id.
--- a/state/node/serve.go
+++ b/state/node/serve.go
@@ -114,7 +114,10 @@
 
 // command checks the role of the sender and has a command committed.
 func (n *Node) command(ctx context.Context, peer link.Peer, c *wire.Command) (*wire.Result, error) {
-	if c.GetActor() == "" {
+	switch {
+	case peer.Role == link.Operator:
+		c.Actor = peer.Key // the audit trail names who proved to hold the key
+	case c.GetActor() == "":
 		c.Actor = peer.Name
 	}
 	switch c.GetKind().(type) {
