usage, engine: bound what is handed over at once, fuzz the event reader

Cause: with many records due, each second cloned all of them to send 500; a line of two carriage returns counted as the end of an event that gates cannot split off. Ruled out: sending everything in one message, which holds up the control stream. Change: Due takes a bound; only LF and CRLF are blank lines; FuzzReadEvent with seeds. Conclusion: the hand-over stays cheap with a full book.

--- a/side/engine/chat.go
+++ b/side/engine/chat.go
@@ -241,7 +241,7 @@
 		if (err != nil && !full) || len(event) > maxEvent {
 			return nil, errCut
 		}
-		blank := whole && !full && len(bytes.TrimRight(part, "\r\n")) == 0
+		blank := whole && (string(part) == "\n" || string(part) == "\r\n")
 		whole = !full
 		switch {
 		case blank && len(bytes.TrimSpace(event)) > 0:
--- a/side/engine/chat_test.go
+++ b/side/engine/chat_test.go
@@ -79,3 +79,26 @@
 		}
 	}
 }
+
+// Guards against a panic on what an engine sends, and against an event that
+// the gate cannot split off.
+func FuzzReadEvent(f *testing.F) {
+	for _, seed := range []string{"data: a\n\n", "data: a\r\n\r\ndata: b\n\n", "\n\n\r\n", "data: 0123456789\n\n", "data: a\n\r\r\n\n"} {
+		f.Add(seed)
+	}
+	f.Fuzz(func(t *testing.T, in string) {
+		r := bufio.NewReaderSize(strings.NewReader(in), 16)
+		size := 0
+		for {
+			event, err := readEvent(r)
+			if err != nil {
+				break
+			}
+			size += len(event)
+			if !strings.HasSuffix(string(event), "\n\n") || size > len(in) {
+				t.Fatalf("got event %q of %q", event, in)
+			}
+			payload(event)
+		}
+	})
+}
--- a/side/serve/control.go
+++ b/side/serve/control.go
@@ -159,7 +159,7 @@
 		case <-ctx.Done():
 			return nil
 		}
-		for owner, records := range s.book.Due() {
+		for owner, records := range s.book.Due(batch) {
 			if g := s.heir(owner); g != nil {
 				g.post(records)
 			}
@@ -185,10 +185,10 @@
 	return s.gates[s.turn%len(s.gates)]
 }
 
-// post leaves a batch for the writer; the rest comes with the next round.
+// post leaves records for the writer, unless it still has some.
 func (g *gate) post(records []*wire.Record) {
 	select {
-	case g.mail <- &wire.Records{Records: records[:min(len(records), batch)]}:
+	case g.mail <- &wire.Records{Records: records}:
 	default:
 	}
 }
--- a/side/usage/book.go
+++ b/side/usage/book.go
@@ -186,14 +186,15 @@
 }
 
 // Due returns the records to send now, by the name of the gate that owned
-// them. They stay due until they are settled.
-func (b *Book) Due() map[string][]*wire.Record {
+// them, and at most so many of each gate. They stay due until they are
+// settled; with more than that the choice differs from call to call.
+func (b *Book) Due(most int) map[string][]*wire.Record {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := time.Now()
 	due := map[string][]*wire.Record{}
 	for _, r := range b.records {
-		if !now.Before(r.due) {
+		if !now.Before(r.due) && len(due[r.owner]) < most {
 			due[r.owner] = append(due[r.owner], &wire.Record{Bill: proto.CloneOf(r.bill)})
 		}
 	}
--- a/side/usage/book_test.go
+++ b/side/usage/book_test.go
@@ -30,7 +30,10 @@
 		}
 		b.Orphan("gate-1")
 		time.Sleep(Grace)
-		due := b.Due()["gate-1"]
+		if got := len(b.Due(2)["gate-1"]); got != 2 {
+			t.Errorf("got %d due, want at most 2", got)
+		}
+		due := b.Due(10)["gate-1"]
 		for _, r := range due {
 			if r.GetBill().GetSequence() == 1 || len(r.GetBill().GetUsages()) != 2 {
 				t.Errorf("got %v, want sequences 2 to 4 with two usages", r)
@@ -42,11 +45,11 @@
 			t.Errorf("got %d due and %d records after all were settled", len(due), b.Len())
 		}
 		b.Add("gate-1", bill(1, 1), true)
-		if len(b.Due()) != 0 {
+		if len(b.Due(10)) != 0 {
 			t.Error("a record of a linked gate is due at once")
 		}
 		time.Sleep(forgotten)
-		if len(b.Due()) != 1 {
+		if len(b.Due(10)) != 1 {
 			t.Error("a record whose confirmation was lost is never due")
 		}
 	})
