--- a/gate/route/tools.go
+++ b/gate/route/tools.go
@@ -12,9 +12,9 @@
 )
 
 const (
-	// extraBurst is the extra work allowed above the share of the budget, so
-	// that a quiet gate can retry too.
-	extraBurst = 10
+	// extraBurst is how much unused extra work a gate saves up. The loss of a
+	// backend server breaks all its attempts at once, and each needs a retry.
+	extraBurst = 50
 	// hedgeAfter is the percentile of the latency after which a hedge starts.
 	hedgeAfter = 0.97
 	// ratedDecay weighs the newest answer in the share of ratings in time.
@@ -30,8 +30,9 @@
 	hedger *policy.Hedger
 	rates  *policy.Estimator
 	intime map[lesson]float64 // share of ratings in time
-	length map[lesson]float64 // mean output tokens
+	length map[lesson]float64 // mean cost of an answer over the price of a token
 	stats  map[ident.Target]policy.Stats
+	inc    ident.Incarnation // that the stats belong to
 }
 
 // lesson is what is learnt apart: a model and a kind of work.
@@ -123,26 +124,47 @@
 	t.intime[l] = old + ratedDecay*(v-old)
 }
 
-func (t *tools) learn(l lesson, tokens int64) {
+// learn counts the cost of an answer, in tokens at the output price.
+func (t *tools) learn(l lesson, u *wire.Usage, price ident.Price) {
+	if u.GetCost() <= 0 || price <= 0 {
+		return
+	}
+	tokens := u.GetCost() / float64(price)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	old, ok := t.length[l]
 	if !ok {
-		old = float64(tokens)
+		old = tokens
+	}
+	t.length[l] = old + ratedDecay*(tokens-old)
+}
+
+// expect returns the expected length of an answer; the caller holds mu. A
+// model that was not seen yet is taken to answer at the mean length of the
+// others: with a length of its own making it would look too cheap or too dear.
+func (t *tools) expect(l lesson) float64 {
+	if tokens, ok := t.length[l]; ok {
+		return tokens
+	}
+	sum, n := 0.0, 0
+	for other, tokens := range t.length {
+		if other.kind == l.kind {
+			sum += tokens
+			n++
+		}
+	}
+	if n == 0 {
+		return 1
 	}
-	t.length[l] = old + ratedDecay*(float64(tokens)-old)
+	return sum / float64(n)
 }
 
 // step describes one model of a cascade to the plan.
 func (t *tools) step(now time.Time, l lesson, target ident.Target, price, prior float64, rated bool) policy.Step {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	tokens, ok := t.length[l]
-	if !ok {
-		tokens = 1 // all models alike until something was seen
-	}
 	s := policy.Step{
-		Model: l.model, Cost: ident.Cost(price * tokens),
+		Model: l.model, Cost: ident.Cost(price * t.expect(l)),
 		Quality: t.rates.Estimate(now, l.kind, target, ident.Quality(prior)),
 	}
 	if rated {
@@ -163,9 +185,14 @@
 // Tallies returns the sums for the versions of running roll-outs, which go to
 // the leader with each renewal of the lease.
 func (r *Router) Tallies() []*wire.Tally {
-	view := r.state.View()
+	view, inc := r.state.View(), r.book.Incarnation()
 	r.tools.mu.Lock()
 	defer r.tools.mu.Unlock()
+	if r.tools.inc != inc {
+		// The leader adds up the sums of all incarnations, so what was told
+		// under an old number must not be told again under a new one.
+		r.tools.inc, r.tools.stats = inc, map[ident.Target]policy.Stats{}
+	}
 	var list []*wire.Tally
 	for target, s := range r.tools.stats {
 		roll, ok := view.Rollouts[target.Model]
