route: do not go back to a backend server that failed the request

Cause: only the last backend server was avoided. Ruled out: more tries (the dead one answers fastest, so it would take those too). Change: all backend servers that failed a request are left out while any other is there; full ones are not counted as failed. Conclusion: a dead engine costs a request one try.

--- a/gate/route/attempt.go
+++ b/gate/route/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -106,6 +107,7 @@
 		now := time.Now()
 		list := x.r.pool.Candidates(now, e.need, (*buf)[:0])
 		*buf = list
+		list = x.fresh(list)
 		i, reason := policy.Choose(ask, list)
 		if i < 0 && ask.Avoid != "" && !e.quick {
 			// A used backend server is better than none.
@@ -129,6 +131,19 @@
 	}
 }
 
+// fresh drops the candidates that failed for this request before, unless no
+// other is left: a used backend server is better than none.
+func (x *run) fresh(list []policy.Candidate) []policy.Candidate {
+	if len(x.failed) == 0 {
+		return list
+	}
+	failed := func(c policy.Candidate) bool { return slices.Contains(x.failed, c.Backend) }
+	if !slices.ContainsFunc(list, func(c policy.Candidate) bool { return !failed(c) }) {
+		return list
+	}
+	return slices.DeleteFunc(list, failed)
+}
+
 // ended returns the fault of a request whose context ended between attempts.
 func (x *run) ended(ctx context.Context) error {
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
--- a/gate/route/chat.go
+++ b/gate/route/chat.go
@@ -128,6 +128,9 @@
 	default:
 		return false
 	}
+	if l.id != "" {
+		x.failed = append(x.failed, l.id)
+	}
 	if x.tries >= maxTries {
 		return false
 	}
--- a/gate/route/route.go
+++ b/gate/route/route.go
@@ -245,6 +245,9 @@
 	// process first had no slot for the request.
 	tries int
 	full  time.Time
+	// failed are the backend servers of those efforts. It changes only while
+	// no attempt is under way.
+	failed []ident.Backend
 	// broken is set if the caller was told by an error event that the answer
 	// is not complete.
 	broken bool
