route: judge the idempotency key before any refusal says "not run"

Cause: the trial with real processes found two payouts whose last answer was "503, ran=no" although an earlier request with the same key had run them: admission refused for lack of a backend server before the state cluster was asked. Ruled out: saying "no" about this request only (a caller takes it for the payout and pays in another way). Change: a call that runs at most once begins in the state cluster before admission. A refusal for lack of a slot aborts it and says "no" after the commit; a stored answer needs no slot and no backend server. Conclusion: "not run" about a payout is now the word of the state cluster.

--- a/gate/front/oper_test.go
+++ b/gate/front/oper_test.go
@@ -123,3 +123,38 @@
 		}
 	})
 }
+
+// An idempotency key may have run by an earlier request. A refusal that has
+// not asked the state cluster must not say that it did not (rules 6 and 7),
+// and a stored answer needs no backend server.
+func TestRefusedAfterRun(t *testing.T) {
+	inBubble(t, func(t *testing.T, w *world) {
+		var runs atomic.Int64
+		w.handle(func(k *task) {
+			k.pay(&runs)
+			k.send(head(k.work, 201, "text/plain"), chunk("paid"), end(0))
+		}, "pay")
+		w.do(payment("k", "h1"))
+		w.sides["pay"].set(func() { w.sides["pay"].leaving = true })
+		time.Sleep(time.Second)
+		if rec, _ := w.do(payment("k", "h1")); rec.Code != 201 {
+			t.Errorf("got %s without a backend server, want the stored answer", code(rec))
+		}
+		if rec, _ := w.do(payment("k2", "h2")); code(rec) != "503 unavailable ran=no" {
+			t.Errorf("got %s for a new call without a backend server", code(rec))
+		}
+		for name, c := range map[string]struct {
+			f    func()
+			want string
+		}{
+			"no state cluster": {func() { w.c.down = true }, "504 unknown ran=unknown"},
+			"no lease":         {func() { w.c.leased = false }, "503 no_lease ran=unknown"},
+		} {
+			w.c.set(func() { w.c.down, w.c.leased = false, true })
+			w.c.set(c.f)
+			if rec, _ := w.do(payment("k", "h1")); code(rec) != c.want {
+				t.Errorf("%s: got %s, want %s", name, code(rec), c.want)
+			}
+		}
+	})
+}
--- a/gate/route/admit.go
+++ b/gate/route/admit.go
@@ -97,14 +97,19 @@
 		" requests/s is used up; send more slowly or ask the operators for a higher rate").After(wait)
 }
 
+// rate applies the customer's rate limit.
+func (x *run) rate() error {
+	err := x.r.lanes.allow(x.start, x.req.Customer, x.r.state.View().Customers[x.req.Customer])
+	if err != nil {
+		x.r.metrics.refuse("rate")
+	}
+	return err
+}
+
 // admit waits for a slot. The function that it returns frees the slot.
 func (x *run) admit(ctx context.Context) (func(), error) {
 	view := x.r.state.View()
 	customer := view.Customers[x.req.Customer]
-	if err := x.r.lanes.allow(x.start, x.req.Customer, customer); err != nil {
-		x.r.metrics.refuse("rate")
-		return nil, err
-	}
 	x.r.tools.earn(view.Limits.Extra)
 	model, service := x.req.Target.Model, view.Routes[x.req.Route].Service
 	if model == Auto {
--- a/gate/route/call.go
+++ b/gate/route/call.go
@@ -26,11 +26,7 @@
 	if !ok {
 		return fault.New(fault.Missing, "route "+string(x.req.Route)+" does not exist any more; ask the operators")
 	}
-	need := pool.Need{Service: route.Service, Kind: ident.Call}
-	if route.Repeatable {
-		return x.repeatable(ctx, need)
-	}
-	return x.operate(ctx, route, need)
+	return x.repeatable(ctx, pool.Need{Service: route.Service, Kind: ident.Call})
 }
 
 // repeatable passes a call through. A short answer is collected, so that the
@@ -106,22 +102,23 @@
 	return c.x.write(body)
 }
 
-// operate runs a call that may run at most once.
-func (x *run) operate(ctx context.Context, route conf.Route, need pool.Need) error {
+// operate runs a call that may run at most once. The state cluster is asked
+// before admission: a call that ran before is answered without a slot, and a
+// refusal for lack of one says "not run" only after the abort is committed.
+func (x *run) operate(ctx context.Context) error {
+	route, ok := x.r.state.View().Routes[x.req.Route]
+	if !ok {
+		return fault.New(fault.Missing, "route "+string(x.req.Route)+" does not exist any more; ask the operators")
+	}
 	begin, err := x.begin(route)
 	if err != nil {
-		return err
+		return &Failure{Fault: fault.From(err)}
 	}
 	res, err := x.propose(ctx, &wire.Command{Kind: &wire.Command_Begin{Begin: begin}})
 	if res == nil {
-		// Without its fence nobody can hand the work over, whether the command
-		// was committed or not. Only if it was not, nothing else is in doubt.
-		f := fault.From(err)
-		if f.Kind == fault.Unavailable {
-			return f.After(time.Second)
-		}
 		return &Failure{Fault: fault.New(fault.Unknown, "the state cluster did not confirm the call; send it again with the same idempotency key"), Ran: true}
 	}
+	x.judged = true
 	op := res.GetOperation()
 	if !op.GetGranted() {
 		return x.ungranted(op, err)
@@ -130,7 +127,12 @@
 	// the answer when it sends the key again.
 	limited, cancel := context.WithDeadline(context.WithoutCancel(ctx), x.until)
 	defer cancel()
-	return x.handOver(limited, need, op)
+	release, err := x.admit(limited)
+	if err != nil {
+		return x.abort(limited, op, err)
+	}
+	defer release()
+	return x.handOver(limited, pool.Need{Service: route.Service, Kind: ident.Call}, op)
 }
 
 // handOver tries side processes until one has taken the operation over.
--- a/gate/route/route.go
+++ b/gate/route/route.go
@@ -161,6 +161,7 @@
 	defer r.leave(req.ID)
 	x := &run{r: r, req: req, caller: caller, start: time.Now()}
 	x.rec = newRecord(req, x.start)
+	x.once = req.Kind == ident.Call && !r.state.View().Routes[req.Route].Repeatable
 	err := error(nil)
 	if accepted {
 		err = x.serve(ctx)
@@ -235,6 +236,9 @@
 	ledger ledger
 	// moved is the old and the new version of a session that had to move.
 	moved [2]ident.Version
+	// once is set for a call that may run at most once, and judged after the
+	// state cluster has told what became of its idempotency key.
+	once, judged bool
 	// headed is set once the head was written to the caller.
 	headed bool
 	// sent counts the tokens of a stream that the caller has; resumed is set
@@ -264,6 +268,12 @@
 	x.until = x.start.Add(timeout)
 	limited, cancel := context.WithDeadline(ctx, x.until)
 	defer cancel()
+	if err := x.rate(); err != nil {
+		return err
+	}
+	if x.once {
+		return x.operate(limited)
+	}
 	release, err := x.admit(limited)
 	if err != nil {
 		return err
@@ -319,6 +329,8 @@
 	if errors.As(err, &known) {
 		return known
 	}
+	// A call refused before the state cluster has judged its idempotency key
+	// may have run by an earlier request with that key.
 	f := fault.From(err)
-	return &Failure{Fault: f, Ran: x.ledger.ran() || !f.Kind.NotRun()}
+	return &Failure{Fault: f, Ran: x.ledger.ran() || !f.Kind.NotRun() || (x.once && !x.judged)}
 }
