--- /dev/null
+++ b/core/server/server_test.go
@@ -0,0 +1,126 @@
+package server
+
+import (
+	"context"
+	"flag"
+	"io"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// work is a part whose drain ends when the test says so.
+type work struct {
+	ready    chan struct{}
+	draining chan struct{}
+	finish   chan struct{}
+}
+
+func (p *work) Run(ctx context.Context, ready func()) error {
+	ready()
+	close(p.ready)
+	<-ctx.Done()
+	return nil
+}
+
+func (p *work) Drain(ctx context.Context) []string {
+	close(p.draining)
+	select {
+	case <-p.finish:
+		return nil
+	case <-ctx.Done():
+		return []string{"request-1"}
+	}
+}
+
+func terminate(t *testing.T) {
+	t.Helper()
+	if err := syscall.Kill(os.Getpid(), syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// Guards against a planned stop that cuts running work, and against one that
+// cannot be ended by a second signal or the deadline (rule 9).
+func TestShutdown(t *testing.T) {
+	tests := map[string]struct {
+		deadline time.Duration
+		end      func(t *testing.T, p *work)
+		state    string
+		cut      bool
+	}{
+		"work finishes": {time.Hour, func(_ *testing.T, p *work) { close(p.finish) }, "stopped", false},
+		"second signal": {time.Hour, func(t *testing.T, _ *work) { terminate(t) }, "cut", true},
+		"deadline":      {20 * time.Millisecond, func(*testing.T, *work) {}, "cut", true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			p := &work{make(chan struct{}), make(chan struct{}), make(chan struct{})}
+			s := New(Settings{Name: "x", Zone: "z", Admin: "127.0.0.1:0", Deadline: tt.deadline}, nil)
+			failed := make(chan error, 1)
+			go func() { failed <- s.Run(context.Background(), p) }()
+			<-p.ready
+			if got := s.State(); got != "ready" {
+				t.Errorf("got state %s before the signal, want ready", got)
+			}
+			terminate(t)
+			<-p.draining
+			if got := s.State(); got != "draining" && got != "cut" {
+				t.Errorf("got state %s after the signal, want draining", got)
+			}
+			tt.end(t, p)
+			err := <-failed
+			if (err != nil) != tt.cut || s.State() != tt.state {
+				t.Errorf("got %v in state %s, want cut %t in state %s", err, s.State(), tt.cut, tt.state)
+			}
+		})
+	}
+}
+
+// Guards against settings whose faults come up one by one, and against a wrong
+// order of flags, environment and file.
+func TestSettings(t *testing.T) {
+	keys := filepath.Join(t.TempDir(), "keys.yaml")
+	file := filepath.Join(t.TempDir(), "settings.yaml")
+	for path, text := range map[string]string{keys: "keys: []\n", file: "name: file\nzone: file\nkeys: " + keys + "\n"} {
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	t.Setenv("TESTING_ZONE", "environment")
+	t.Setenv("TESTING_NAME", "environment")
+	tests := map[string]struct {
+		args []string
+		want []string // parts of the error, or name and zone
+	}{
+		"order": {[]string{"--config", file, "--name", "flag"}, []string{"flag", "environment"}},
+		"all faults": {
+			[]string{"--name", "", "--zone", "", "--admin", "nowhere", "--deadline", "0s"},
+			[]string{"--name is empty", "--zone is empty", "--keys is empty", "--admin", "--deadline must be positive"},
+		},
+		"missing key file": {[]string{"--keys", "/nowhere/keys.yaml"}, []string{"--keys", "readable file"}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			var set Settings
+			fs := flag.NewFlagSet("test", flag.ContinueOnError)
+			fs.SetOutput(io.Discard)
+			set.Register(fs)
+			if err := Parse(fs, tt.args, "TESTING"); err != nil {
+				t.Fatal(err)
+			}
+			got := set.Name + " " + set.Zone
+			if err := set.Validate(); err != nil {
+				got = err.Error()
+			}
+			for _, want := range tt.want {
+				if !strings.Contains(got, want) {
+					t.Errorf("got %s, want %s", got, want)
+				}
+			}
+		})
+	}
+}
