server: serve profiles on the admin address

Cause: nobody could see what a running process spends its time on. Ruled out: a build of its own for profiles, which would differ from what runs. Change: the pages of net/http/pprof under /debug/pprof on the admin address, which is not open to callers.

--- a/core/server/server.go
+++ b/core/server/server.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"net"
 	"net/http"
+	"net/http/pprof"
 	"os"
 	"os/signal"
 	"sync"
@@ -159,7 +160,8 @@
 	return string(s.state)
 }
 
-// admin serves /livez, /readyz, /status and /metrics on the admin address.
+// admin serves /livez, /readyz, /status, /metrics and the profiles of
+// net/http/pprof on the admin address.
 func (s *Server) admin() (*http.Server, error) {
 	ln, err := net.Listen("tcp", s.set.Admin)
 	if err != nil {
@@ -178,6 +180,11 @@
 	})
 	r.GET("/status", func(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) { s.writeStatus(w) })
 	r.Handler(http.MethodGet, "/metrics", promhttp.HandlerFor(s.metrics, promhttp.HandlerOpts{}))
+	r.HandlerFunc(http.MethodGet, "/debug/pprof/profile", pprof.Profile)
+	r.HandlerFunc(http.MethodGet, "/debug/pprof/symbol", pprof.Symbol)
+	for _, name := range []string{"allocs", "block", "goroutine", "heap", "mutex"} {
+		r.Handler(http.MethodGet, "/debug/pprof/"+name, pprof.Handler(name))
+	}
 	for path, h := range s.pages {
 		r.Handler(http.MethodGet, path, h)
 	}
