raft, store: test each guard; fix two faults found by it

Cause: a run with one guard removed at a time showed that some guards had no test, and found two faults. Change: - read tickets start at a random number: a late answer to a read of the run before a restart could complete a new read with an old index; - after a partial write, the store cuts durably: the first record of a refused batch could be valid and return after a restart; - tests for votes within the lease, a lease that counts from the send time, a follower that cannot hear the leader, two membership changes at once, late answers of a replaced disk, reads without a majority. Ruled out: removing guards that another one backs up (disk identity of the receiver and of the sender); each closes a case of its own. Before: without the tickets, TestLateAnswerToRead fails; without the cut, TestFull finds the refused entry after a restart. After: go test and go test -race ./state/... pass; gofumpt, revive, vet clean.

--- a/state/raft/node.go
+++ b/state/raft/node.go
@@ -110,6 +110,8 @@
 		role:      Follower,
 		pending:   map[uint64]*proposal{},
 		seen:      map[string]*Packet{},
+		// A late answer to a read of the last run must not meet a new read.
+		ticket: rand.Uint64(),
 	}
 	n.view.Store(&view{role: Follower})
 	return n, nil
--- a/state/raft/raft_test.go
+++ b/state/raft/raft_test.go
@@ -51,6 +51,12 @@
 						w.cut(h.name, old.name, false)
 					}
 				}
+				// Reads must not trust the clock, so the lease is no help.
+				ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+				defer cancel()
+				if err := old.node.Read(ctx); err == nil {
+					t.Error("a read succeeded without a majority")
+				}
 				var lost Lost
 				if err := w.propose(old, "cut", 20*time.Second); !errors.As(err, &lost) {
 					t.Errorf("got %v, want Lost", err)
@@ -101,9 +107,21 @@
 				t.Errorf("the empty disk counts: %+v", m)
 			}
 		}
+		old := rest[0].store.Disk()
 		w.replace(empty)
 		w.fill("d", 5)
 		w.converge()
+		// A late answer of the old disk does not count for the new one.
+		l := w.leader()
+		p := w.hosts[empty].forge(Kind_APPENDED, l)
+		p.Source, p.Index = old, 1000
+		l.inbox <- p
+		time.Sleep(time.Millisecond)
+		for _, m := range l.node.Status().Members {
+			if m.Match >= 1000 {
+				t.Errorf("an answer of the old disk counts: %+v", m)
+			}
+		}
 	})
 }
 
@@ -222,6 +240,15 @@
 		}
 		w.fill("b", 5)
 		w.converge()
+		// The next leader does not hear of the election that it asks for;
+		// the watch of the world sees it if it keeps its lease.
+		for _, h := range w.others(next) {
+			w.cut(h.name, next.name, true)
+		}
+		go func() { _ = next.node.Transfer(context.Background()) }()
+		time.Sleep(time.Second)
+		w.heal()
+		w.converge()
 	})
 }
 
@@ -278,3 +305,119 @@
 		t.Errorf("got commit %d, want 2", got)
 	}
 }
+
+// Guards the lease against a vote that a member gives while a leader which it
+// answered may hold the lease, also after it forgot the answer in a restart.
+func TestNoVoteWithinLease(t *testing.T) {
+	simulate(t, 10, 3, func(t *testing.T, w *world) {
+		w.fill("a", 5)
+		rest := w.others(w.leader())
+		voter, rival := rest[0], rest[1]
+		term := voter.node.Status().Term
+		ask := func(when string) {
+			t.Helper()
+			p := rival.forge(Kind_VOTE, voter)
+			p.Term, p.Index, p.Mark = term+5, 1000, term
+			voter.inbox <- p
+			time.Sleep(10 * time.Millisecond)
+			if got := voter.node.Status().Term; got != term {
+				t.Errorf("%s: the vote raised the term from %d to %d", when, term, got)
+			}
+		}
+		ask("running")
+		w.isolate(voter.name, true)
+		time.Sleep(5 * time.Millisecond)
+		voter = w.restart(voter.name)
+		ask("restarted")
+	})
+}
+
+// Guards the lease against slow answers: it counts from the time at which a
+// packet was sent, not from that of its answer.
+func TestLeaseCountsFromSending(t *testing.T) {
+	simulate(t, 11, 3, func(t *testing.T, w *world) {
+		w.fill("a", 5)
+		leader := w.leader()
+		w.mu.Lock()
+		for _, h := range w.others(leader) {
+			w.lag[h.name] = 200 * time.Millisecond
+		}
+		w.mu.Unlock()
+		time.Sleep(time.Second)
+		if !leader.node.Lease() {
+			t.Fatal("no lease with answers after 200 ms")
+		}
+		for _, h := range w.others(leader) {
+			w.cut(leader.name, h.name, true)
+		}
+		time.Sleep(300 * time.Millisecond)
+		if leader.node.Lease() {
+			t.Error("the lease holds 300 ms after the last packet that the others got")
+		}
+	})
+}
+
+// Guards against a follower that cannot hear the leader, but the others, and
+// ends its term again and again.
+func TestDeafFollower(t *testing.T) {
+	simulate(t, 12, 3, func(t *testing.T, w *world) {
+		w.fill("a", 5)
+		leader := w.leader()
+		term := leader.node.Status().Term
+		w.cut(leader.name, w.others(leader)[0].name, true)
+		time.Sleep(10 * time.Second)
+		w.heal()
+		time.Sleep(time.Second)
+		if got := w.leader().node.Status().Term; got != term {
+			t.Errorf("the term rose from %d to %d", term, got)
+		}
+	})
+}
+
+// Guards a read against the late answer to a read of the run before a restart.
+func TestLateAnswerToRead(t *testing.T) {
+	simulate(t, 14, 3, func(t *testing.T, w *world) {
+		w.fill("a", 5)
+		leader := w.leader()
+		h := w.others(leader)[0]
+		w.isolate(h.name, true)
+		time.AfterFunc(50*time.Millisecond, func() {
+			for ticket := range uint64(10) {
+				p := leader.forge(Kind_READY, h)
+				p.Ticket, p.Index = ticket, 1
+				h.inbox <- p
+			}
+		})
+		ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+		defer cancel()
+		if err := h.node.Read(ctx); err == nil {
+			t.Error("a read took the answer to another one")
+		}
+	})
+}
+
+// Guards against two membership changes in flight, whose majorities need not
+// have a common member.
+func TestOneChangeAtATime(t *testing.T) {
+	simulate(t, 13, 5, func(t *testing.T, w *world) {
+		w.fill("a", 5)
+		leader := w.leader()
+		w.isolate(leader.name, true)
+		rest := w.others(leader)
+		change := func(h *host) error {
+			ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+			defer cancel()
+			return leader.node.Remove(ctx, h.name)
+		}
+		var lost Lost
+		if err := change(rest[0]); !errors.As(err, &lost) {
+			t.Errorf("first change: got %v, want Lost", err)
+		}
+		var refused Refused
+		if err := change(rest[1]); !errors.As(err, &refused) {
+			t.Errorf("second change: got %v, want Refused", err)
+		}
+		w.heal()
+		w.fill("b", 1)
+	})
+}
--- a/state/raft/read.go
+++ b/state/raft/read.go
@@ -136,8 +136,8 @@
 
 func (n *Node) onReady(p *Packet) {
 	for _, r := range n.reads {
-		// Tickets are not reused, so that a late answer is at worst older
-		// than needed for the member, and still newer than the call.
+		// Tickets are not reused, so even a late answer was confirmed after
+		// the call.
 		if r.ticket == p.Ticket && r.remote == nil && r.phase == readAsked {
 			r.phase, r.index = readConfirmed, p.Index
 		}
--- a/state/raft/sim_test.go
+++ b/state/raft/sim_test.go
@@ -30,7 +30,8 @@
 	cuts    map[[2]string]bool
 	drop    float64
 	twice   float64
-	delay   time.Duration // longest
+	delay   time.Duration            // longest
+	lag     map[string]time.Duration // more delay, by sender
 	leaders map[uint64]string
 	history map[uint64]string
 	acked   map[string]uint64 // command to a lower bound of its index
@@ -58,7 +59,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		w := &world{
 			t: t, rng: rand.New(rand.NewPCG(seed, 2)), noise: rand.New(rand.NewPCG(seed, 3)), hosts: map[string]*host{}, options: opts,
-			cuts: map[[2]string]bool{}, delay: 2 * time.Millisecond,
+			cuts: map[[2]string]bool{}, lag: map[string]time.Duration{}, delay: 2 * time.Millisecond,
 			leaders: map[uint64]string{}, history: map[uint64]string{}, acked: map[string]uint64{},
 		}
 		for i := range size {
@@ -177,6 +178,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	clear(w.cuts)
+	clear(w.lag)
 	w.drop, w.twice, w.delay = 0, 0, 2*time.Millisecond
 }
 
@@ -203,7 +205,7 @@
 			continue
 		}
 		// Different delays reorder packets.
-		time.AfterFunc(time.Duration(w.noise.Int64N(int64(w.delay))), func() { w.deliver(h.name, to.Name, p) })
+		time.AfterFunc(w.lag[h.name]+time.Duration(w.noise.Int64N(int64(w.delay))), func() { w.deliver(h.name, to.Name, p) })
 	}
 }
 
@@ -269,6 +271,14 @@
 	return slices.Clone(h.applied)
 }
 
+// forge returns a packet as this host would send it, to be changed and put
+// into the inbox of another one.
+func (h *host) forge(kind Kind, to *host) *Packet {
+	h.node.mu.Lock()
+	defer h.node.mu.Unlock()
+	return h.node.packet(kind, Member{Name: to.name, Disk: to.store.Disk()})
+}
+
 // wait polls a condition in simulated time.
 func (w *world) wait(what string, f func() bool) {
 	w.t.Helper()
--- a/state/store/store.go
+++ b/state/store/store.go
@@ -187,7 +187,8 @@
 }
 
 // write adds records to the last segment, or to a new one if that is full.
-// A partly written record is cut again.
+// After a partial write, which may hold complete records, all of it is cut
+// again, durably: a refused entry must not return after a restart.
 func (s *Store) write(buf []byte) error {
 	if s.size >= SegmentSize {
 		if err := s.roll(); err != nil {
@@ -195,9 +196,14 @@
 		}
 	}
 	if _, err := s.file.WriteAt(buf, s.size); err != nil {
-		if e := s.file.Truncate(s.size); e != nil {
+		e := s.file.Truncate(s.size)
+		if e == nil {
+			e = s.file.Sync()
+		}
+		if e != nil {
 			return s.fail(e)
 		}
+		s.synced = s.size
 		return &Full{Cause: err}
 	}
 	s.size += int64(len(buf))
--- a/state/store/store_test.go
+++ b/state/store/store_test.go
@@ -144,9 +144,9 @@
 	m := NewMemory()
 	s := mustOpen(t, m)
 	grow(t, s, 1, 3)
-	m.SetSpace(50)
+	m.SetSpace(60) // room for the first of two records
 	var full *Full
-	big := []Entry{{Index: 4, Term: 1, Data: make([]byte, 100)}}
+	big := []Entry{{Index: 4, Term: 1}, {Index: 5, Term: 1, Data: make([]byte, 100)}}
 	if err := s.Append(big); !errors.As(err, &full) || !errors.Is(err, syscall.ENOSPC) || s.Last() != 3 {
 		t.Errorf("append: got %v and last %d", err, s.Last())
 	}
@@ -157,6 +157,9 @@
 		t.Errorf("vote: got %v", err)
 	}
 	m.SetSpace(-1)
+	if got := mustOpen(t, m.Crash(rand.New(rand.NewPCG(1, 1)))).Last(); got != 3 {
+		t.Errorf("got last %d after a restart, want 3 without the refused entries", got)
+	}
 	grow(t, s, 1, 1)
 	s = mustOpen(t, m.Crash(rand.New(rand.NewPCG(1, 1))))
 	if got := s.Last(); got != 4 || s.Meta().Term != 0 {
