policy: test the edge cases of the decisions; use an idle prefix holder

The prefix now decides up to half of the slots: at low load one attempt more than the mean was over the bound. A budget no longer loses a retry to rounding (100 requests at 5 % gave 5 of 6).

--- a/core/policy/budget.go
+++ b/core/policy/budget.go
@@ -23,9 +23,10 @@
 
 // Spend takes one retry or hedge from the budget and tells whether it may run.
 func (b *Budget) Spend() bool {
-	if b.have < 1 {
+	const rounding = 1e-6 // of the sum of many shares
+	if b.have < 1-rounding {
 		return false
 	}
-	b.have--
+	b.have = max(0, b.have-1)
 	return true
 }
--- a/core/policy/choose.go
+++ b/core/policy/choose.go
@@ -18,6 +18,9 @@
 	// affineLoad bounds the load of a backend server chosen for its prefix,
 	// relative to the mean ("consistent hashing with bounded loads").
 	affineLoad = 1.25
+	// affineIdle is the load up to which the prefix always decides: with half
+	// of the slots free the mean says little.
+	affineIdle = 0.5
 	// affineLatency bounds its latency relative to the best random candidate.
 	affineLatency = 2
 	// remoteCost makes up for the additional latency to another zone.
@@ -147,7 +150,7 @@
 	if best.Latency > 0 && affine.Latency > affineLatency*best.Latency {
 		return false
 	}
-	return affine.load() <= affineLoad*mean
+	return affine.load() <= max(affineIdle, affineLoad*mean)
 }
 
 const golden = 0x9e3779b97f4a7c15
--- /dev/null
+++ b/core/policy/policy_test.go
@@ -0,0 +1,193 @@
+package policy
+
+import (
+	"testing"
+	"time"
+
+	"citronledge.example/core/conf"
+	"citronledge.example/core/ident"
+)
+
+func TestAssign(t *testing.T) {
+	at := func(phase conf.Phase, share ident.Share) conf.Rollout {
+		return conf.Rollout{From: "v1", To: "v2", Steps: []ident.Share{share}, Phase: phase}
+	}
+	both := []ident.Version{"v1", "v2"}
+	for name, test := range map[string]struct {
+		versions []ident.Version
+		rollout  conf.Rollout
+		running  bool
+		want     ident.Version
+		reason   Reason
+	}{
+		"nothing allowed":       {nil, at(conf.Running, 1), true, "", None},
+		"no roll-out":           {both, conf.Rollout{}, false, "v2", Preferred},
+		"full share":            {both, at(conf.Running, 1), true, "v2", Rolled},
+		"no share":              {both, at(conf.Running, 0), true, "v1", Kept},
+		"halted":                {both, at(conf.Halted, 1), true, "v1", Kept},
+		"reverted":              {both, at(conf.Reverted, 1), true, "v1", Kept},
+		"finished":              {both, at(conf.Finished, 0), true, "v2", Rolled},
+		"no steps":              {both, conf.Rollout{From: "v1", To: "v2", Phase: conf.Running}, true, "v1", Kept},
+		"new one not allowed":   {[]ident.Version{"v0", "v1"}, at(conf.Running, 1), true, "v1", Kept},
+		"old one not allowed":   {[]ident.Version{"v0", "v2"}, at(conf.Halted, 1), true, "v0", Other},
+		"only the one on trial": {[]ident.Version{"v2"}, at(conf.Halted, 1), true, "v2", Other},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(50) {
+				got, reason := Assign(seed, test.versions, test.rollout, test.running)
+				if got != test.want || reason != test.reason {
+					t.Fatalf("got %q %s, want %q %s", got, reason, test.want, test.reason)
+				}
+			}
+		})
+	}
+}
+
+// A growing roll-out must not take the new version from a session.
+func TestAssignGrows(t *testing.T) {
+	count := 0
+	for seed := range uint64(10_000) {
+		had := false
+		for _, share := range []ident.Share{0.05, 0.3, 1} {
+			v, _ := Assign(seed, []ident.Version{"v1", "v2"}, conf.Rollout{From: "v1", To: "v2", Steps: []ident.Share{share}, Phase: conf.Running}, true)
+			if had && v != "v2" {
+				t.Fatalf("seed %d goes back at share %v", seed, share)
+			}
+			if had = v == "v2"; had && share == 0.05 {
+				count++
+			}
+		}
+	}
+	if count < 400 || count > 600 {
+		t.Errorf("got %d of 10000 at a share of 5 %%", count)
+	}
+}
+
+func TestBudget(t *testing.T) {
+	for name, test := range map[string]struct {
+		share, burst float64
+		earn, want   int
+	}{
+		"idle":           {0.05, 10, 0, 1},
+		"five in 100":    {0.05, 10, 100, 6},
+		"at most burst":  {0.05, 10, 10_000, 10},
+		"no share":       {0, 10, 100, 0},
+		"negative":       {-1, -1, 100, 0},
+		"burst under 1":  {0.05, 0.5, 100, 0},
+		"share of 100 %": {1, 5, 3, 4},
+	} {
+		b, got := NewBudget(test.share, test.burst), 0
+		for range test.earn {
+			b.Earn()
+		}
+		for b.Spend() {
+			got++
+		}
+		if got != test.want {
+			t.Errorf("%s: got %d, want %d", name, got, test.want)
+		}
+	}
+}
+
+func TestHedger(t *testing.T) {
+	h := NewHedger(0.9)
+	for i := range hedgeSamples {
+		if d, ok := h.Delay(ident.Chat, "m"); ok {
+			t.Fatalf("got %v after %d observations, want none", d, i)
+		}
+		h.Observe(ident.Chat, "m", time.Duration(i%10+1)*100*time.Millisecond)
+	}
+	if d, _ := h.Delay(ident.Chat, "m"); d < 900*time.Millisecond || d > time.Second {
+		t.Errorf("got %v, want 0.9 s to 1 s", d)
+	}
+	if _, ok := h.Delay(ident.Report, "m"); ok {
+		t.Error("got a delay for a kind without observations")
+	}
+	// When everything becomes slow the delay follows, or all would be hedged.
+	for range 3 * hedgeWindow {
+		h.Observe(ident.Chat, "m", 30*time.Second)
+	}
+	for _, d := range []time.Duration{-time.Second, 0, 1000 * time.Hour} {
+		h.Observe(ident.Chat, "m", d) // the ends of the scale
+	}
+	if d, _ := h.Delay(ident.Chat, "m"); d < 30*time.Second || d > 33*time.Second {
+		t.Errorf("got %v, want about 30 s", d)
+	}
+}
+
+func TestPeers(t *testing.T) {
+	type outcome struct {
+		latency time.Duration
+		ok      bool
+	}
+	good, slow, bad := outcome{time.Second, true}, outcome{9 * time.Second, true}, outcome{0, false}
+	for name, test := range map[string]struct {
+		floor float64
+		list  []outcome
+		want  int // ejected
+	}{
+		"all good":                {0.5, []outcome{good, good, good, good}, 0},
+		"one slow":                {0.5, []outcome{good, good, good, slow}, 1},
+		"one fails":               {0.5, []outcome{good, good, good, bad}, 1},
+		"all slow":                {0.5, []outcome{slow, slow, slow, slow}, 0},
+		"all fail":                {0.5, []outcome{bad, bad, bad, bad}, 0},
+		"more bad than the floor": {0.8, []outcome{good, good, good, good, good, good, bad, slow, slow, bad}, 2},
+		"floor of one":            {1, []outcome{good, good, slow}, 0},
+		"alone":                   {0, []outcome{bad}, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := NewPeers(test.floor)
+			now := epoch
+			names := make([]ident.Backend, len(test.list))
+			for range 20 {
+				now = now.Add(50 * time.Millisecond)
+				for i, o := range test.list {
+					names[i] = ident.Backend(rune('a' + i))
+					p.Observe(now, names[i], o.latency, o.ok)
+				}
+			}
+			got := 0
+			for _, b := range names {
+				if p.Ejected(now, b) {
+					got++
+				}
+			}
+			if got != test.want {
+				t.Errorf("got %d ejected, want %d", got, test.want)
+			}
+		})
+	}
+}
+
+// One that recovered comes back, one that did not is out for longer.
+func TestPeersReturn(t *testing.T) {
+	p, now := NewPeers(0.5), epoch
+	others := func() {
+		now = now.Add(100 * time.Millisecond)
+		for _, b := range []ident.Backend{"a", "b", "c"} {
+			p.Observe(now, b, time.Second, true)
+		}
+	}
+	out := func(latency time.Duration) (rounds int) {
+		for i := 0; i < 10 && !p.Ejected(now, "d"); i++ {
+			others()
+			p.Observe(now, "d", latency, true)
+		}
+		for ; p.Ejected(now, "d"); rounds++ {
+			others()
+		}
+		return rounds
+	}
+	first, second := out(9*time.Second), out(9*time.Second)
+	if first == 0 || second < first*3/2 {
+		t.Errorf("got %d rounds out of use and then %d, want longer", first, second)
+	}
+	if third := out(time.Second); third != 0 || p.Latency("d") > 2*time.Second {
+		t.Errorf("got %d rounds out of use after recovery, latency %v", third, p.Latency("d"))
+	}
+	p.Forget("d")
+	p.Forget("unknown")
+	if p.Ejected(now, "d") || p.Latency("d") != 0 {
+		t.Error("got a state of a backend server that was forgotten")
+	}
+}
