store: fuzz the recovery of the log and the record decoder

Cause: the log of a state process is read back after crashes, and its decoder had only cases written by hand.

--- a/Makefile
+++ b/Makefile
@@ -40,5 +40,15 @@
 measure: ## one line for each measure of the decisions; minutes
 	$(GO) test ./core/policy -run '^TestMeasure' -count=1 -v -measure | grep '^measure='
 
+FUZZTIME ?= 20s
+
+fuzz: ## run each fuzz target for FUZZTIME; CI runs only their seeds, as tests
+	$(GO) test ./core/conf -run xxx -fuzz '^FuzzMerge$$' -fuzztime $(FUZZTIME) -fuzzminimizetime 1x
+	$(GO) test ./core/link -run xxx -fuzz '^FuzzRead$$' -fuzztime $(FUZZTIME) -fuzzminimizetime 1x
+	$(GO) test ./core/ledger -run xxx -fuzz '^FuzzApply$$' -fuzztime $(FUZZTIME) -fuzzminimizetime 1x
+	$(GO) test ./side/engine -run xxx -fuzz '^FuzzReadEvent$$' -fuzztime $(FUZZTIME) -fuzzminimizetime 1x
+	$(GO) test ./state/store -run xxx -fuzz '^FuzzRecoverLog$$' -fuzztime $(FUZZTIME) -fuzzminimizetime 1x
+	$(GO) test ./state/store -run xxx -fuzz '^FuzzRecord$$' -fuzztime $(FUZZTIME) -fuzzminimizetime 1x
+
 clean:
 	rm -rf bin
