slope: measure the cost of each process by the number of its neighbours

Cause: docs/CAPACITY.md needs slopes of bytes, processor time and memory for links, leases, bills, pins, the configuration and the request path; the existing benchmarks have one size or only one end of a link. Ruled out: benchmarks with both ends in one process (the ends can't be told apart) and real programs for every end (128 side processes with engines). Change: program demo/cmd/slope, which runs the far end in a child process of itself, and benchmarks for what needs no second process. make slopes runs all. launch.Proc tells its process id. Before and after: every part run once with a window of 500 ms; no product code is changed. go test -race ./demo/slope passes. Conclusion: figures for the page come from longer runs.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 PACKAGES := $(addsuffix /...,$(addprefix ./,$(MODULES)))
 SOURCES = $(shell git ls-files -co --exclude-standard '*.go' | grep -v '\.pb\.go$$')
 
-.PHONY: all build demo test check format lint vet race bench measure fuzz clean
+.PHONY: all build demo test check format lint vet race bench measure slopes fuzz clean
 
 all: build
 
@@ -40,5 +40,13 @@
 measure: ## one line for each measure of the decisions; minutes
 	$(GO) test ./core/policy -run '^TestMeasure' -count=1 -v -measure | grep '^measure='
 
+slopes: build ## how the cost of each process grows with its neighbours, for docs/CAPACITY.md; about 6 minutes
+	$(GO) build -o bin/ ./demo/cmd/slope
+	./bin/slope
+	$(GO) test ./core/conf -run '^$$' -bench '^BenchmarkApply$$'
+	$(GO) test ./core/ledger -run '^$$' -bench '^BenchmarkPins$$'
+	$(GO) test ./gate/pool -run '^$$' -bench '^BenchmarkSubset$$'
+	$(GO) test ./state/node -run '^$$' -bench '^BenchmarkPoll$$'
+
 clean:
 	rm -rf bin
--- a/core/ledger/bench_test.go
+++ b/core/ledger/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
@@ -126,3 +127,46 @@
 		})
 	}
 }
+
+// BenchmarkPins measures what one more session costs: heap, bytes in the
+// snapshot, and the time to restore all of them after a restart.
+func BenchmarkPins(b *testing.B) {
+	for _, pins := range []int{10_000, 100_000, 1_000_000} {
+		b.Run(fmt.Sprintf("pins=%d", pins), func(b *testing.B) {
+			before := used()
+			r := newRig(b)
+			r.do(enroll())
+			for i := range pins {
+				r.do(pin(fmt.Sprintf("session-%028d", i), "v1", ""))
+			}
+			grown := used() - before
+			data, err := r.l.Snapshot()
+			if err != nil {
+				b.Fatal(err)
+			}
+			command, err := proto.Marshal(pin(fmt.Sprintf("session-%028d", 1), "v1", ""))
+			if err != nil {
+				b.Fatal(err)
+			}
+			b.ResetTimer()
+			for b.Loop() {
+				if err := New().Restore(data); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.StopTimer()
+			b.ReportMetric(float64(grown)/float64(pins), "heap-B/pin")
+			b.ReportMetric(float64(len(data))/float64(pins), "snapshot-B/pin")
+			b.ReportMetric(float64(len(command)), "command-B")
+			runtime.KeepAlive(r)
+		})
+	}
+}
+
+func used() int64 {
+	runtime.GC()
+	runtime.GC()
+	var s runtime.MemStats
+	runtime.ReadMemStats(&s)
+	return int64(s.HeapAlloc)
+}
--- a/demo/launch/proc.go
+++ b/demo/launch/proc.go
@@ -67,6 +67,16 @@
 	return nil
 }
 
+// PID returns the id of the process, or 0 before it was started.
+func (p *Proc) PID() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd == nil {
+		return 0
+	}
+	return p.cmd.Process.Pid
+}
+
 // Signal sends a signal to a running process.
 func (p *Proc) Signal(sig os.Signal) error {
 	p.mu.Lock()
--- /dev/null
+++ b/demo/slope/slope.go
@@ -0,0 +1,116 @@
+// Package slope measures how the cost of each process grows with its
+// neighbours, with real sessions on loopback, for docs/CAPACITY.md.
+//
+// One end of the links runs in this process and the other in a child process,
+// so that processor time and memory of both ends are told apart.
+package slope
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"slices"
+	"time"
+)
+
+// Plan bounds a run.
+type Plan struct {
+	// Window is the time of one measurement; each size has Windows of them,
+	// and the median counts.
+	Window  time.Duration
+	Windows int
+	// Self is the path of a program that calls Child for its first argument
+	// "child".
+	Self string
+	// Bin is the folder of the programs, for the request path.
+	Bin string
+	// Examples is the folder of the example settings.
+	Examples string
+	Out      io.Writer
+}
+
+// Part is one group of measurements.
+type Part func(ctx context.Context, p Plan) error
+
+// Parts are all parts by name.
+var Parts = map[string]Part{
+	"links": Links, "gates": Gates, "start": Start, "lease": Lease, "bills": Bills, "tokens": Tokens,
+}
+
+// Order is the order in which the parts run.
+var Order = []string{"links", "gates", "start", "lease", "bills", "tokens"}
+
+// point is one value at one size.
+type point struct {
+	size  int
+	value float64
+}
+
+// table collects the values of a part and prints them.
+type table struct {
+	p     Plan
+	part  string
+	names []string
+	cells map[string][]point
+	units map[string]string
+}
+
+func newTable(p Plan, part string) *table {
+	return &table{p: p, part: part, cells: map[string][]point{}, units: map[string]string{}}
+}
+
+// add prints a value and keeps it for the fit.
+func (t *table) add(name, unit string, size int, value float64) {
+	if _, ok := t.units[name]; !ok {
+		t.names = append(t.names, name)
+	}
+	t.units[name] = unit
+	t.cells[name] = append(t.cells[name], point{size, value})
+	_, _ = fmt.Fprintf(t.p.Out, "part=%s name=%s size=%d value=%.4g unit=%s\n", t.part, name, size, value, unit)
+}
+
+// fits prints the line through the points of each name.
+func (t *table) fits() {
+	for _, name := range t.names {
+		slope, base := fit(t.cells[name])
+		_, _ = fmt.Fprintf(t.p.Out, "part=%s name=%s slope=%.4g base=%.4g unit=%s\n", t.part, name, slope, base, t.units[name])
+	}
+}
+
+// fit returns the least-squares line through the points.
+func fit(list []point) (slope, base float64) {
+	var x, y, xx, xy float64
+	n := float64(len(list))
+	for _, p := range list {
+		s := float64(p.size)
+		x, y, xx, xy = x+s, y+p.value, xx+s*s, xy+s*p.value
+	}
+	d := n*xx - x*x
+	if d == 0 {
+		return 0, y / max(n, 1)
+	}
+	slope = (n*xy - x*y) / d
+	return slope, (y - slope*x) / n
+}
+
+func median(list []float64) float64 {
+	if len(list) == 0 {
+		return 0
+	}
+	sorted := slices.Sorted(slices.Values(list))
+	if n := len(sorted); n%2 == 0 {
+		return (sorted[n/2-1] + sorted[n/2]) / 2
+	}
+	return sorted[len(sorted)/2]
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- a/gate/pool/pool_test.go
+++ b/gate/pool/pool_test.go
@@ -108,3 +108,31 @@
 		t.Errorf("got foreign load %d two seconds later, want 4", got)
 	}
 }
+
+// BenchmarkSubset measures the choice of the links of one gate, which every
+// change of the members repeats.
+func BenchmarkSubset(b *testing.B) {
+	for _, n := range []int{100, 1000, 4600} {
+		b.Run(fmt.Sprintf("members=%d", n), func(b *testing.B) {
+			all := fleet(n)
+			b.ReportAllocs()
+			links := 0
+			for b.Loop() {
+				links = len(subset("gate-1", "z1", all))
+			}
+			b.ReportMetric(float64(links), "links")
+		})
+	}
+}
+
+// fleet returns members in 15 zones that each serve two of 14 models.
+func fleet(n int) map[ident.Backend]conf.Member {
+	list := map[ident.Backend]conf.Member{}
+	for i := range n {
+		list[ident.Backend(fmt.Sprintf("runner-%04d", i))] = conf.Member{
+			Addr: "10.100.200.30:7000", Zone: ident.Zone(fmt.Sprintf("z%d", i%15)), Presence: conf.Live,
+			Models: []ident.Model{ident.Model(fmt.Sprint("model-", i%14)), ident.Model(fmt.Sprint("model-", (i+5)%14))},
+		}
+	}
+	return list
+}
--- /dev/null
+++ b/state/node/poll_test.go
@@ -0,0 +1,73 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"citronledge.example/core/conf"
+	"citronledge.example/core/ident"
+	"citronledge.example/core/link"
+)
+
+// BenchmarkPoll measures one poll of the platform's list when nothing has
+// changed, over loopback. The processor time is that of both ends; the other
+// end only writes the bytes.
+func BenchmarkPoll(b *testing.B) {
+	for _, members := range []int{100, 1000, 4600} {
+		b.Run(fmt.Sprintf("members=%d", members), func(b *testing.B) { benchPoll(b, members) })
+	}
+}
+
+func benchPoll(b *testing.B, members int) {
+	var list []listed
+	for i := range members {
+		list = append(list, listed{
+			Name: fmt.Sprintf("runner-%04d", i), Addr: "10.100.200.30:7000", Zone: "kolkata-a", State: conf.Live,
+			Models: []ident.Model{"model-00", "model-01"},
+		})
+	}
+	body, err := json.Marshal(list)
+	if err != nil {
+		b.Fatal(err)
+	}
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	var sent atomic.Int64
+	srv := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(body) })}
+	go func() { _ = srv.Serve(countedListener{ln, &sent}) }()
+	defer func() { _ = srv.Close() }()
+	m := NewMachine()
+	n, err := New(
+		WithConsensus(&alone{m: m, elected: time.Now().Add(-time.Minute)}), WithMachine(m),
+		WithLink(link.Config{Name: "s1", Keys: processKeys}), WithMembers("http://"+ln.Addr().String()+"/"),
+	)
+	if err != nil {
+		b.Fatal(err)
+	}
+	ctx := context.Background()
+	e, err := n.leading(ctx)
+	if err != nil {
+		b.Fatal(err)
+	}
+	n.pollMembers(ctx, e) // the first one commits all members
+	if got := len(n.ledger.Delta(0).GetEntries()); got != members {
+		b.Fatalf("got %d members, want %d", got, members)
+	}
+	bytes, cpu := sent.Load(), processor()
+	b.ReportAllocs()
+	b.ResetTimer()
+	for range b.N {
+		n.pollMembers(ctx, e)
+	}
+	b.StopTimer()
+	b.ReportMetric(float64(sent.Load()-bytes)/float64(b.N)/1000, "KB/poll")
+	b.ReportMetric(float64((processor()-cpu).Microseconds())/float64(b.N), "cpu-us/poll")
+}
