pool: send no whole configuration when a renewal crosses with a change

Cause: a renewal that a side process sent before it got a pushed difference arrived with a revision older than the one last sent, and the gate answered with the whole configuration: 0.5 MB at 4,600 members, on a share of the links at every change. Ruled out: keeping older views in the gate, which the order of a stream makes needless; answering only renewals at revision 0, which would lose the first one after a reconnection. Change: what was sent on a stream counts as held; a side process that could not apply it renews at revision 0 and gets everything. Views are sent under the lock of the link, so that a push and a grant cannot swap. TestCrossedRenewal fails on the old code by construction (it wants nothing where everything was sent; not run there). Conclusion: the bytes of a change grow with links only.

--- a/gate/pool/backend.go
+++ b/gate/pool/backend.go
@@ -155,7 +155,7 @@
 		}
 		switch k := m.GetKind().(type) {
 		case *wire.Control_Renew:
-			b.send(b.grant(k.Renew))
+			b.grant(k.Renew)
 		case *wire.Control_Load:
 			b.report(k.Load)
 		case *wire.Control_Records:
@@ -168,7 +168,7 @@
 
 // grant answers a renewal. The sub-lease ends before the gate's own lease,
 // also when the clock of the side process runs slow.
-func (b *backend) grant(r *wire.Renew) *wire.Control {
+func (b *backend) grant(r *wire.Renew) {
 	view := b.pool.state.View()
 	left := time.Until(b.pool.state.Lease())
 	left -= time.Duration(float64(left) * ident.ClockError)
@@ -179,27 +179,26 @@
 		g.Ttl = uint32(left / time.Millisecond)
 	}
 	b.mu.Lock()
+	defer b.mu.Unlock()
 	// A side process that is ahead has a newer configuration from another gate.
-	if r.GetRevision() < uint64(view.Revision) {
-		g.Delta = b.pool.delta(b.sent, view, ident.Revision(r.GetRevision()))
+	if at := ident.Revision(r.GetRevision()); at < view.Revision {
+		g.Delta = b.pool.delta(b.sent, view, at)
 	}
 	b.sent = view
-	b.mu.Unlock()
-	return &wire.Control{Kind: &wire.Control_Grant{Grant: g}}
+	b.put(&wire.Control{Kind: &wire.Control_Grant{Grant: g}})
 }
 
 // push sends the newest view if the side process has an older one.
 func (b *backend) push(view *conf.View) {
 	b.mu.Lock()
+	defer b.mu.Unlock()
 	sent := b.sent
 	if sent == nil || sent.Revision == view.Revision {
-		b.mu.Unlock()
 		return // the first renewal brings the first view
 	}
 	b.sent = view
-	b.mu.Unlock()
-	g := &wire.Grant{Revision: uint64(view.Revision), Delta: b.pool.delta(sent, view, sent.Revision)}
-	b.send(&wire.Control{Kind: &wire.Control_Grant{Grant: g}})
+	g := &wire.Grant{Revision: uint64(view.Revision), Delta: b.pool.step(sent, view)}
+	b.put(&wire.Control{Kind: &wire.Control_Grant{Grant: g}})
 }
 
 func (p *Pool) pushAll() {
@@ -209,12 +208,23 @@
 	}
 }
 
-// delta returns what brings a side process from a revision to view: the
-// difference if sent is that revision, else everything.
+// delta returns what a side process lacks that renews at a revision, when
+// sent was the last view on its stream. Messages on a stream arrive in order,
+// so what was sent is not sent again because a renewal crossed with it: that
+// would cost the whole configuration. A side process that could not apply a
+// difference renews at revision 0.
 func (p *Pool) delta(sent, view *conf.View, at ident.Revision) *wire.Delta {
-	if sent == nil || sent.Revision != at {
+	switch {
+	case sent == nil || at == 0:
 		return view.Full()
+	case sent.Revision == view.Revision:
+		return nil // on its way
 	}
+	return p.step(sent, view)
+}
+
+// step returns the difference between two views.
+func (p *Pool) step(sent, view *conf.View) *wire.Delta {
 	p.steps.Lock()
 	defer p.steps.Unlock()
 	if p.last == nil || p.last.from != sent || p.last.to != view {
@@ -295,12 +305,11 @@
 	}()
 }
 
-// send puts a message in the mailbox. A full mailbox means that the side
-// process does not read; then the message is dropped, and the next grant
-// carries the whole configuration.
-func (b *backend) send(m *wire.Control) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
+// put puts a message in the mailbox; the caller holds mu, so that views are
+// sent in their order. A full mailbox means that the side process does not
+// read; then the message is dropped, and the next grant carries the whole
+// configuration.
+func (b *backend) put(m *wire.Control) {
 	if b.out == nil {
 		return
 	}
--- a/gate/pool/pool_test.go
+++ b/gate/pool/pool_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"google.golang.org/protobuf/proto"
 
@@ -87,6 +88,55 @@
 	}
 }
 
+// still is a client of the state cluster whose view is set by the test.
+type still struct {
+	State
+	view *conf.View
+}
+
+func (s *still) View() *conf.View { return s.view }
+func (s *still) Lease() time.Time { return time.Now().Add(ident.LeaseTime) }
+
+// A renewal that crosses with a pushed change must not bring the whole
+// configuration, of 0.5 MB at the design size; one at revision 0 must.
+func TestCrossedRenewal(t *testing.T) {
+	next := func(v *conf.View, value string) *conf.View {
+		out, err := v.Apply(&wire.Delta{From: uint64(v.Revision), Revision: uint64(v.Revision) + 1, Entries: []*wire.Entry{
+			{Key: "models/a", Value: []byte(value)},
+		}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return out
+	}
+	st := &still{view: next(conf.Empty(), `{"quality":0.5}`)}
+	b := newBackend(New(Client(st)), "r", conf.Member{})
+	out := b.attach(nil)
+	// renew returns what a renewal at a revision brings.
+	renew := func(at uint64) *wire.Delta {
+		b.grant(&wire.Renew{Seq: 1, Revision: at})
+		return (<-out).GetGrant().GetDelta()
+	}
+	if d := renew(0); !d.GetFull() {
+		t.Errorf("got %v for the first renewal, want everything", d)
+	}
+	st.view = next(st.view, `{"quality":0.6}`)
+	b.push(st.view)
+	if d := (<-out).GetGrant().GetDelta(); d.GetFull() || d.GetFrom() != 1 || d.GetRevision() != 2 {
+		t.Errorf("got %v pushed, want the difference", d)
+	}
+	if d := renew(1); d != nil {
+		t.Errorf("got %v for a renewal that crossed with the push, want nothing", d)
+	}
+	st.view = next(st.view, `{"quality":0.7}`)
+	if d := renew(1); d.GetFull() || d.GetFrom() != 2 || d.GetRevision() != 3 {
+		t.Errorf("got %v for a renewal before the push, want the difference to what was sent", d)
+	}
+	if d := renew(0); !d.GetFull() || d.GetRevision() != 3 {
+		t.Errorf("got %v for a renewal after a failed difference, want everything", d)
+	}
+}
+
 // A lagged report still counts the gate's own finished attempts. They are not
 // the load of others, or waiting requests would be held back for nothing.
 func TestForeignLoad(t *testing.T) {
