conf: decode only the changed keys of a delta

Cause: every process decoded the whole configuration for each delta; with 4,600 members one change cost every gate and side process 17-24 ms and 4.3 MB of garbage. Ruled out: decoding members when they are read, which every decision does. Change: a view shares the sections that a delta doesn't touch with the view before it and copies the others. Conclusion: the cost of a change is that of copying one map of references.

--- a/core/conf/view.go
+++ b/core/conf/view.go
@@ -34,7 +34,8 @@
 
 // Empty returns the configuration at revision 0.
 func Empty() *View {
-	v := &View{raw: map[string][]byte{}}
+	v := &View{}
+	v.clear()
 	v.index()
 	return v
 }
@@ -42,28 +43,102 @@
 // Apply returns the view after a delta. It returns an error if the delta does
 // not start at the view's revision; then a full delta is needed.
 func (v *View) Apply(d *wire.Delta) (*View, error) {
-	raw := map[string][]byte{}
-	if !d.GetFull() {
+	next := &View{Revision: ident.Revision(d.GetRevision())}
+	if d.GetFull() {
+		next.clear()
+	} else {
 		if ident.Revision(d.GetFrom()) != v.Revision {
 			return nil, eris.Errorf("delta starts at revision %d, the view is at %d; ask for a full one", d.GetFrom(), v.Revision)
 		}
-		raw = maps.Clone(v.raw)
+		next.inherit(v, d.GetEntries())
 	}
 	for _, e := range d.GetEntries() {
+		next.forget(e.GetKey())
 		if e.GetGone() {
-			delete(raw, e.GetKey())
-		} else {
-			raw[e.GetKey()] = e.GetValue()
+			continue
+		}
+		next.raw[e.GetKey()] = e.GetValue()
+		if err := next.decodeKey(e.GetKey(), e.GetValue()); err != nil {
+			return nil, eris.Wrapf(err, "configuration key %s", e.GetKey())
 		}
-	}
-	next := &View{Revision: ident.Revision(d.GetRevision()), raw: raw}
-	if err := next.decode(); err != nil {
-		return nil, err
 	}
 	next.index()
 	return next, nil
 }
 
+func (v *View) clear() {
+	v.raw = map[string][]byte{}
+	v.Customers = map[ident.Customer]Customer{}
+	v.Models = map[ident.Model]Model{}
+	v.Cascades = map[ident.Cascade]Cascade{}
+	v.Routes = map[ident.Route]Route{}
+	v.Rollouts = map[ident.Model]Rollout{}
+	v.Withdrawn = map[ident.Target]Withdrawal{}
+	v.Members = map[ident.Backend]Member{}
+}
+
+// inherit takes over the old view. Sections with a changed key are copied,
+// the others shared: decoding thousands of members anew for each change of a
+// customer would take every process 20 ms.
+func (v *View) inherit(old *View, changed []*wire.Entry) {
+	sections := map[string]bool{}
+	for _, e := range changed {
+		section, _, _ := strings.Cut(e.GetKey(), "/")
+		sections[section+"/"] = true
+	}
+	v.raw = maps.Clone(old.raw)
+	v.Limits = old.Limits
+	v.Customers, v.Models, v.Cascades, v.Routes = old.Customers, old.Models, old.Cascades, old.Routes
+	v.Rollouts, v.Withdrawn, v.Members = old.Rollouts, old.Withdrawn, old.Members
+	if sections[Customers] {
+		v.Customers = maps.Clone(v.Customers)
+	}
+	if sections[Models] {
+		v.Models = maps.Clone(v.Models)
+	}
+	if sections[Cascades] {
+		v.Cascades = maps.Clone(v.Cascades)
+	}
+	if sections[Routes] {
+		v.Routes = maps.Clone(v.Routes)
+	}
+	if sections[Rollouts] {
+		v.Rollouts = maps.Clone(v.Rollouts)
+	}
+	if sections[Withdrawn] {
+		v.Withdrawn = maps.Clone(v.Withdrawn)
+	}
+	if sections[Members] {
+		v.Members = maps.Clone(v.Members)
+	}
+}
+
+// forget removes a key.
+func (v *View) forget(key string) {
+	delete(v.raw, key)
+	section, name, _ := strings.Cut(key, "/")
+	switch section + "/" {
+	case Customers:
+		delete(v.Customers, ident.Customer(name))
+	case Models:
+		delete(v.Models, ident.Model(name))
+	case Cascades:
+		delete(v.Cascades, ident.Cascade(name))
+	case Routes:
+		delete(v.Routes, ident.Route(name))
+	case Limited + "/":
+		v.Limits = Limits{}
+	case Rollouts:
+		delete(v.Rollouts, ident.Model(name))
+	case Withdrawn:
+		if t, err := ident.ParseTarget(name); err == nil {
+			delete(v.Withdrawn, t)
+		}
+	case Members:
+		delete(v.Members, ident.Backend(name))
+	}
+}
+
 // Value returns the JSON value of a key.
 func (v *View) Value(key string) ([]byte, bool) {
 	value, ok := v.raw[key]
@@ -82,15 +157,12 @@
 	return d
 }
 
+// decode fills a view of which only the raw values are set.
 func (v *View) decode() error {
-	v.Customers = map[ident.Customer]Customer{}
-	v.Models = map[ident.Model]Model{}
-	v.Cascades = map[ident.Cascade]Cascade{}
-	v.Routes = map[ident.Route]Route{}
-	v.Rollouts = map[ident.Model]Rollout{}
-	v.Withdrawn = map[ident.Target]Withdrawal{}
-	v.Members = map[ident.Backend]Member{}
-	for key, value := range v.raw {
+	raw := v.raw
+	v.clear()
+	v.raw = raw
+	for key, value := range raw {
 		if err := v.decodeKey(key, value); err != nil {
 			return eris.Wrapf(err, "configuration key %s", key)
 		}
