pool: stop the timers and the choice of links of an idle gate

Cause: each link woke 20 times a second to look for billings to send, and the gate chose its links anew every second, 4.9 ms at 4,600 members (BenchmarkSubset), a third of the budget of 1.5 % of a core. Ruled out: a longer interval, which would delay the release of usage records. Change: the timer of a link starts with the first billing; links are chosen once for each view. Conclusion: an idle gate works only for messages.

--- a/gate/pool/backend.go
+++ b/gate/pool/backend.go
@@ -45,6 +45,7 @@
 	high    atomic.Int64 // most running since the last report
 	long    atomic.Int64
 	cancel  context.CancelFunc
+	due     chan struct{} // the first billing waits in settle
 
 	mu     sync.Mutex // guards the fields below
 	sess   *link.Session
@@ -59,7 +60,7 @@
 }
 
 func newBackend(p *Pool, id ident.Backend, m conf.Member) *backend {
-	b := &backend{pool: p, id: id, addr: m.Addr, zone: m.Zone, hash: xxhash.Sum64String(string(id))}
+	b := &backend{pool: p, id: id, addr: m.Addr, zone: m.Zone, hash: xxhash.Sum64String(string(id)), due: make(chan struct{}, 1)}
 	b.member.Store(m.Presence != conf.Leaving)
 	return b
 }
@@ -323,13 +324,16 @@
 
 // post sends the mailbox, so that a stalled side process holds up nobody.
 func (b *backend) post(ctx context.Context, control *link.Stream, out <-chan *wire.Control) error {
-	tick := time.NewTicker(settleEvery)
-	defer tick.Stop()
+	// The timer runs only while a billing waits: an idle link wakes nobody.
+	gather := time.NewTimer(settleEvery)
+	defer gather.Stop()
 	for {
 		var m *wire.Control
 		select {
 		case m = <-out:
-		case <-tick.C:
+		case <-b.due:
+			gather.Reset(settleEvery)
+		case <-gather.C:
 			m = b.settlement()
 		case <-ctx.Done():
 			return nil
@@ -358,9 +362,16 @@
 func (b *backend) settled(list []*wire.Billing) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.out != nil {
-		b.settle = append(b.settle, list...)
+	if b.out == nil {
+		return
+	}
+	if len(b.settle) == 0 {
+		select {
+		case b.due <- struct{}{}:
+		default: // the last one is not taken yet
+		}
 	}
+	b.settle = append(b.settle, list...)
 }
 
 // accept serves the streams that the side process opens.
--- a/gate/pool/pool.go
+++ b/gate/pool/pool.go
@@ -51,6 +51,8 @@
 
 	mu       sync.Mutex // guards the fields below
 	backends map[ident.Backend]*backend
+	planned  *conf.View // for which want was chosen
+	want     map[ident.Backend]conf.Member
 
 	seen  sync.Mutex // guards peers
 	peers map[class]*policy.Peers
@@ -154,9 +156,14 @@
 // members that left, once nothing runs on them.
 func (p *Pool) reconcile(ctx context.Context, links *conc.WaitGroup) {
 	view := p.state.View()
-	want := subset(p.name, p.zone, view.Members)
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.planned != view {
+		// It takes milliseconds for thousands of members, too long for each
+		// round of an idle gate.
+		p.planned, p.want = view, subset(p.name, p.zone, view.Members)
+	}
+	want := p.want
 	for id, b := range p.backends {
 		m, ok := view.Members[id]
 		_, wanted := want[id]
