--- a/gate/pool/pool_test.go
+++ b/gate/pool/pool_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"google.golang.org/protobuf/proto"
 
@@ -87,6 +88,55 @@
 	}
 }
 
+// still is a client of the state cluster whose view is set by the test.
+type still struct {
+	State
+	view *conf.View
+}
+
+func (s *still) View() *conf.View { return s.view }
+func (s *still) Lease() time.Time { return time.Now().Add(ident.LeaseTime) }
+
+// A renewal that crosses with a pushed change must not bring the whole
+// configuration, of 0.5 MB at the design size; one at revision 0 must.
+func TestCrossedRenewal(t *testing.T) {
+	next := func(v *conf.View, value string) *conf.View {
+		out, err := v.Apply(&wire.Delta{From: uint64(v.Revision), Revision: uint64(v.Revision) + 1, Entries: []*wire.Entry{
+			{Key: "models/a", Value: []byte(value)},
+		}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return out
+	}
+	st := &still{view: next(conf.Empty(), `{"quality":0.5}`)}
+	b := newBackend(New(Client(st)), "r", conf.Member{})
+	out := b.attach(nil)
+	// renew returns what a renewal at a revision brings.
+	renew := func(at uint64) *wire.Delta {
+		b.grant(&wire.Renew{Seq: 1, Revision: at})
+		return (<-out).GetGrant().GetDelta()
+	}
+	if d := renew(0); !d.GetFull() {
+		t.Errorf("got %v for the first renewal, want everything", d)
+	}
+	st.view = next(st.view, `{"quality":0.6}`)
+	b.push(st.view)
+	if d := (<-out).GetGrant().GetDelta(); d.GetFull() || d.GetFrom() != 1 || d.GetRevision() != 2 {
+		t.Errorf("got %v pushed, want the difference", d)
+	}
+	if d := renew(1); d != nil {
+		t.Errorf("got %v for a renewal that crossed with the push, want nothing", d)
+	}
+	st.view = next(st.view, `{"quality":0.7}`)
+	if d := renew(1); d.GetFull() || d.GetFrom() != 2 || d.GetRevision() != 3 {
+		t.Errorf("got %v for a renewal before the push, want the difference to what was sent", d)
+	}
+	if d := renew(0); !d.GetFull() || d.GetRevision() != 3 {
+		t.Errorf("got %v for a renewal after a failed difference, want everything", d)
+	}
+}
+
 // A lagged report still counts the gate's own finished attempts. They are not
 // the load of others, or waiting requests would be held back for nothing.
 func TestForeignLoad(t *testing.T) {
@@ -108,3 +158,31 @@
 		t.Errorf("got foreign load %d two seconds later, want 4", got)
 	}
 }
+
+// BenchmarkSubset measures the choice of the links of one gate, which every
+// change of the members repeats.
+func BenchmarkSubset(b *testing.B) {
+	for _, n := range []int{100, 1000, 4600} {
+		b.Run(fmt.Sprintf("members=%d", n), func(b *testing.B) {
+			all := fleet(n)
+			b.ReportAllocs()
+			links := 0
+			for b.Loop() {
+				links = len(subset("gate-1", "z1", all))
+			}
+			b.ReportMetric(float64(links), "links")
+		})
+	}
+}
+
+// fleet returns members in 15 zones that each serve two of 14 models.
+func fleet(n int) map[ident.Backend]conf.Member {
+	list := map[ident.Backend]conf.Member{}
+	for i := range n {
+		list[ident.Backend(fmt.Sprintf("runner-%04d", i))] = conf.Member{
+			Addr: "10.100.200.30:7000", Zone: ident.Zone(fmt.Sprintf("z%d", i%15)), Presence: conf.Live,
+			Models: []ident.Model{ident.Model(fmt.Sprint("model-", i%14)), ident.Model(fmt.Sprint("model-", (i+5)%14))},
+		}
+	}
+	return list
+}
