server: share the start of the programs

Ruled out: a function with a callback for each step (six parameters). Change: server.Main and the interface Program; side and state use it. The key file is checked with the other settings. Before and after: tests of server, side/cmd and state/cmd pass.

--- a/core/server/server_test.go
+++ b/core/server/server_test.go
@@ -85,7 +85,7 @@
 func TestSettings(t *testing.T) {
 	keys := filepath.Join(t.TempDir(), "keys.yaml")
 	file := filepath.Join(t.TempDir(), "settings.yaml")
-	for path, text := range map[string]string{keys: "keys: []\n", file: "name: file\nzone: file\nkeys: " + keys + "\n"} {
+	for path, text := range map[string]string{keys: "keys: [{name: a, role: process, secret: MDEyMzQ1Njc4OWFiY2RlZg==}]\n", file: "name: file\nzone: file\nkeys: " + keys + "\n"} {
 		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 			t.Fatal(err)
 		}
--- a/core/server/settings.go
+++ b/core/server/settings.go
@@ -5,13 +5,14 @@
 	"flag"
 	"fmt"
 	"net"
-	"os"
 	"time"
 
 	"github.com/peterbourgon/ff/v3"
 	"github.com/peterbourgon/ff/v3/ffyaml"
 	"github.com/rotisserie/eris"
 	"k8s.io/klog/v2"
+
+	"citronledge.example/core/link"
 )
 
 // Settings are the settings that all programs have.
@@ -76,8 +77,8 @@
 	}
 	if s.Keys == "" {
 		errs = append(errs, errors.New("--keys is empty; set the file with the session keys"))
-	} else if _, err := os.Stat(s.Keys); err != nil {
-		errs = append(errs, fmt.Errorf("--keys: %w; set it to a readable file", err))
+	} else if _, err := link.LoadKeys(s.Keys); err != nil {
+		errs = append(errs, fmt.Errorf("--keys: %w", err))
 	}
 	errs = append(errs, CheckAddr("admin", s.Admin))
 	if s.Grace < 0 || s.Deadline <= 0 {
--- a/side/cmd/side/main.go
+++ b/side/cmd/side/main.go
@@ -32,40 +32,22 @@
 	records int
 }
 
-func main() {
-	if err := run(os.Args[1:]); err != nil {
-		if !errors.Is(err, flag.ErrHelp) {
-			fmt.Fprintln(os.Stderr, "side:", err)
-		}
-		os.Exit(1)
-	}
-}
+func main() { os.Exit(server.Main("side", os.Args[1:], &settings{})) }
 
-func run(args []string) error {
-	var set settings
-	fs := flag.NewFlagSet("side", flag.ContinueOnError)
-	set.register(fs)
-	if err := server.Parse(fs, args, "SIDE"); err != nil {
-		return err
-	}
-	if err := set.validate(); err != nil {
-		return err
-	}
-	if set.Check {
-		fmt.Println("settings are valid")
-		return nil
-	}
-	part, err := newPart(set)
+// Serve implements server.Program.
+func (s *settings) Serve(ctx context.Context) error {
+	part, err := newPart(*s)
 	if err != nil {
 		return err
 	}
-	frame := server.New(set.Settings, part.Status)
+	frame := server.New(s.Settings, part.Status)
 	part.Server = serve.New(part.settings(frame))
-	return frame.Run(context.Background(), part)
+	return frame.Run(ctx, part)
 }
 
-func (s *settings) register(fs *flag.FlagSet) {
-	s.Register(fs)
+// Register implements server.Program.
+func (s *settings) Register(fs *flag.FlagSet) {
+	s.Settings.Register(fs)
 	// No load balancer stands before a side process, and its gates are told
 	// at once, so readiness need not fail for a while first.
 	grace := fs.Lookup("grace")
@@ -79,15 +61,9 @@
 	fs.IntVar(&s.records, "records", 0, "bound on the usage records kept; 0 means 50000")
 }
 
-// validate returns all faults of the settings at once.
-func (s *settings) validate() error {
-	errs := []error{s.Validate(), server.CheckAddr("listen", s.listen)}
-	if s.Keys != "" {
-		if _, err := os.Stat(s.Keys); err == nil {
-			_, err = link.LoadKeys(s.Keys)
-			errs = append(errs, err)
-		}
-	}
+// Validate implements server.Program.
+func (s *settings) Validate() error {
+	errs := []error{s.Settings.Validate(), server.CheckAddr("listen", s.listen)}
 	switch {
 	case s.engine == "" && s.service == "":
 		errs = append(errs, errors.New("--engine and --service are empty; set one of them"))
--- a/side/cmd/side/main_test.go
+++ b/side/cmd/side/main_test.go
@@ -3,11 +3,13 @@
 import (
 	"strings"
 	"testing"
+
+	"citronledge.example/core/server"
 )
 
 // Guards against settings whose faults come up one by one.
 func TestAllFaultsAtOnce(t *testing.T) {
-	err := run([]string{"--check", "--admin", "x", "--slots", "-1", "--service", "pay", "--fencing"})
+	err := server.Load("side", []string{"--check", "--admin", "x", "--slots", "-1", "--service", "pay", "--fencing"}, &settings{})
 	if err == nil {
 		t.Fatal("got no error")
 	}
--- a/state/cmd/state/main.go
+++ b/state/cmd/state/main.go
@@ -3,9 +3,6 @@
 
 import (
 	"context"
-	"errors"
-	"flag"
-	"fmt"
 	"net"
 	"os"
 	"time"
@@ -23,38 +20,16 @@
 	"citronledge.example/state/store"
 )
 
-// Exit codes.
-const (
-	failed  = 1
-	invalid = 2
-)
-
-func main() {
-	set, err := parse(os.Args[1:])
-	switch {
-	case errors.Is(err, flag.ErrHelp):
-		return
-	case err != nil:
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(invalid)
-	case set.Check:
-		fmt.Println("settings are valid")
-		return
-	}
-	if err := run(set); err != nil {
-		klog.ErrorS(err, "State process failed")
-		klog.Flush()
-		os.Exit(failed)
-	}
-}
+func main() { os.Exit(server.Main("state", os.Args[1:], &settings{})) }
 
-func run(set *settings) error {
-	p, err := newProcess(set)
+// Serve implements server.Program.
+func (s *settings) Serve(ctx context.Context) error {
+	p, err := newProcess(s)
 	if err != nil {
 		return err
 	}
 	defer p.close()
-	return p.frame.Run(context.Background(), p)
+	return p.frame.Run(ctx, p)
 }
 
 // process is the part that the frame runs.
--- a/state/cmd/state/main_test.go
+++ b/state/cmd/state/main_test.go
@@ -15,6 +15,7 @@
 	"citronledge.example/core/client"
 	"citronledge.example/core/ledger"
 	"citronledge.example/core/link"
+	"citronledge.example/core/server"
 	"citronledge.example/core/wire"
 )
 
@@ -293,7 +294,7 @@
 		"unknown flags": {[]string{"--odd"}, []string{"settings"}},
 	}
 	for name, tt := range tests {
-		_, err := parse(tt.args)
+		err := server.Load("state", tt.args, &settings{})
 		if (err == nil) != (tt.want == nil) {
 			t.Errorf("%s: got %v, want %v", name, err, tt.want)
 		}
--- a/state/cmd/state/settings.go
+++ b/state/cmd/state/settings.go
@@ -22,23 +22,18 @@
 	list string // peers as given
 }
 
-// parse reads and checks the settings. It tells all faults at once.
-func parse(args []string) (*settings, error) {
-	s := &settings{}
-	fs := flag.NewFlagSet("state", flag.ContinueOnError)
-	s.Register(fs)
+// Register implements server.Program.
+func (s *settings) Register(fs *flag.FlagSet) {
+	s.Settings.Register(fs)
 	fs.StringVar(&s.listen, "listen", "127.0.0.1:7400", "address for sessions of the other processes")
 	fs.StringVar(&s.data, "data", "", "data folder of this process, on a disk")
 	fs.StringVar(&s.list, "peers", "", "all state processes with this one: NAME=HOST:PORT,...")
 	fs.StringVar(&s.members, "members", "", "URL of the platform's list of members; empty for none")
 	fs.BoolVar(&s.join, "join", false, "join an existing cluster with an empty data folder; never form a new one")
-	if err := server.Parse(fs, args, "STATE"); err != nil {
-		return nil, err
-	}
-	return s, s.validate()
 }
 
-func (s *settings) validate() error {
+// Validate implements server.Program.
+func (s *settings) Validate() error {
 	errs := []error{s.Settings.Validate(), server.CheckAddr("listen", s.listen)}
 	if s.data == "" {
 		errs = append(errs, errors.New("--data is empty; set a folder on a disk"))
