serve, pool: renew and report in one short message, rarely at rest

Cause: a control link without work took about 400 B/s: a whole report every 250 ms, a renewal every 500 ms, each in its own message, and yamux keepalives every 5 s from both ends.

Ruled out: compression (the messages are short); a grant without its revision (a dropped delta would go unseen); dropping the keepalive of all sessions (those between state processes need it after a long partition).

Change: Renew carries Load; what rarely changes is left out while it is the same; renewals every 500 ms with work (250 ms if the load changes), every 2 s 5 s after the last work. Renew says when the next is due, and a gate judges silence by that, or by 1.5 s once it has sent work. Work on a link at rest makes the side process renew at once and waits up to 300 ms for the grant, and so do orders to the engine. Both ends give a link up after 10 s without a message, so the keepalive of these links is 10 s (new link.Config.KeepAlive). The gate no longer wakes up every 50 ms for each link to look for settlements.

--- a/core/ident/ident.go
+++ b/core/ident/ident.go
@@ -82,11 +82,23 @@
 	SubLease = 700 * time.Millisecond
 	// RenewEvery is the interval between two renewals of a lease.
 	RenewEvery = 500 * time.Millisecond
-	// LoadEvery is the interval between two load reports of a side process.
+	// LoadEvery is the least interval between two reports of a side process
+	// that tell a change of its load.
 	LoadEvery = 250 * time.Millisecond
-	// SilentAfter is the time without a load report after which a gate sends
-	// a backend server no new work.
-	SilentAfter = 1500 * time.Millisecond
+	// IdleAfter is the time without work of a gate after which a side process
+	// renews and reports to it only every IdleEvery.
+	IdleAfter = 5 * time.Second
+	// IdleEvery is the interval between two renewals on a link without work.
+	IdleEvery = 2 * time.Second
+	// Missed is the number of missed reports after which a gate sends a
+	// backend server no new work.
+	Missed = 3
+	// SilentAfter is that time on a link with work.
+	SilentAfter = Missed * RenewEvery
+	// LinkSilent is the time without a message on the control stream between
+	// gate and side process after which either end gives the link up. The
+	// keepalive of the session itself can then be as rare.
+	LinkSilent = 10 * time.Second
 	// HandTime bounds the time between sending a Hand command and calling
 	// the service. Operators may settle an operation only after it has passed.
 	HandTime = 2 * time.Second
--- a/core/link/link.go
+++ b/core/link/link.go
@@ -7,6 +7,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"crypto/hmac"
 	"crypto/rand"
@@ -42,6 +43,9 @@
 	Name string
 	// Keys that authenticate both ends.
 	Keys *Keys
+	// KeepAlive is the interval between two checks of the connection; 0 takes
+	// the default, 5 s. Each end pays 24 bytes for one in either direction.
+	KeepAlive time.Duration
 }
 
 // Peer is the authenticated other end of a session.
@@ -75,7 +79,7 @@
 	if err != nil {
 		return nil, err
 	}
-	mux, err := yamux.Client(conn, muxConfig())
+	mux, err := yamux.Client(conn, muxConfig(cfg))
 	if err != nil {
 		return nil, closeAfter(conn, err)
 	}
@@ -88,16 +92,16 @@
 	if err != nil {
 		return nil, err
 	}
-	mux, err := yamux.Server(conn, muxConfig())
+	mux, err := yamux.Server(conn, muxConfig(cfg))
 	if err != nil {
 		return nil, closeAfter(conn, err)
 	}
 	return &Session{mux: mux, name: cfg.Name, peer: peer}, nil
 }
 
-func muxConfig() *yamux.Config {
+func muxConfig(set Config) *yamux.Config {
 	cfg := yamux.DefaultConfig()
-	cfg.KeepAliveInterval = keepAlive
+	cfg.KeepAliveInterval = cmp.Or(set.KeepAlive, keepAlive)
 	cfg.ConnectionWriteTimeout = writeTime
 	cfg.LogOutput = io.Discard
 	return cfg
--- a/gate/pool/backend.go
+++ b/gate/pool/backend.go
@@ -25,9 +25,10 @@
 	redialMax   = 2 * time.Second
 	// mailbox bounds the messages that wait for one control stream.
 	mailbox = 64
-	// peakReports is the number of load reports over which the gate's own
-	// attempts are looked back at, 2 s.
-	peakReports = 8
+	// peakTime is how far the gate's own attempts are looked back at, and
+	// peakReports the number of load reports in it.
+	peakTime    = 2 * time.Second
+	peakReports = int(peakTime / ident.LoadEvery)
 	// settleEvery gathers billings into one message for each side process.
 	settleEvery = 50 * time.Millisecond
 )
@@ -44,6 +45,8 @@
 	running atomic.Int64
 	high    atomic.Int64 // most running since the last report
 	long    atomic.Int64
+	bills   chan struct{}             // has something while settle may have
+	asked   atomic.Pointer[time.Time] // first work that no report has followed
 	cancel  context.CancelFunc
 
 	mu     sync.Mutex // guards the fields below
@@ -51,16 +54,23 @@
 	out    chan *wire.Control // mailbox of the control stream
 	settle []*wire.Billing    // to be sent with the next tick
 	load   *wire.Load
-	heard  time.Time          // time of the last load report
-	since  time.Time          // time of the first report after the link came up
-	sent   *conf.View         // newest view that was sent on the control stream
-	sublet *sublet            // of this session
-	peaks  [peakReports]int64 // most running before each of the last reports
+	heard  time.Time         // time of the last load report
+	due    time.Duration     // until the next one
+	since  time.Time         // time of the first report after the link came up
+	sent   *conf.View        // newest view that was sent on the control stream
+	sublet *sublet           // of this session
+	peaks  [peakReports]peak // before each of the last reports
 	peakAt int
 }
 
+// peak is the most attempts of this gate that ran between two load reports.
+type peak struct {
+	running int64
+	at      time.Time
+}
+
 func newBackend(p *Pool, id ident.Backend, m conf.Member) *backend {
-	b := &backend{pool: p, id: id, addr: m.Addr, zone: m.Zone, hash: xxhash.Sum64String(string(id))}
+	b := &backend{pool: p, id: id, addr: m.Addr, zone: m.Zone, hash: xxhash.Sum64String(string(id)), bills: make(chan struct{}, 1)}
 	b.member.Store(m.Presence != conf.Leaving)
 	return b
 }
@@ -76,9 +86,21 @@
 // the side process's own report, and silence stops new work.
 func (b *backend) fit(now time.Time) bool {
 	return b.member.Load() && b.sess != nil && b.load != nil && b.load.GetHealthy() && !b.load.GetLeaving() &&
-		now.Sub(b.heard) < ident.SilentAfter
+		!b.silent(now)
+}
+
+// silent tells whether reports are missing; the caller holds mu. Work makes
+// the side process report at once, so one without work has to answer to that.
+func (b *backend) silent(now time.Time) bool {
+	if asked := b.asked.Load(); asked != nil && now.Sub(*asked) >= ident.SilentAfter {
+		return true
+	}
+	return now.Sub(b.heard) >= max(ident.Missed*b.due, ident.SilentAfter)
 }
 
+// ask notes that a report is due at once.
+func (b *backend) ask(now time.Time) { b.asked.CompareAndSwap(nil, &now) }
+
 func (b *backend) session() *link.Session {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -136,6 +158,7 @@
 	b.mu.Lock()
 	b.sess, b.out, b.load, b.sent, b.settle = sess, out, nil, nil, nil
 	b.since, b.sublet = time.Time{}, &sublet{}
+	b.asked.Store(nil)
 	b.mu.Unlock()
 	return out
 }
@@ -150,15 +173,19 @@
 // controls answers the messages of the side process on the control stream.
 func (b *backend) controls(ctx context.Context, control *link.Stream) error {
 	for {
+		_ = control.SetDeadline(time.Now().Add(ident.LinkSilent))
 		var m wire.Control
 		if err := control.Recv(&m); err != nil {
 			return err
 		}
 		switch k := m.GetKind().(type) {
 		case *wire.Control_Renew:
+			if l := k.Renew.GetLoad(); l != nil {
+				b.report(l, time.Duration(k.Renew.GetDue())*time.Millisecond)
+			}
 			b.send(b.grant(k.Renew))
 		case *wire.Control_Load:
-			b.report(k.Load)
+			b.report(k.Load, 0)
 		case *wire.Control_Records:
 			b.adopt(ctx, k.Records.GetRecords())
 		case *wire.Control_Grant, *wire.Control_Settled, nil:
@@ -235,15 +262,22 @@
 	return d
 }
 
-func (b *backend) report(l *wire.Load) {
+// report notes a load report and when the next is due; 0 stands for the
+// interval of a link with work.
+func (b *backend) report(l *wire.Load, due time.Duration) {
 	now := time.Now()
 	b.mu.Lock()
+	l.Fill(b.load)
+	b.due = due
+	if due <= ident.RenewEvery || b.running.Load() == 0 {
+		b.asked.Store(nil) // the report of a link without work may have crossed the work
+	}
 	changed := b.load == nil || b.load.GetService() != l.GetService() || !sameServed(b.load.GetServed(), l.GetServed())
 	if b.since.IsZero() || (b.load != nil && !b.load.GetHealthy() && l.GetHealthy()) {
 		b.since = now
 	}
 	b.load, b.heard = l, now
-	b.peaks[b.peakAt] = b.high.Swap(b.running.Load())
+	b.peaks[b.peakAt] = peak{b.high.Swap(b.running.Load()), now}
 	b.peakAt = (b.peakAt + 1) % peakReports
 	b.mu.Unlock()
 	if changed {
@@ -257,8 +291,10 @@
 // they would look like the load of others and hold back waiting requests.
 func (b *backend) foreign() int {
 	own := max(b.running.Load(), b.high.Load())
-	for _, n := range b.peaks {
-		own = max(own, n)
+	for _, p := range b.peaks {
+		if b.heard.Sub(p.at) <= peakTime {
+			own = max(own, p.running)
+		}
 	}
 	return max(0, int(b.load.GetRunning()+b.load.GetQueued())-int(own))
 }
@@ -310,13 +346,17 @@
 
 // post sends the mailbox, so that a stalled side process holds up nobody.
 func (b *backend) post(ctx context.Context, control *link.Stream, out <-chan *wire.Control) error {
-	tick := time.NewTicker(settleEvery)
-	defer tick.Stop()
+	var tick <-chan time.Time // runs only while there is something to settle
 	for {
 		var m *wire.Control
 		select {
 		case m = <-out:
-		case <-tick.C:
+		case <-b.bills:
+			if tick == nil {
+				tick = time.After(settleEvery)
+			}
+		case <-tick:
+			tick = nil
 			m = b.settlement()
 		case <-ctx.Done():
 			return nil
@@ -347,6 +387,10 @@
 	defer b.mu.Unlock()
 	if b.out != nil {
 		b.settle = append(b.settle, list...)
+		select {
+		case b.bills <- struct{}{}:
+		default:
+		}
 	}
 }
 
--- a/gate/pool/do.go
+++ b/gate/pool/do.go
@@ -59,6 +59,7 @@
 	if b == nil || !b.usable(start) {
 		return Outcome{}, fault.New(fault.Unavailable, "backend server "+string(a.Backend)+" takes no new work; retry")
 	}
+	b.ask(start)
 	b.begin(a.Work.GetKind())
 	defer b.end(a.Work.GetKind())
 	sess := b.session()
--- a/gate/pool/pool.go
+++ b/gate/pool/pool.go
@@ -88,6 +88,7 @@
 
 // Link makes links over TCP with a session configuration.
 func Link(cfg link.Config) Option {
+	cfg.KeepAlive = ident.LinkSilent
 	return Dial(func(ctx context.Context, addr string) (*link.Session, error) {
 		return link.Dial(ctx, addr, cfg)
 	})
--- a/gate/pool/pool_test.go
+++ b/gate/pool/pool_test.go
@@ -97,12 +97,12 @@
 	for range 4 {
 		b.end("chat")
 	}
-	b.report(&wire.Load{Running: 4, Slots: 4})
+	b.report(&wire.Load{Running: 4, Slots: 4}, 0)
 	if got := b.foreign(); got != 0 {
 		t.Errorf("got foreign load %d right after the own attempts, want 0", got)
 	}
 	for range peakReports {
-		b.report(&wire.Load{Running: 4, Slots: 4})
+		b.report(&wire.Load{Running: 4, Slots: 4}, 0)
 	}
 	if got := b.foreign(); got != 4 {
 		t.Errorf("got foreign load %d two seconds later, want 4", got)
--- a/gate/pool/sublet_test.go
+++ b/gate/pool/sublet_test.go
@@ -9,6 +9,8 @@
 	"testing/synctest"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"citronledge.example/core/conf"
 	"citronledge.example/core/ident"
 	"citronledge.example/core/link"
@@ -224,3 +226,62 @@
 		}
 	})
 }
+
+// Guards against new work for a side process that does not answer: within
+// 1.5 s on a link with work, also if the link was at rest before.
+func TestSilence(t *testing.T) {
+	tests := map[string]struct {
+		due   time.Duration // of the last report
+		asked bool          // work was sent since
+		want  time.Duration
+	}{
+		"no interval told": {0, false, ident.SilentAfter},
+		"with work":        {ident.RenewEvery, true, ident.SilentAfter},
+		"at rest":          {ident.IdleEvery, false, 3 * ident.IdleEvery},
+		"work after rest":  {ident.IdleEvery, true, ident.SilentAfter},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newBackend(New(), "r", conf.Member{})
+				start := time.Now()
+				b.report(&wire.Load{Healthy: true}, tt.due)
+				if tt.asked {
+					b.ask(start)
+					b.begin("chat")
+				}
+				for at := range map[time.Duration]bool{tt.want - 1: false, tt.want: true} {
+					if got := b.silent(start.Add(at)); got != (at >= tt.want) {
+						t.Errorf("got silent %v after %s, want from %s on", got, at, tt.want)
+					}
+				}
+				b.report(&wire.Load{Healthy: true}, ident.RenewEvery)
+				if b.silent(start.Add(ident.SilentAfter - 1)) {
+					t.Error("got silent after a report")
+				}
+			})
+		})
+	}
+}
+
+// Guards against strings that get lost because a report leaves them out.
+func TestShortReport(t *testing.T) {
+	b := newBackend(New(), "r", conf.Member{})
+	first := &wire.Load{Backend: "r", Zone: "z", Slots: 4, Healthy: true, Served: []*wire.Served{{Model: "small", Version: "v1"}}}
+	second := proto.CloneOf(first)
+	second.Running = 3
+	third := proto.CloneOf(second)
+	third.Slots, third.Running = 5, 0
+	var last *wire.Load
+	for i, l := range []*wire.Load{first, second, third} {
+		short := proto.CloneOf(l.Short(last))
+		if same := i == 1; short.GetSame() != same {
+			t.Errorf("report %d: got same %v, want %v", i, short.GetSame(), same)
+		}
+		b.report(short, 0)
+		if !proto.Equal(b.load, l) {
+			t.Errorf("report %d: got %v, want %v", i, b.load, l)
+		}
+		last = l
+	}
+}
--- a/side/guard/guard.go
+++ b/side/guard/guard.go
@@ -16,6 +16,10 @@
 // Deltas take milliseconds; a gate retries elsewhere after that.
 const revisionWait = 500 * time.Millisecond
 
+// leaseWait bounds the wait for a sub-lease. A round to the gate takes a few
+// milliseconds; a gate tries elsewhere after that.
+const leaseWait = 300 * time.Millisecond
+
 // Guard admits work. It is safe for concurrent use.
 type Guard struct {
 	// Views is the configuration in force.
@@ -52,6 +56,7 @@
 // Admit waits for the configuration of the work if it is newer, and checks
 // the work. The work runs until Release of the pass.
 func (g *Guard) Admit(ctx context.Context, w *wire.Work) (*Pass, *fault.Fault) {
+	g.Leases.await(ctx, leaseWait)
 	g.Views.Await(ctx, ident.Revision(w.GetRevision()), revisionWait)
 	if ctx.Err() != nil {
 		return nil, fault.New(fault.Unavailable, "the gate gave the work up before it ran")
@@ -166,6 +171,10 @@
 func (g *Guard) Order(fence ident.Fence, send func() error) error {
 	g.orders.Lock()
 	defer g.orders.Unlock()
+	if !g.Leases.Valid(time.Now()) {
+		g.Leases.wanted.Post()
+		g.Leases.await(context.Background(), leaseWait)
+	}
 	switch {
 	case fence == 0:
 		return fault.New(fault.Invalid, "the order has no fence; take one from the ledger")
--- a/side/guard/lease.go
+++ b/side/guard/lease.go
@@ -1,6 +1,7 @@
 package guard
 
 import (
+	"context"
 	"sync"
 	"time"
 )
@@ -13,6 +14,7 @@
 // the renewal was sent, so that neither a slow gate nor a process that was
 // suspended can stretch it.
 type Lease struct {
+	got   *Notice // posted when time was granted; may be nil
 	mu    sync.Mutex
 	seq   uint64
 	last  uint64 // highest renewal that was answered
@@ -51,6 +53,8 @@
 	l.until = sent.Add(ttl)
 	if ttl <= 0 {
 		l.until = time.Time{}
+	} else if l.got != nil {
+		l.got.Post()
 	}
 }
 
@@ -65,6 +69,35 @@
 type Leases struct {
 	mu  sync.Mutex
 	all map[*Lease]bool // true once its session has ended
+
+	got    Notice // a grant has come
+	wanted Notice // somebody waits for one
+}
+
+// Wanted returns a channel that is closed when a grant is waited for, whatever
+// gate it comes from.
+func (l *Leases) Wanted() <-chan struct{} { return l.wanted.Wait() }
+
+// await waits until a lease holds, for a time at most: a link without work
+// renews more rarely than its lease lasts.
+func (l *Leases) await(ctx context.Context, limit time.Duration) {
+	var timeout <-chan time.Time
+	for {
+		got := l.got.Wait()
+		if l.Valid(time.Now()) {
+			return
+		}
+		if timeout == nil {
+			timeout = time.After(limit)
+		}
+		select {
+		case <-got:
+		case <-timeout:
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
 }
 
 // New adds the lease of a new session.
@@ -74,7 +107,7 @@
 	if l.all == nil {
 		l.all = map[*Lease]bool{}
 	}
-	lease := &Lease{}
+	lease := &Lease{got: &l.got}
 	l.all[lease] = false
 	return lease
 }
--- a/side/serve/control.go
+++ b/side/serve/control.go
@@ -31,6 +31,9 @@
 
 func (s *Server) readControl(g *gate, st *link.Stream) error {
 	for {
+		// The gate answers each renewal. Works end with the session, so a gate
+		// that is gone without a word must not keep it.
+		_ = st.SetDeadline(time.Now().Add(ident.LinkSilent))
 		var m wire.Control
 		if err := st.Recv(&m); err != nil {
 			return err
@@ -70,46 +73,47 @@
 	s    *Server
 	g    *gate
 	st   *link.Stream
-	full bool // the next renewal asks for a full delta
-	last time.Time
+	full bool      // the next renewal asks for a full delta
+	gap  time.Time // of the last such renewal
 
-	backend, drain, view <-chan struct{}
+	last time.Time     // of the last renewal
+	due  time.Duration // until the next one, as the gate was told
+	told *wire.Load    // the last report
+
+	backend, drain, view, wanted <-chan struct{}
 }
 
 func (s *Server) writeControl(ctx context.Context, g *gate, st *link.Stream) error {
-	renew, load := time.NewTicker(ident.RenewEvery), time.NewTicker(ident.LoadEvery)
-	defer renew.Stop()
-	defer load.Stop()
 	w := &writer{s: s, g: g, st: st}
-	if err := w.load(); err != nil {
-		return err
-	}
-	if err := w.renew(); err != nil {
+	if err := w.send(w.load()); err != nil {
 		return err
 	}
+	timer := time.NewTimer(w.wait())
+	defer timer.Stop()
 	for {
 		var err error
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-renew.C:
-			err = w.renew()
-		case <-w.view:
-			// The renewal tells the gate that the revision is in force here.
-			err = w.renew()
-		case <-load.C:
-			err = w.load()
+		case <-timer.C:
+			err = w.look(false)
 		case <-w.backend:
-			err = w.load()
+			err = w.look(false)
 		case <-w.drain:
-			err = w.load()
+			err = w.look(false)
+		case <-g.wake:
+			err = w.look(!g.lease.Valid(time.Now()))
+		case <-w.wanted:
+			err = w.look(!g.lease.Valid(time.Now()))
+		case <-w.view:
+			// The renewal tells the gate that the revision is in force here.
+			err = w.send(w.load())
 		case <-g.gap:
 			w.full = true
 			// A delta that cannot be applied would else be asked for in a
 			// tight loop.
-			if time.Since(w.last) >= ident.LoadEvery {
-				w.last = time.Now()
-				err = w.renew()
+			if time.Since(w.gap) >= ident.LoadEvery {
+				err = w.send(w.load())
 			}
 		case m := <-g.mail:
 			err = st.Send(&wire.Control{Kind: &wire.Control_Records{Records: m}})
@@ -117,24 +121,65 @@
 		if err != nil {
 			return err
 		}
+		timer.Reset(w.wait())
 	}
 }
 
-func (w *writer) renew() error {
+// wait returns the time until the next look.
+func (w *writer) wait() time.Duration {
+	since := time.Since(w.last)
+	if (w.due < ident.IdleEvery || w.full) && since < ident.LoadEvery {
+		return ident.LoadEvery - since
+	}
+	return w.due - since
+}
+
+// askAgain is the least time between two renewals that works without a
+// sub-lease ask for; the answer to the first may be on its way.
+const askAgain = 100 * time.Millisecond
+
+// look renews if it is due or if the gate must know something now. Without a
+// lease, a work waits for the renewal.
+func (w *writer) look(lacks bool) error {
+	m := w.load()
+	since := time.Since(w.last)
+	quiet := w.due >= ident.IdleEvery
+	changed := m.GetRunning() != w.told.GetRunning() || m.GetQueued() != w.told.GetQueued()
+	switch {
+	case since >= w.due,
+		lacks && since >= askAgain,
+		w.full && since >= ident.LoadEvery,
+		quiet && w.g.busy(time.Now()),
+		!quiet && changed && since >= ident.LoadEvery,
+		m.GetHealthy() != w.told.GetHealthy(), m.GetLeaving() != w.told.GetLeaving(), !m.Short(w.told).GetSame():
+		return w.send(m)
+	}
+	return nil
+}
+
+// send renews and reports in one message. Names go with the first only.
+func (w *writer) send(m *wire.Load) error {
 	w.view = w.s.guard.Views.Changed()
-	revision := uint64(w.s.guard.Views.View().Revision)
+	r := &wire.Renew{Revision: uint64(w.s.guard.Views.View().Revision), Leaving: m.GetLeaving(), Load: m.Short(w.told)}
+	if w.told == nil {
+		r.Name, r.Zone = string(w.s.set.Name), string(w.s.set.Zone)
+	}
 	if w.full {
-		revision, w.full = 0, false
+		r.Revision, w.full, w.gap = 0, false, time.Now()
+	}
+	w.last, w.due = time.Now(), ident.IdleEvery
+	if w.g.busy(w.last) {
+		w.due = ident.RenewEvery
 	}
-	return w.st.Send(&wire.Control{Kind: &wire.Control_Renew{Renew: &wire.Renew{
-		Seq: w.g.lease.Sent(time.Now()), Name: string(w.s.set.Name), Zone: string(w.s.set.Zone),
-		Revision: revision, Leaving: w.s.guard.Draining(),
-	}}})
+	w.told, r.Due = m, uint32(w.due/time.Millisecond)
+	r.Seq = w.g.lease.Sent(w.last)
+	return w.st.Send(&wire.Control{Kind: &wire.Control_Renew{Renew: r}})
 }
 
-func (w *writer) load() error {
+// load makes a report.
+func (w *writer) load() *wire.Load {
 	// The channels come before the state that they announce.
-	w.backend, w.drain = w.s.backend.Changed(), w.s.notice.Wait()
+	w.backend, w.drain, w.wanted = w.s.backend.Changed(), w.s.notice.Wait(), w.s.guard.Leases.Wanted()
 	r := w.s.report()
 	m := &wire.Load{
 		Backend: string(w.s.set.Name), Zone: string(w.s.set.Zone), Service: string(r.Service),
@@ -147,7 +192,7 @@
 	for _, t := range r.Served {
 		m.Served = append(m.Served, &wire.Served{Model: string(t.Model), Version: string(t.Version)})
 	}
-	return w.st.Send(&wire.Control{Kind: &wire.Control_Load{Load: m}})
+	return m
 }
 
 // handOver sends unsettled records to gates until they are settled.
--- a/side/serve/server.go
+++ b/side/serve/server.go
@@ -70,6 +70,36 @@
 	lease *guard.Lease
 	mail  chan *wire.Records
 	gap   chan struct{} // a full delta is needed
+	wake  chan struct{} // work has come
+
+	mu    sync.Mutex // guards the fields below
+	works int
+	last  time.Time // when the link came up or a work ended
+}
+
+// begin notes a work of the gate, and end its end.
+func (g *gate) begin() {
+	g.mu.Lock()
+	g.works++
+	g.mu.Unlock()
+	select {
+	case g.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (g *gate) end() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.works--
+	g.last = time.Now()
+}
+
+// busy tells whether the gate has work here or had some lately.
+func (g *gate) busy(now time.Time) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.works > 0 || now.Sub(g.last) < ident.IdleAfter
 }
 
 func (g *gate) name() string { return g.sess.Peer().Name }
@@ -163,7 +193,7 @@
 const acceptPause = 100 * time.Millisecond
 
 func (s *Server) greet(ctx context.Context, conn net.Conn) {
-	sess, err := link.Server(conn, link.Config{Name: string(s.set.Name), Keys: s.set.Keys})
+	sess, err := link.Server(conn, link.Config{Name: string(s.set.Name), Keys: s.set.Keys, KeepAlive: ident.LinkSilent})
 	if err != nil {
 		klog.ErrorS(err, "Session refused", "remote", conn.RemoteAddr().String())
 		return
@@ -174,7 +204,10 @@
 // Attach serves one session until it or ctx ends. Chats and reports end with
 // the session, operations do not.
 func (s *Server) Attach(ctx context.Context, sess *link.Session) {
-	g := &gate{sess: sess, lease: s.guard.Leases.New(), mail: make(chan *wire.Records, 1), gap: make(chan struct{}, 1)}
+	g := &gate{
+		sess: sess, lease: s.guard.Leases.New(), last: time.Now(),
+		mail: make(chan *wire.Records, 1), gap: make(chan struct{}, 1), wake: make(chan struct{}, 1),
+	}
 	s.join(g)
 	klog.InfoS("Gate linked", "gate", g.name())
 	grp := group.New(ctx)
--- a/side/serve/work.go
+++ b/side/serve/work.go
@@ -66,6 +66,8 @@
 		_ = st.Recv(&wire.Work{})
 		cancel()
 	}()
+	g.begin()
+	defer g.end()
 	r := &reply{st: st, w: w}
 	defer s.recovered(r)
 	s.attempt(ctx, g, r)
--- a/side/serve/world_test.go
+++ b/side/serve/world_test.go
@@ -146,6 +146,7 @@
 type fakeGate struct {
 	t    *testing.T
 	sess *link.Session
+	conn *counted
 	ctl  *link.Stream
 	book *book
 
@@ -178,15 +179,16 @@
 // link connects a gate that grants leases of a time in milliseconds.
 func (w *world) link(name string, book *book, ttl uint32, delay time.Duration) *fakeGate {
 	w.t.Helper()
-	conn, err := w.ln.dial(context.Background(), "", "")
+	raw, err := w.ln.dial(context.Background(), "", "")
 	if err != nil {
 		w.t.Fatal(err)
 	}
+	conn := &counted{Conn: raw}
 	sess, err := link.Client(conn, link.Config{Name: name, Keys: testKeys})
 	if err != nil {
 		w.t.Fatal(err)
 	}
-	g := &fakeGate{t: w.t, sess: sess, book: book, config: config(10), ttl: ttl, delay: delay}
+	g := &fakeGate{t: w.t, sess: sess, conn: conn, book: book, config: config(10), ttl: ttl, delay: delay}
 	w.t.Cleanup(func() { _ = sess.Close() })
 	if g.ctl, err = sess.Open(wire.Kind_CONTROL); err != nil {
 		w.t.Fatal(err)
@@ -205,8 +207,11 @@
 		}
 		g.mu.Lock()
 		g.records = append(g.records, m.GetRecords().GetRecords()...)
-		if m.GetLoad() != nil {
-			g.loads = append(g.loads, m.GetLoad())
+		if l := m.GetRenew().GetLoad(); l != nil {
+			if n := len(g.loads); n > 0 {
+				l.Fill(g.loads[n-1])
+			}
+			g.loads = append(g.loads, l)
 		}
 		if r := m.GetRenew(); r != nil {
 			g.renews = append(g.renews, r)
