--- a/core/conf/view.go
+++ b/core/conf/view.go
@@ -28,10 +28,25 @@
 	Withdrawn map[ident.Target]Withdrawal
 	Members   map[ident.Backend]Member
 
-	raw    map[string][]byte
+	raw   map[string]cell
+	floor ident.Revision // what was deleted up to here is not known
+	gone  int            // deleted keys in raw
+
 	owners map[[sha256.Size]byte]ident.Customer // by digest of the bearer key
 }
 
+// cell is the last state of a key. A deleted key stays, so that receivers at an
+// older revision can be told.
+type cell struct {
+	value []byte
+	at    ident.Revision // of the change that touched it last
+	gone  bool
+}
+
+// keepGone bounds the deleted keys of a view; a thousand members are replaced
+// on an ordinary day of a large system.
+const keepGone = 4096
+
 // Empty returns the configuration at revision 0.
 func Empty() *View {
 	v := &View{}
@@ -46,6 +61,7 @@
 	next := &View{Revision: ident.Revision(d.GetRevision())}
 	if d.GetFull() {
 		next.clear()
+		next.floor = next.Revision
 	} else {
 		if ident.Revision(d.GetFrom()) != v.Revision {
 			return nil, eris.Errorf("delta starts at revision %d, the view is at %d; ask for a full one", d.GetFrom(), v.Revision)
@@ -54,20 +70,36 @@
 	}
 	for _, e := range d.GetEntries() {
 		next.forget(e.GetKey())
-		if e.GetGone() {
+		c := cell{value: e.GetValue(), at: ident.Revision(e.GetRevision()), gone: e.GetGone()}
+		if c.at == 0 {
+			c.at = next.Revision
+		}
+		if c.gone {
+			c.value = nil
+			next.gone++
+		}
+		next.raw[e.GetKey()] = c
+		if c.gone {
 			continue
 		}
-		next.raw[e.GetKey()] = e.GetValue()
 		if err := next.decodeKey(e.GetKey(), e.GetValue()); err != nil {
 			return nil, eris.Wrapf(err, "configuration key %s", e.GetKey())
 		}
 	}
+	if next.gone > keepGone {
+		next.dropGone()
+	}
 	next.index()
 	return next, nil
 }
 
+func (v *View) dropGone() {
+	maps.DeleteFunc(v.raw, func(_ string, c cell) bool { return c.gone })
+	v.floor, v.gone = v.Revision, 0
+}
+
 func (v *View) clear() {
-	v.raw = map[string][]byte{}
+	v.raw = map[string]cell{}
 	v.Customers = map[ident.Customer]Customer{}
 	v.Models = map[ident.Model]Model{}
 	v.Cascades = map[ident.Cascade]Cascade{}
@@ -86,7 +118,7 @@
 		section, _, _ := strings.Cut(e.GetKey(), "/")
 		sections[section+"/"] = true
 	}
-	v.raw = maps.Clone(old.raw)
+	v.raw, v.floor, v.gone = maps.Clone(old.raw), old.floor, old.gone
 	v.Limits = old.Limits
 	v.Customers, v.Models, v.Cascades, v.Routes = old.Customers, old.Models, old.Cascades, old.Routes
 	v.Rollouts, v.Withdrawn, v.Members = old.Rollouts, old.Withdrawn, old.Members
@@ -115,6 +147,9 @@
 
 // forget removes a key.
 func (v *View) forget(key string) {
+	if v.raw[key].gone {
+		v.gone--
+	}
 	delete(v.raw, key)
 	section, name, _ := strings.Cut(key, "/")
 	switch section + "/" {
@@ -141,35 +176,49 @@
 
 // Value returns the JSON value of a key.
 func (v *View) Value(key string) ([]byte, bool) {
-	value, ok := v.raw[key]
-	return value, ok
+	c, ok := v.raw[key]
+	return c.value, ok && !c.gone
 }
 
 // Keys returns all keys in order.
-func (v *View) Keys() []string { return slices.Sorted(maps.Keys(v.raw)) }
+func (v *View) Keys() []string {
+	list := make([]string, 0, len(v.raw)-v.gone)
+	for key, c := range v.raw {
+		if !c.gone {
+			list = append(list, key)
+		}
+	}
+	slices.Sort(list)
+	return list
+}
+
+// Since returns a delta with every key that was touched after a revision, also
+// if it has the same value again: a receiver may have seen the value between.
+// It returns false if the deleted keys are not known that far back, or the
+// revision is not an earlier one; then a full delta is needed.
+func (v *View) Since(from ident.Revision) (*wire.Delta, bool) {
+	if from == 0 || from < v.floor || from > v.Revision {
+		return nil, false
+	}
+	d := &wire.Delta{From: uint64(from), Revision: uint64(v.Revision)}
+	for key, c := range v.raw {
+		if c.at > from {
+			d.Entries = append(d.Entries, &wire.Entry{Key: key, Value: c.value, Gone: c.gone, Revision: uint64(c.at)})
+		}
+	}
+	slices.SortFunc(d.Entries, func(a, b *wire.Entry) int { return strings.Compare(a.GetKey(), b.GetKey()) })
+	return d, true
+}
 
 // Full returns a full delta that produces the view.
 func (v *View) Full() *wire.Delta {
 	d := &wire.Delta{Revision: uint64(v.Revision), Full: true}
 	for _, key := range v.Keys() {
-		d.Entries = append(d.Entries, &wire.Entry{Key: key, Value: v.raw[key]})
+		d.Entries = append(d.Entries, &wire.Entry{Key: key, Value: v.raw[key].value, Revision: uint64(v.raw[key].at)})
 	}
 	return d
 }
 
-// decode fills a view of which only the raw values are set.
-func (v *View) decode() error {
-	raw := v.raw
-	v.clear()
-	v.raw = raw
-	for key, value := range raw {
-		if err := v.decodeKey(key, value); err != nil {
-			return eris.Wrapf(err, "configuration key %s", key)
-		}
-	}
-	return nil
-}
-
 func (v *View) decodeKey(key string, value []byte) error {
 	section, name, _ := strings.Cut(key, "/")
 	switch section + "/" {
--- a/core/ident/ident.go
+++ b/core/ident/ident.go
@@ -72,15 +72,33 @@
 
 // Times that several programs must agree on.
 const (
-	// LeaseTime is how long one grant of the configuration lease lasts.
-	LeaseTime = 2 * time.Second
+	// LeaseTime is how long one grant of the configuration lease lasts. A
+	// holder may renew for 0.8 s without acknowledging a change:
+	// 0.8 s + 1.515 s leaves 0.685 s of the 3 s that rule 10 allows.
+	LeaseTime = 1500 * time.Millisecond
+	// SubLease is the longest sub-lease that a gate gives a side process. A
+	// suspended side process holds back its gate's acknowledgement for so long,
+	// and the leader allows 0.8 s for that.
+	SubLease = 700 * time.Millisecond
 	// RenewEvery is the interval between two renewals of a lease.
 	RenewEvery = 500 * time.Millisecond
-	// LoadEvery is the interval between two load reports of a side process.
+	// LoadEvery is the least interval between two reports of a side process
+	// that tell a change of its load.
 	LoadEvery = 250 * time.Millisecond
-	// SilentAfter is the time without a load report after which a gate sends
-	// a backend server no new work.
-	SilentAfter = 1500 * time.Millisecond
+	// IdleAfter is the time without work of a gate after which a side process
+	// renews and reports to it only every IdleEvery.
+	IdleAfter = 5 * time.Second
+	// IdleEvery is the interval between two renewals on a link without work.
+	IdleEvery = 2 * time.Second
+	// Missed is the number of missed reports after which a gate sends a
+	// backend server no new work.
+	Missed = 3
+	// SilentAfter is that time on a link with work.
+	SilentAfter = Missed * RenewEvery
+	// LinkSilent is the time without a message on the control stream between
+	// gate and side process after which either end gives the link up. The
+	// keepalive of the session itself can then be as rare.
+	LinkSilent = 10 * time.Second
 	// HandTime bounds the time between sending a Hand command and calling
 	// the service. Operators may settle an operation only after it has passed.
 	HandTime = 2 * time.Second
@@ -92,6 +110,10 @@
 // lease as expired: the lease time plus the allowed clock-rate error.
 const LeaseGuard = LeaseTime + LeaseTime/100
 
+// HandGuard is how long after a Hand command no side process calls any more,
+// whatever the rate of its clock.
+const HandGuard = HandTime + HandTime/100
+
 // Target is a model with one of its versions. The zero Version stands for any
 // version where a setting allows it, never in a request that is being run.
 type Target struct {
--- a/gate/pool/backend.go
+++ b/gate/pool/backend.go
@@ -25,9 +25,10 @@
 	redialMax   = 2 * time.Second
 	// mailbox bounds the messages that wait for one control stream.
 	mailbox = 64
-	// peakReports is the number of load reports over which the gate's own
-	// attempts are looked back at, 2 s.
-	peakReports = 8
+	// peakTime is how far the gate's own attempts are looked back at, and
+	// peakReports the number of load reports in it.
+	peakTime    = 2 * time.Second
+	peakReports = int(peakTime / ident.LoadEvery)
 	// settleEvery gathers billings into one message for each side process.
 	settleEvery = 50 * time.Millisecond
 )
@@ -44,23 +45,32 @@
 	running atomic.Int64
 	high    atomic.Int64 // most running since the last report
 	long    atomic.Int64
+	bills   chan struct{}             // has something while settle may have
+	asked   atomic.Pointer[time.Time] // first work that no report has followed
 	cancel  context.CancelFunc
-	due     chan struct{} // the first billing waits in settle
 
 	mu     sync.Mutex // guards the fields below
 	sess   *link.Session
 	out    chan *wire.Control // mailbox of the control stream
 	settle []*wire.Billing    // to be sent with the next tick
 	load   *wire.Load
-	heard  time.Time          // time of the last load report
-	since  time.Time          // time of the first report after the link came up
-	sent   *conf.View         // newest view that was sent on the control stream
-	peaks  [peakReports]int64 // most running before each of the last reports
+	heard  time.Time         // time of the last load report
+	due    time.Duration     // until the next one
+	since  time.Time         // time of the first report after the link came up
+	sent   *conf.View        // newest view that was sent on the control stream
+	sublet *sublet           // of this session
+	peaks  [peakReports]peak // before each of the last reports
 	peakAt int
 }
 
+// peak is the most attempts of this gate that ran between two load reports.
+type peak struct {
+	running int64
+	at      time.Time
+}
+
 func newBackend(p *Pool, id ident.Backend, m conf.Member) *backend {
-	b := &backend{pool: p, id: id, addr: m.Addr, zone: m.Zone, hash: xxhash.Sum64String(string(id)), due: make(chan struct{}, 1)}
+	b := &backend{pool: p, id: id, addr: m.Addr, zone: m.Zone, hash: xxhash.Sum64String(string(id)), bills: make(chan struct{}, 1)}
 	b.member.Store(m.Presence != conf.Leaving)
 	return b
 }
@@ -76,9 +86,21 @@
 // the side process's own report, and silence stops new work.
 func (b *backend) fit(now time.Time) bool {
 	return b.member.Load() && b.sess != nil && b.load != nil && b.load.GetHealthy() && !b.load.GetLeaving() &&
-		now.Sub(b.heard) < ident.SilentAfter
+		!b.silent(now)
+}
+
+// silent tells whether reports are missing; the caller holds mu. Work makes
+// the side process report at once, so one without work has to answer to that.
+func (b *backend) silent(now time.Time) bool {
+	if asked := b.asked.Load(); asked != nil && now.Sub(*asked) >= ident.SilentAfter {
+		return true
+	}
+	return now.Sub(b.heard) >= max(ident.Missed*b.due, ident.SilentAfter)
 }
 
+// ask notes that a report is due at once.
+func (b *backend) ask(now time.Time) { b.asked.CompareAndSwap(nil, &now) }
+
 func (b *backend) session() *link.Session {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -135,7 +157,8 @@
 	out := make(chan *wire.Control, mailbox)
 	b.mu.Lock()
 	b.sess, b.out, b.load, b.sent, b.settle = sess, out, nil, nil, nil
-	b.since = time.Time{}
+	b.since, b.sublet = time.Time{}, &sublet{}
+	b.asked.Store(nil)
 	b.mu.Unlock()
 	return out
 }
@@ -150,15 +173,19 @@
 // controls answers the messages of the side process on the control stream.
 func (b *backend) controls(ctx context.Context, control *link.Stream) error {
 	for {
+		_ = control.SetDeadline(time.Now().Add(ident.LinkSilent))
 		var m wire.Control
 		if err := control.Recv(&m); err != nil {
 			return err
 		}
 		switch k := m.GetKind().(type) {
 		case *wire.Control_Renew:
+			if l := k.Renew.GetLoad(); l != nil {
+				b.report(l, time.Duration(k.Renew.GetDue())*time.Millisecond)
+			}
 			b.grant(k.Renew)
 		case *wire.Control_Load:
-			b.report(k.Load)
+			b.report(k.Load, 0)
 		case *wire.Control_Records:
 			b.adopt(ctx, k.Records.GetRecords())
 		case *wire.Control_Grant, *wire.Control_Settled, nil:
@@ -170,20 +197,15 @@
 // grant answers a renewal. The sub-lease ends before the gate's own lease,
 // also when the clock of the side process runs slow.
 func (b *backend) grant(r *wire.Renew) {
-	view := b.pool.state.View()
-	left := time.Until(b.pool.state.Lease())
-	left -= time.Duration(float64(left) * ident.ClockError)
-	g := &wire.Grant{Seq: r.GetSeq(), Revision: uint64(view.Revision)}
-	if left <= 0 {
-		g.Fault = wire.NewFault(fault.New(fault.NoLease, "the gate has no configuration lease; renew again or use another gate"))
-	} else {
-		g.Ttl = uint32(left / time.Millisecond)
-	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	view, g := b.pool.sublets.renew(b.sublet, b.pool.state, r)
 	// A side process that is ahead has a newer configuration from another gate.
-	if at := ident.Revision(r.GetRevision()); at < view.Revision {
-		g.Delta = b.pool.delta(b.sent, view, at)
+	// One that is behind a view already sent has not read it yet; it would say
+	// revision 0 if it could not apply the delta.
+	told := ident.Revision(r.GetRevision())
+	if told < view.Revision && (b.sent != view || told == 0) {
+		g.Delta = b.pool.delta(b.sent, view, told)
 	}
 	b.sent = view
 	b.put(&wire.Control{Kind: &wire.Control_Grant{Grant: g}})
@@ -211,17 +233,19 @@
 
 // delta returns what a side process lacks that renews at a revision, when
 // sent was the last view on its stream. Messages on a stream arrive in order,
-// so what was sent is not sent again because a renewal crossed with it: that
-// would cost the whole configuration. A side process that could not apply a
-// difference renews at revision 0.
+// so what was sent is not sent again because a renewal crossed with it. A side
+// process that could not apply a difference renews at revision 0.
 func (p *Pool) delta(sent, view *conf.View, at ident.Revision) *wire.Delta {
-	switch {
-	case sent == nil || at == 0:
-		return view.Full()
-	case sent.Revision == view.Revision:
+	if sent != nil && at != 0 && sent.Revision == view.Revision {
 		return nil // on its way
 	}
-	return p.step(sent, view)
+	if sent != nil && at != 0 {
+		at = sent.Revision
+	}
+	if d, ok := view.Since(at); ok {
+		return d
+	}
+	return view.Full()
 }
 
 // step returns the difference between two views.
@@ -229,36 +253,27 @@
 	p.steps.Lock()
 	defer p.steps.Unlock()
 	if p.last == nil || p.last.from != sent || p.last.to != view {
-		p.last = &step{from: sent, to: view, delta: diff(sent, view)}
+		p.last = &step{from: sent, to: view, delta: p.delta(sent, view, sent.Revision)}
 	}
 	return p.last.delta
 }
 
-func diff(from, to *conf.View) *wire.Delta {
-	d := &wire.Delta{From: uint64(from.Revision), Revision: uint64(to.Revision)}
-	for _, key := range to.Keys() {
-		value, _ := to.Value(key)
-		if old, ok := from.Value(key); !ok || !slices.Equal(old, value) {
-			d.Entries = append(d.Entries, &wire.Entry{Key: key, Value: value, Revision: d.Revision})
-		}
-	}
-	for _, key := range from.Keys() {
-		if _, ok := to.Value(key); !ok {
-			d.Entries = append(d.Entries, &wire.Entry{Key: key, Gone: true, Revision: d.Revision})
-		}
-	}
-	return d
-}
-
-func (b *backend) report(l *wire.Load) {
+// report notes a load report and when the next is due; 0 stands for the
+// interval of a link with work.
+func (b *backend) report(l *wire.Load, due time.Duration) {
 	now := time.Now()
 	b.mu.Lock()
+	l.Fill(b.load)
+	b.due = due
+	if due <= ident.RenewEvery || b.running.Load() == 0 {
+		b.asked.Store(nil) // the report of a link without work may have crossed the work
+	}
 	changed := b.load == nil || b.load.GetService() != l.GetService() || !sameServed(b.load.GetServed(), l.GetServed())
 	if b.since.IsZero() || (b.load != nil && !b.load.GetHealthy() && l.GetHealthy()) {
 		b.since = now
 	}
 	b.load, b.heard = l, now
-	b.peaks[b.peakAt] = b.high.Swap(b.running.Load())
+	b.peaks[b.peakAt] = peak{b.high.Swap(b.running.Load()), now}
 	b.peakAt = (b.peakAt + 1) % peakReports
 	b.mu.Unlock()
 	if changed {
@@ -272,8 +287,10 @@
 // they would look like the load of others and hold back waiting requests.
 func (b *backend) foreign() int {
 	own := max(b.running.Load(), b.high.Load())
-	for _, n := range b.peaks {
-		own = max(own, n)
+	for _, p := range b.peaks {
+		if b.heard.Sub(p.at) <= peakTime {
+			own = max(own, p.running)
+		}
 	}
 	return max(0, int(b.load.GetRunning()+b.load.GetQueued())-int(own))
 }
@@ -324,16 +341,17 @@
 
 // post sends the mailbox, so that a stalled side process holds up nobody.
 func (b *backend) post(ctx context.Context, control *link.Stream, out <-chan *wire.Control) error {
-	// The timer runs only while a billing waits: an idle link wakes nobody.
-	gather := time.NewTimer(settleEvery)
-	defer gather.Stop()
+	var tick <-chan time.Time // runs only while there is something to settle
 	for {
 		var m *wire.Control
 		select {
 		case m = <-out:
-		case <-b.due:
-			gather.Reset(settleEvery)
-		case <-gather.C:
+		case <-b.bills:
+			if tick == nil {
+				tick = time.After(settleEvery)
+			}
+		case <-tick:
+			tick = nil
 			m = b.settlement()
 		case <-ctx.Done():
 			return nil
@@ -362,16 +380,13 @@
 func (b *backend) settled(list []*wire.Billing) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.out == nil {
-		return
-	}
-	if len(b.settle) == 0 {
+	if b.out != nil {
+		b.settle = append(b.settle, list...)
 		select {
-		case b.due <- struct{}{}:
-		default: // the last one is not taken yet
+		case b.bills <- struct{}{}:
+		default:
 		}
 	}
-	b.settle = append(b.settle, list...)
 }
 
 // accept serves the streams that the side process opens.
--- a/gate/pool/pool.go
+++ b/gate/pool/pool.go
@@ -45,6 +45,8 @@
 	state   State
 	dial    Dialer
 	adopt   func(ctx context.Context, records []*wire.Record) error
+	sublets *Sublets
+	links   int // for each model version or service
 	metrics metrics
 
 	index atomic.Pointer[index]
@@ -89,6 +91,7 @@
 
 // Link makes links over TCP with a session configuration.
 func Link(cfg link.Config) Option {
+	cfg.KeepAlive = ident.LinkSilent
 	return Dial(func(ctx context.Context, addr string) (*link.Session, error) {
 		return link.Dial(ctx, addr, cfg)
 	})
@@ -100,6 +103,13 @@
 	return func(p *Pool) { p.adopt = f }
 }
 
+// Sublet sets where the sub-leases are kept. The client of the state cluster
+// needs the same set, or it acknowledges revisions too early.
+func Sublet(s *Sublets) Option { return func(p *Pool) { p.sublets = s } }
+
+// Links sets the number of links for each model version or service.
+func Links(n int) Option { return func(p *Pool) { p.links = n } }
+
 // Metrics registers the metrics of the pool.
 func Metrics(r prometheus.Registerer) Option {
 	return func(p *Pool) { r.MustRegister(p.metrics.links, p.metrics.crossed, p.metrics.cut) }
@@ -107,7 +117,7 @@
 
 // New returns a pool without links; Run makes them.
 func New(opts ...Option) *Pool {
-	p := &Pool{backends: map[ident.Backend]*backend{}, peers: map[class]*policy.Peers{}}
+	p := &Pool{backends: map[ident.Backend]*backend{}, peers: map[class]*policy.Peers{}, sublets: NewSublets(), links: DefaultLinks}
 	p.metrics.links = prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "gate_links", Help: "Links to side processes that are up.",
 	}, func() float64 { return float64(p.up()) })
@@ -161,7 +171,7 @@
 	if p.planned != view {
 		// It takes milliseconds for thousands of members, too long for each
 		// round of an idle gate.
-		p.planned, p.want = view, subset(p.name, p.zone, view.Members)
+		p.planned, p.want = view, subset(p.name, p.zone, view, p.links)
 	}
 	want := p.want
 	for id, b := range p.backends {
--- a/side/guard/guard.go
+++ b/side/guard/guard.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"citronledge.example/core/conf"
 	"citronledge.example/core/fault"
 	"citronledge.example/core/ident"
 	"citronledge.example/core/wire"
@@ -15,6 +16,10 @@
 // Deltas take milliseconds; a gate retries elsewhere after that.
 const revisionWait = 500 * time.Millisecond
 
+// leaseWait bounds the wait for a sub-lease. A round to the gate takes a few
+// milliseconds; a gate tries elsewhere after that.
+const leaseWait = 300 * time.Millisecond
+
 // Guard admits work. It is safe for concurrent use.
 type Guard struct {
 	// Views is the configuration in force.
@@ -51,6 +56,7 @@
 // Admit waits for the configuration of the work if it is newer, and checks
 // the work. The work runs until Release of the pass.
 func (g *Guard) Admit(ctx context.Context, w *wire.Work) (*Pass, *fault.Fault) {
+	g.Leases.await(ctx, leaseWait)
 	g.Views.Await(ctx, ident.Revision(w.GetRevision()), revisionWait)
 	if ctx.Err() != nil {
 		return nil, fault.New(fault.Unavailable, "the gate gave the work up before it ran")
@@ -60,9 +66,9 @@
 	defer g.mu.Unlock()
 	// Everything is read under the lock, after the wait, so that a drain or a
 	// withdrawal that came meanwhile counts.
-	view := g.Views.View()
+	view, leased := g.leased()
 	f := Check(w, Facts{
-		View: view, Leased: g.Leases.Valid(time.Now()), Draining: g.draining, Running: g.taken, Report: report,
+		View: view, Leased: leased, Draining: g.draining, Running: g.taken, Report: report,
 	})
 	if f != nil {
 		return nil, f
@@ -73,6 +79,19 @@
 	return p, nil
 }
 
+// leased returns the view and whether a lease held while it was the newest. A
+// process that is suspended between the two looks must not judge by the view
+// of before and the lease of after.
+func (g *Guard) leased() (*conf.View, bool) {
+	for {
+		view := g.Views.View()
+		leased := g.Leases.Valid(time.Now())
+		if g.Views.View() == view {
+			return view, leased
+		}
+	}
+}
+
 // Free gives the slot back. Call it before the gate is told of the end: the
 // gate may send the next work as soon as it knows.
 func (p *Pass) Free() {
@@ -152,6 +171,10 @@
 func (g *Guard) Order(fence ident.Fence, send func() error) error {
 	g.orders.Lock()
 	defer g.orders.Unlock()
+	if !g.Leases.Valid(time.Now()) {
+		g.Leases.wanted.Post()
+		g.Leases.await(context.Background(), leaseWait)
+	}
 	switch {
 	case fence == 0:
 		return fault.New(fault.Invalid, "the order has no fence; take one from the ledger")
