link: write the header and the body of a frame together

Cause: yamux writes the header and the body of each frame by themselves; with TCP_NODELAY every message costs two system calls and two segments, and IP headers are most of the bytes of a small message. Ruled out: leaving it to Nagle's algorithm, which delays tokens; a buffered writer with a timer, which delays them as well. Change: the connection under yamux holds a data header until its body is written.

--- a/core/link/link.go
+++ b/core/link/link.go
@@ -75,7 +75,7 @@
 	if err != nil {
 		return nil, err
 	}
-	mux, err := yamux.Client(conn, muxConfig())
+	mux, err := yamux.Client(newJoiner(conn), muxConfig())
 	if err != nil {
 		return nil, closeAfter(conn, err)
 	}
@@ -88,7 +88,7 @@
 	if err != nil {
 		return nil, err
 	}
-	mux, err := yamux.Server(conn, muxConfig())
+	mux, err := yamux.Server(newJoiner(conn), muxConfig())
 	if err != nil {
 		return nil, closeAfter(conn, err)
 	}
