--- a/Makefile
+++ b/Makefile
@@ -40,13 +40,13 @@
 measure: ## one line for each measure of the decisions; minutes
 	$(GO) test ./core/policy -run '^TestMeasure' -count=1 -v -measure | grep '^measure='
 
-slopes: build ## how the cost of each process grows with its neighbours, for docs/CAPACITY.md; about 6 minutes
+slopes: build ## how the cost of each process grows with its neighbours, for docs/CAPACITY.md; about 6 minutes on an idle machine
 	$(GO) build -o bin/ ./demo/cmd/slope
-	./bin/slope
-	$(GO) test ./core/conf -run '^$$' -bench '^BenchmarkApply$$'
-	$(GO) test ./core/ledger -run '^$$' -bench '^BenchmarkPins$$'
-	$(GO) test ./gate/pool -run '^$$' -bench '^BenchmarkSubset$$'
-	$(GO) test ./state/node -run '^$$' -bench '^BenchmarkPoll$$'
+	./bin/slope --window 3s
+	$(GO) test ./core/conf -run '^$$' -count=3 -benchtime 300ms -bench '^BenchmarkApply$$'
+	$(GO) test ./core/ledger -run '^$$' -count=3 -benchtime 300ms -bench '^BenchmarkPins$$'
+	$(GO) test ./gate/pool -run '^$$' -count=3 -benchtime 300ms -bench '^BenchmarkSubset$$'
+	$(GO) test ./state/node -run '^$$' -count=3 -benchtime 300ms -bench '^BenchmarkPoll$$'
 
 clean:
 	rm -rf bin
