--- a/Makefile
+++ b/Makefile
@@ -34,12 +34,28 @@
 
 check: lint vet build race test ## everything that CI runs
 
-bench: build ## performance figures; not part of the tests
-	./tools/bench.sh
+bench: build ## performance figures, some minutes; not part of the tests
+	./bin/load
+	$(GO) test ./gate/front -run '^$$' -bench 'Call|Chat|Refusal' -benchmem
+	$(GO) test ./core/policy -run '^$$' -bench 'Choose|Judge' -benchmem
+	$(GO) test ./core/ledger -run '^$$' -bench 'Apply|Snapshot|Freeze' -benchtime 20000x
+	$(GO) test ./state/node -run '^$$' -bench Force -benchtime 300x
+	$(GO) test ./state/peer -run '^$$' -bench Commit -benchtime 3s
+	$(GO) test ./state/peer -run '^$$' -bench 'Failover|Recovery' -benchtime 10x
 
 measure: ## one line for each measure of the decisions; minutes
 	$(GO) test ./core/policy -run '^TestMeasure' -count=1 -v -measure | grep '^measure='
 
+FUZZTIME ?= 20s
+
+fuzz: ## run each fuzz target for FUZZTIME; CI runs only their seeds, as tests
+	$(GO) test ./core/conf -run xxx -fuzz '^FuzzMerge$$' -fuzztime $(FUZZTIME) -fuzzminimizetime 1x
+	$(GO) test ./core/link -run xxx -fuzz '^FuzzRead$$' -fuzztime $(FUZZTIME) -fuzzminimizetime 1x
+	$(GO) test ./core/ledger -run xxx -fuzz '^FuzzApply$$' -fuzztime $(FUZZTIME) -fuzzminimizetime 1x
+	$(GO) test ./side/engine -run xxx -fuzz '^FuzzReadEvent$$' -fuzztime $(FUZZTIME) -fuzzminimizetime 1x
+	$(GO) test ./state/store -run xxx -fuzz '^FuzzRecoverLog$$' -fuzztime $(FUZZTIME) -fuzzminimizetime 1x
+	$(GO) test ./state/store -run xxx -fuzz '^FuzzRecord$$' -fuzztime $(FUZZTIME) -fuzzminimizetime 1x
+
 slopes: build ## how the cost of each process grows with its neighbours, for docs/CAPACITY.md; about 6 minutes on an idle machine
 	$(GO) build -o bin/ ./demo/cmd/slope
 	./bin/slope --window 3s
