--- a/core/link/link.go
+++ b/core/link/link.go
@@ -79,7 +79,7 @@
 	if err != nil {
 		return nil, err
 	}
-	mux, err := yamux.Client(conn, muxConfig(cfg))
+	mux, err := yamux.Client(newJoiner(conn), muxConfig(cfg))
 	if err != nil {
 		return nil, closeAfter(conn, err)
 	}
@@ -92,7 +92,7 @@
 	if err != nil {
 		return nil, err
 	}
-	mux, err := yamux.Server(conn, muxConfig(cfg))
+	mux, err := yamux.Server(newJoiner(conn), muxConfig(cfg))
 	if err != nil {
 		return nil, closeAfter(conn, err)
 	}
