node: judge each step of a roll-out by a trial of its own

After an election it judged whole sums since the start of each gate. A step could last one second, and nothing told why an automatic roll-out waits.

Ruled out: replicated starting sums, which are needed for each gate; halting at each election, which is no evidence against a version.

Now each step and each leader has a trial with a committed number (Rollout.Trials), which counts only what came since it began and has its own part of the error. A step lasts at least 60 s. The reason for waiting is committed when it changes, at most once a minute. Judge takes the number of the trial, so main.go passes policy.JudgeStep.

Before: no dwell, no reason, answers from before the roll-out counted. After: TestTrial and TestRollout (its steps now last 64 s; same verdicts) pass, also with -race. Not measured: exposure while leaders change.

--- a/core/conf/schema.go
+++ b/core/conf/schema.go
@@ -168,8 +168,11 @@
 	Phase Phase `json:"phase"`
 	// Auto lets the leader go to the next step, and finish, by itself.
 	Auto bool `json:"auto,omitempty"`
-	// Reason tells why the roll-out is halted or reverted.
+	// Reason tells why the roll-out is halted or reverted, or why it waits.
 	Reason string `json:"reason,omitempty"`
+	// Trials counts the tests begun by leaders, one for each step and leader.
+	// They divide the error of a false halt.
+	Trials int `json:"trials,omitempty"`
 }
 
 // Share returns the share of new sessions that get the version To.
--- a/state/cmd/state/main.go
+++ b/state/cmd/state/main.go
@@ -102,7 +102,7 @@
 	p.frame = server.New(set.Settings, func() any { return p.node.Status() })
 	p.node, err = node.New(
 		node.WithConsensus(p.raft), node.WithMachine(machine), node.WithLink(cfg),
-		node.WithRegistry(p.frame.Registry), node.WithMembers(set.members), node.WithJudge(policy.Judge),
+		node.WithRegistry(p.frame.Registry), node.WithMembers(set.members), node.WithJudge(policy.JudgeStep),
 		node.WithRoster(p.raft, set.peers...),
 		node.WithRaft(func(_ context.Context, st *link.Stream) {
 			if err := p.transport.Serve(st); err != nil {
--- a/state/node/epoch.go
+++ b/state/node/epoch.go
@@ -47,7 +47,6 @@
 
 	tallies map[uint64][]*wire.Tally // latest of each incarnation
 	trials  map[ident.Model]*trial
-	judged  bool                 // the running roll-outs were looked at
 	missing map[string]time.Time // members that left the platform's list
 }
 
--- a/state/node/node.go
+++ b/state/node/node.go
@@ -34,8 +34,9 @@
 	Status() raft.Status
 }
 
-// Judge decides about a roll-out from what was seen of both versions.
-type Judge func(base, next policy.Stats) (policy.Verdict, policy.Reason)
+// Judge decides about a roll-out from what was seen of both versions in one
+// trial; the trials of a roll-out are counted from 0.
+type Judge func(trial int, base, next policy.Stats) (policy.Verdict, policy.Reason)
 
 // Option configures a node.
 type Option func(*Node)
--- a/state/node/trial.go
+++ b/state/node/trial.go
@@ -4,8 +4,10 @@
 	"context"
 	"encoding/json"
 	"maps"
+	"reflect"
 	"slices"
 	"strings"
+	"time"
 
 	"k8s.io/klog/v2"
 
@@ -16,16 +18,38 @@
 	"citronledge.example/core/wire"
 )
 
-// trial is what the leader remembers of a running roll-out. The whole sum
-// decides about a halt; only what came since the step began decides about the
-// next one, because the whole sum would allow all steps at once.
+const (
+	// stepDwell is the least time in one step; the false halts and the exposure
+	// were measured with it.
+	stepDwell = time.Minute
+	// reasonEvery bounds the changes that only tell why a roll-out waits.
+	reasonEvery = time.Minute
+)
+
+// trial is the test of one step of a roll-out by one leader. It counts what
+// came since it began. Its number is committed with the roll-out before the
+// test is used, so each trial has its own part of the error, also after a
+// change of the leader.
 type trial struct {
-	from, to   ident.Version
-	step       int
-	base, next policy.Stats // sums when the step began
-	// Sums when the roll-out began or was resumed; 0 for a roll-out that was
-	// already running at the election.
-	baseStart, nextStart policy.Stats
+	from, to ident.Version
+	step     int
+	number   int
+	began    time.Time
+	told     time.Time // last change of the reason
+	starts   map[uint64]pair
+}
+
+// pair holds the sums of both versions of a roll-out.
+type pair struct{ base, next policy.Stats }
+
+func newTrial(r conf.Rollout) *trial {
+	now := time.Now()
+	return &trial{from: r.From, to: r.To, step: r.Step, number: r.Trials, began: now, told: now, starts: map[uint64]pair{}}
+}
+
+// tests tells whether the trial is the one that was committed last.
+func (t *trial) tests(r conf.Rollout) bool {
+	return t != nil && t.from == r.From && t.to == r.To && t.step == r.Step && t.number == r.Trials
 }
 
 // judgeRollouts halts or advances the running roll-outs.
@@ -48,12 +72,15 @@
 			continue
 		}
 		running = true
-		if next, ok := n.judgeOne(e, model, r); ok {
-			number++
-			n.changeRollout(ctx, number, model, next)
+		next, t := n.judgeOne(e, model, r)
+		if reflect.DeepEqual(next, r) {
+			continue
+		}
+		number++
+		if n.changeRollout(ctx, number, model, next) {
+			e.trials[model] = t
 		}
 	}
-	e.judged = true
 	if !running {
 		n.forgetTallies(e)
 	}
@@ -84,77 +111,119 @@
 	return list
 }
 
-// judgeOne returns the roll-out after the verdict, or false for no change.
-func (n *Node) judgeOne(e *epoch, model ident.Model, r conf.Rollout) (conf.Rollout, bool) {
-	base, next := n.sum(e, model, r.From), n.sum(e, model, r.To)
+// judgeOne returns the roll-out after the verdict, and its trial if the change
+// is committed.
+func (n *Node) judgeOne(e *epoch, model ident.Model, r conf.Rollout) (conf.Rollout, *trial) {
 	t := e.trials[model]
-	if t == nil || t.from != r.From || t.to != r.To {
-		t = &trial{from: r.From, to: r.To, step: r.Step, base: base, next: next}
-		if e.judged { // it began under this leader
-			t.baseStart, t.nextStart = base, next
-		}
-		e.trials[model] = t
+	if !t.tests(r) {
+		return n.begin(e, model, r)
 	}
-	if t.step != r.Step {
-		t.step, t.base, t.next = r.Step, base, next
-	}
-	if verdict, reason := n.judge(minus(base, t.baseStart), minus(next, t.nextStart)); verdict == policy.Halt {
+	sum := n.sum(e, model, t)
+	verdict, reason := n.judge(t.number-1, sum.base, sum.next)
+	now := time.Now()
+	switch {
+	case verdict == policy.Halt:
 		r.Phase, r.Reason = conf.Halted, string(reason)
-		return r, true
-	}
-	if !r.Auto {
-		return r, false
-	}
-	verdict, reason := n.judge(minus(base, t.base), minus(next, t.next))
-	if verdict != policy.Advance {
-		return r, false
-	}
-	r.Reason = string(reason)
-	if r.Step+1 < len(r.Steps) {
+		return r, nil
+	case !r.Auto:
+	case now.Sub(t.began) < stepDwell:
+	case verdict == policy.Advance:
+		r.Reason = string(reason)
+		if r.Step+1 == len(r.Steps) {
+			r.Phase = conf.Finished
+			return r, nil
+		}
 		r.Step++
-	} else {
-		r.Phase = conf.Finished
+		return n.begin(e, model, r)
+	case now.Sub(t.told) >= reasonEvery:
+		if text := waiting + string(reason); text != r.Reason {
+			r.Reason = text
+			next := *t
+			next.told = now
+			return r, &next
+		}
 	}
-	return r, true
+	return r, t
 }
 
-// sum adds the latest tallies of all incarnations, also of retired ones.
-func (n *Node) sum(e *epoch, model ident.Model, version ident.Version) policy.Stats {
+// waiting precedes the measure that keeps an automatic roll-out from its next
+// step.
+const waiting = "waits: "
+
+// begin starts a trial with the sums of this moment.
+func (n *Node) begin(e *epoch, model ident.Model, r conf.Rollout) (conf.Rollout, *trial) {
+	r.Trials++
+	t := newTrial(r)
+	n.sum(e, model, t)
+	return r, t
+}
+
+// sum adds what all incarnations, also retired ones, have seen since the trial
+// began. The tally of an incarnation counts from the first one in which either
+// version occurs: it may hold answers from before the roll-out, which a gate
+// does not report until it knows the roll-out.
+func (n *Node) sum(e *epoch, model ident.Model, t *trial) pair {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	var s policy.Stats
+	var total pair
 	// The order is fixed so that equal tallies give equal floating-point sums.
 	for _, id := range slices.Sorted(maps.Keys(e.tallies)) {
-		for _, t := range e.tallies[id] {
-			if t.GetModel() == string(model) && t.GetVersion() == string(version) {
-				s = s.Add(policy.Stats{
-					Answers: t.GetAnswers(), Failures: t.GetFailures(), Slow: t.GetSlow(),
-					Rated: t.GetRated(), Quality: t.GetQuality(), Squares: t.GetSquares(),
-				})
-			}
+		now, known := tallied(e.tallies[id], model, t)
+		if !known {
+			continue
+		}
+		start, ok := t.starts[id]
+		if !ok {
+			start = now
+			t.starts[id] = now
 		}
+		total.base = total.base.Add(now.base.Sub(start.base))
+		total.next = total.next.Add(now.next.Sub(start.next))
 	}
-	return s
+	return total
 }
 
-func minus(a, b policy.Stats) policy.Stats {
-	return a.Add(policy.Stats{
-		Answers: -b.Answers, Failures: -b.Failures, Slow: -b.Slow, Rated: -b.Rated, Quality: -b.Quality, Squares: -b.Squares,
-	})
+// tallied picks the sums of a trial from the tallies of one incarnation; false
+// if neither version occurs.
+func tallied(list []*wire.Tally, model ident.Model, t *trial) (sums pair, known bool) {
+	for _, x := range list {
+		if x.GetModel() != string(model) {
+			continue
+		}
+		s := policy.Stats{
+			Answers: x.GetAnswers(), Failures: x.GetFailures(), Slow: x.GetSlow(),
+			Rated: x.GetRated(), Quality: x.GetQuality(), Squares: x.GetSquares(),
+		}
+		switch ident.Version(x.GetVersion()) {
+		case t.from:
+			sums.base, known = s, true
+		case t.to:
+			sums.next, known = s, true
+		}
+	}
+	return sums, known
 }
 
-// changeRollout proposes the roll-out. If an operator's change takes the
-// number first, the next round judges again.
-func (n *Node) changeRollout(ctx context.Context, number uint64, model ident.Model, r conf.Rollout) {
+// changeRollout proposes the roll-out and tells whether it is committed. If an
+// operator's change takes the number first, the next round judges again.
+func (n *Node) changeRollout(ctx context.Context, number uint64, model ident.Model, r conf.Rollout) bool {
 	value, err := json.Marshal(r)
 	if err != nil {
-		return
+		return false
 	}
 	entries := []*wire.Entry{{Key: conf.Rollouts + string(model), Value: value}}
 	c := &wire.Command{Actor: n.link.Name, Kind: &wire.Command_Change{Change: &wire.Change{
-		Number: number, Digest: ledger.Digest(entries), Entries: entries, Note: "verdict: " + r.Reason,
+		Number: number, Digest: ledger.Digest(entries), Entries: entries, Note: note(r),
 	}}}
 	res, err := n.propose(ctx, c)
 	klog.InfoS("Roll-out judged", "model", model, "phase", r.Phase, "step", r.Step, "reason", r.Reason,
 		"fault", res.GetFault().GetMessage(), "err", err)
+	return err == nil && res.GetFault() == nil
+}
+
+func note(r conf.Rollout) string {
+	if r.Reason == "" {
+		return "trial begins"
+	}
+	return "verdict: " + r.Reason
 }
--- a/state/node/work_test.go
+++ b/state/node/work_test.go
@@ -168,7 +168,7 @@
 // TestRollout guards the sums that decide about a roll-out: all gates count,
 // also one that is retired, and a step needs answers of its own.
 func TestRollout(t *testing.T) {
-	judge := func(_, next policy.Stats) (policy.Verdict, policy.Reason) {
+	judge := func(_ int, _, next policy.Stats) (policy.Verdict, policy.Reason) {
 		switch {
 		case next.Failures >= 10:
 			return policy.Halt, "errors"
@@ -203,7 +203,7 @@
 			time.Sleep(time.Second)
 			answers.Store(s.answers)
 			failures.Store(s.failures)
-			time.Sleep(4 * time.Second)
+			time.Sleep(stepDwell + 4*time.Second)
 			got := r.node.rollouts()[ident.Model("small")]
 			if got.Step != s.step || got.Phase != s.phase {
 				t.Errorf("step %d: got step %d %s (%s), want %d %s", i, got.Step, got.Phase, got.Reason, s.step, s.phase)
@@ -215,3 +215,71 @@
 		}
 	}, WithJudge(judge))
 }
+
+// TestTrial guards the promise about false halts: each step and each leader has
+// a trial of its own with a number that was not used before, nothing from
+// before the trial counts, and a step lasts its least time. It also guards the
+// configuration against a change with each look.
+func TestTrial(t *testing.T) {
+	var mu sync.Mutex
+	most := map[int]policy.Stats{} // by trial
+	judge := func(trial int, _, next policy.Stats) (policy.Verdict, policy.Reason) {
+		mu.Lock()
+		defer mu.Unlock()
+		most[trial] = next
+		if next.Answers >= 100 {
+			return policy.Advance, "enough"
+		}
+		return policy.Continue, policy.Reason([]string{"ratings", "slow"}[time.Now().Second()%2])
+	}
+	seen := func(trial int) int64 {
+		mu.Lock()
+		defer mu.Unlock()
+		return most[trial].Answers
+	}
+	bubble(t, func(r *rig) {
+		var answers, failures atomic.Int64
+		var known atomic.Bool
+		r.hold(client.WithTallies(func() []*wire.Tally {
+			if !known.Load() { // a gate reports a version when it knows its roll-out
+				return []*wire.Tally{{Model: "other", Version: "v1"}}
+			}
+			return []*wire.Tally{{Model: "small", Version: "v2", Answers: answers.Load(), Failures: failures.Load()}}
+		}))
+		answers.Store(1000)
+		get := func() conf.Rollout { return r.node.rollouts()["small"] }
+		before := r.commit(change(1, "rollouts/small", `{"from":"v1","to":"v2","steps":[0.1,0.5,1],"phase":"running","auto":true}`))
+		time.Sleep(1500 * time.Millisecond)
+		known.Store(true)
+		time.Sleep(3 * time.Second)
+		answers.Add(50)
+		time.Sleep(10 * time.Minute)
+		if got := seen(0); got != 50 {
+			t.Errorf("got %d answers in the first trial, want 50 without the ones before it", got)
+		}
+		if got := get(); !strings.HasPrefix(got.Reason, "waits: ") || got.Step != 0 {
+			t.Errorf("got step %d (%s), want a reason for the wait", got.Step, got.Reason)
+		}
+		if n := r.node.ledger.Revision() - before; n > 11 {
+			t.Errorf("got %d changes in 10 min, want at most one a minute", n)
+		}
+		r.cons.elect(time.Now())
+		time.Sleep(10 * time.Second)
+		answers.Add(60)
+		time.Sleep(5 * time.Second)
+		if got := get(); seen(1) != 60 || got.Step != 0 || got.Trials != 2 {
+			t.Errorf("got %d answers in trial %d, step %d under the new leader, want 60 in trial 2, step 0", seen(1), got.Trials, got.Step)
+		}
+		answers.Add(40)
+		time.Sleep(30 * time.Second)
+		if got := get().Step; got != 0 {
+			t.Errorf("got step %d within the least time of a step, want 0", got)
+		}
+		time.Sleep(30 * time.Second)
+		answers.Add(100)
+		time.Sleep(30 * time.Second)
+		if got := get(); got.Step != 1 || got.Trials != 3 || seen(2) != 100 {
+			t.Errorf("got step %d, trial %d with %d answers, want step 1, trial 3 with 100", got.Step, got.Trials, seen(2))
+		}
+	}, WithJudge(judge))
+}
