caller: send the service a key that names customer and route

Cause: the plain service got the caller's own Idempotency-Key.

Ruled out: percent signs as the escape (decoded in a path, not in a header); a digest (an operator could not find the call at the service).

Change: the service gets CUSTOMER:ROUTE:KEY, with "~" and two hex digits for all bytes but letters, digits, "-", "." and "_", for operations and for repeatable calls with a key.

Before: TestRequest gets "a/b", TestRepeatableKeyIsScoped gets "k", and the service counts the runs of all customers under "k1". After: the tests of side, stub, gate, core pass with -race, and those of demo pass.

Conclusion: no two operations share a key at the service.

--- a/demo/cmd/demo/main.go
+++ b/demo/cmd/demo/main.go
@@ -167,7 +167,8 @@
 		return err
 	}
 	fmt.Printf("   runs at the service: %v\n", business)
-	if string(first.Body) != string(again.Body) || other.Status != http.StatusConflict || keys["payout-1"] != 1 || keys["payout-2"] != 0 {
+	if string(first.Body) != string(again.Body) || other.Status != http.StatusConflict ||
+		keys[insurer+":payouts:payout-1"] != 1 || keys[insurer+":payouts:payout-2"] != 0 {
 		return fmt.Errorf("the payout did not run exactly once: %v", keys)
 	}
 	return nil
--- a/demo/launch/payout_test.go
+++ b/demo/launch/payout_test.go
@@ -10,6 +10,9 @@
 
 var payout = map[string]any{"household": "H-17", "day": "2026-06-14", "amount": 1200}
 
+// serviceKey is what the service gets for the key k1 of the customer.
+const serviceKey = customer + ":payouts:k1"
+
 // begin sends a payout through the first gate and waits until the service
 // runs it. The channel gives the answer.
 func begin(ctx context.Context, t *testing.T, s *System) <-chan Reply {
@@ -24,7 +27,7 @@
 	}()
 	err := poll(ctx, func() (bool, error) {
 		keys, _, err := Runs(ctx, s.Services[0])
-		return keys["k1"] == 1, err
+		return keys[serviceKey] == 1, err
 	}, func() string { return "the payout has not reached the service" })
 	if err != nil {
 		t.Fatal(err)
@@ -36,7 +39,7 @@
 func once(ctx context.Context, t *testing.T, s *System) {
 	t.Helper()
 	keys, business, err := Runs(ctx, s.Services[0])
-	if err != nil || len(keys) != 1 || keys["k1"] != 1 || business["household=H-17,day=2026-06-14"] != 1 {
+	if err != nil || len(keys) != 1 || keys[serviceKey] != 1 || business["household=H-17,day=2026-06-14"] != 1 {
 		t.Errorf("got runs %v, %v, error %v; want one", keys, business, err)
 	}
 }
--- a/side/caller/caller.go
+++ b/side/caller/caller.go
@@ -263,19 +263,13 @@
 	req.Header.Set(RequestHeader, w.GetRequest())
 	if w.GetOperation() != "" {
 		req.Header.Set(FenceHeader, strconv.FormatUint(w.GetFence(), 10))
-		if req.Header.Get(KeyHeader) == "" {
-			req.Header.Set(KeyHeader, operationKey(w.GetOperation()))
-		}
+		req.Header.Set(KeyHeader, ServiceKey(w.GetOperation()))
+	} else if key := req.Header.Get(KeyHeader); key != "" {
+		req.Header.Set(KeyHeader, ServiceKey(w.GetCustomer()+"/"+w.GetRoute()+"/"+key))
 	}
 	return req, nil
 }
 
-// operationKey returns the caller's key of an operation customer/route/key.
-func operationKey(id string) string {
-	parts := strings.SplitN(id, "/", 3)
-	return parts[len(parts)-1]
-}
-
 var (
 	// hops are the headers of one connection.
 	hops = []string{
--- a/side/caller/caller_test.go
+++ b/side/caller/caller_test.go
@@ -62,7 +62,7 @@
 	}
 	want := map[string]string{
 		"Authorization": "", "X-Fencing-Token": "7", "X-Customer": "coop", "X-Drop": "", "Accept": "text/plain",
-		"Idempotency-Key": "a/b",
+		"Idempotency-Key": "coop:pay:a~2Fb",
 	}
 	for name, value := range want {
 		if got := r.Header.Get(name); got != value {
@@ -70,3 +70,46 @@
 		}
 	}
 }
+
+// Guards against a service that deduplicates by the key and gives one
+// customer the answer of another: no two operations may share a key.
+func TestServiceKey(t *testing.T) {
+	tests := map[string]struct{ operation, want string }{
+		"plain":         {"coop/pay/2f-1.a_B", "coop:pay:2f-1.a_B"},
+		"other one":     {"acme/pay/2f-1.a_B", "acme:pay:2f-1.a_B"},
+		"slash":         {"coop/pay/a/b", "coop:pay:a~2Fb"},
+		"escaped slash": {"coop/pay/a~2Fb", "coop:pay:a~7E2Fb"},
+		"colon":         {"coop/pay/x:y", "coop:pay:x~3Ay"},
+		"colon earlier": {"coop/pay:x/y", "coop:pay~3Ax:y"},
+		"not ASCII":     {"coop/pay/\u00e9 \x7f", "coop:pay:~C3~A9~20~7F"},
+		"dots":          {"coop/pay/..", "coop:pay:.."},
+	}
+	seen := map[string]string{}
+	for name, test := range tests {
+		got := ServiceKey(test.operation)
+		if got != test.want {
+			t.Errorf("%s: got %q, want %q", name, got, test.want)
+		}
+		if other, ok := seen[got]; ok {
+			t.Errorf("%s and %s share the key %q", name, other, got)
+		}
+		seen[got] = name
+		if url.PathEscape(got) != got {
+			t.Errorf("%s: %q changes as a path segment", name, got)
+		}
+	}
+}
+
+// A repeatable call may carry a key too, by which a service deduplicates.
+func TestRepeatableKeyIsScoped(t *testing.T) {
+	c := New("pay", &url.URL{Scheme: "http", Host: "service"}, 0, nil)
+	r, err := c.request(t.Context(), &wire.Work{
+		Method: "POST", Path: "/p", Customer: "coop", Route: "notes", Headers: []*wire.Header{{Name: "Idempotency-Key", Value: "k"}},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, want := r.Header.Get(KeyHeader), "coop:notes:k"; got != want {
+		t.Errorf("got key %q, want %q", got, want)
+	}
+}
--- a/side/serve/operate_test.go
+++ b/side/serve/operate_test.go
@@ -25,8 +25,8 @@
 			t.Errorf("got finish %v, want the answer %q", book.finish, got.text())
 		}
 		again := g.run(payout("k1"))
-		if w.service.Count("k1") != 1 || again.kind() != fault.Unknown || !again.end.GetRan() {
-			t.Errorf("got %d runs and %v for the same hand-over, want 1 and unknown", w.service.Count("k1"), again.end)
+		if w.service.Count(serviceKey) != 1 || again.kind() != fault.Unknown || !again.end.GetRan() {
+			t.Errorf("got %d runs and %v for the same hand-over, want 1 and unknown", w.service.Count(serviceKey), again.end)
 		}
 		if book.state() != "done" {
 			t.Errorf("got phase %s, want done", book.state())
@@ -84,7 +84,7 @@
 				if got.kind() != test.want || got.end.GetRan() {
 					t.Errorf("got %v, want %s, not run", got.end, test.want)
 				}
-				if n := w.service.Count("k1"); n != 0 {
+				if n := w.service.Count(serviceKey); n != 0 {
 					t.Errorf("got %d runs, want 0", n)
 				}
 				if got := book.state(); got != test.phase {
@@ -108,8 +108,8 @@
 		_ = st.Close()
 		time.Sleep(3 * time.Second)
 		synctest.Wait()
-		if book.state() != "done" || book.finish[0].GetUnknown() || w.service.Count("k1") != 1 {
-			t.Errorf("got phase %s, %d runs; want done through the other gate, 1 run", book.state(), w.service.Count("k1"))
+		if book.state() != "done" || book.finish[0].GetUnknown() || w.service.Count(serviceKey) != 1 {
+			t.Errorf("got phase %s, %d runs; want done through the other gate, 1 run", book.state(), w.service.Count(serviceKey))
 		}
 		time.Sleep(5 * time.Second)
 		if b.billed(9) == 0 {
@@ -126,8 +126,8 @@
 		g := w.link("gate-1", book, 2000, 0)
 		w.service.SetFaults(plain.Faults{Lose: true})
 		got := g.run(payout("k1"))
-		if got.kind() != fault.Unknown || !got.end.GetRan() || w.service.Count("k1") != 1 {
-			t.Errorf("got %v and %d runs, want unknown and 1", got.end, w.service.Count("k1"))
+		if got.kind() != fault.Unknown || !got.end.GetRan() || w.service.Count(serviceKey) != 1 {
+			t.Errorf("got %v and %d runs, want unknown and 1", got.end, w.service.Count(serviceKey))
 		}
 		if len(book.finish) != 1 || !book.finish[0].GetUnknown() {
 			t.Errorf("got finish %v, want unknown", book.finish)
@@ -143,8 +143,8 @@
 		g := w.link("gate-1", book, 2000, 0)
 		book.mute = true
 		got := g.run(payout("k1"))
-		if got.kind() != fault.Unavailable || got.end.GetRan() || w.service.Count("k1") != 0 {
-			t.Errorf("got %v and %d runs, want not run", got.end, w.service.Count("k1"))
+		if got.kind() != fault.Unavailable || got.end.GetRan() || w.service.Count(serviceKey) != 0 {
+			t.Errorf("got %v and %d runs, want not run", got.end, w.service.Count(serviceKey))
 		}
 		if len(w.server.pending()) != 1 {
 			t.Error("Abort is not retried")
--- a/side/serve/world_test.go
+++ b/side/serve/world_test.go
@@ -320,7 +320,11 @@
 	}
 }
 
-const operation = "coop/pay/k1"
+// operation and the key of it that the service gets.
+const (
+	operation  = "coop/pay/k1"
+	serviceKey = "coop:pay:k1"
+)
 
 // book is the ledger behind the gates, with faults of the way to it.
 type book struct {
