route: look operations of unknown outcome up at the service

Cause: conf.Route.Lookup was used by nobody; every lost answer waited for an operator's ctl settle.

Ruled out: trusting a 404 of any instance. The instance that got the call may be stalled or cut off with the call in its socket, and a second instance cannot know; the payout would run twice. Also ruled out: settling without a fence. A slow gate's 404 about the first run would settle a second run, which another gate's settlement had allowed.

Settle has the new fields fence and headers; the ledger refuses a stale fence, and 0 (an operator) means any. The slot of the service is free during the wait. The side process takes the path from its own configuration. The stand-in of the plain service answers .../by-key/KEY as a look-up, can drop a call before its run, and can fail look-ups.

--- a/core/ident/ident.go
+++ b/core/ident/ident.go
@@ -137,6 +137,10 @@
 	Call
 )
 
+// Lookup is the kind of work that asks a plain service whether an operation
+// ran. No caller asks for it.
+const Lookup = "lookup"
+
 // String returns the name used in settings, logs and metrics.
 func (k Kind) String() string {
 	switch k {
--- a/core/ledger/ledger_test.go
+++ b/core/ledger/ledger_test.go
@@ -92,6 +92,13 @@
 	return &wire.Command{Kind: &wire.Command_Settle{Settle: &wire.Settle{Operation: "acme/pay/" + key, Ran: ran, Status: 200}}}
 }
 
+// looked is what a look-up of the operation under a fence found.
+func looked(key string, fence uint64, ran bool) *wire.Command {
+	c := settle(key, ran)
+	c.GetSettle().Fence = fence
+	return c
+}
+
 func bill(run uint64, sequences ...uint64) *wire.Command {
 	b := &wire.Bills{}
 	for _, n := range sequences {
@@ -211,6 +218,18 @@
 			{0, finish("k", 1, 200), ""},
 			{KeepOperations, hand("k", 1, "b1", 7), fault.Missing},
 		},
+		"look-up of an earlier run": {
+			{0, begin(1, "k", "", "d", "r"), ""},
+			{0, hand("k", 1, "pay", 1), ""},
+			{0, finish("k", 1, 0), ""},
+			{3 * time.Second, looked("k", 1, false), ""},
+			{0, begin(1, "k", "", "d", "r"), ""},
+			{0, hand("k", 2, "pay", 2), ""},
+			{0, finish("k", 2, 0), ""},
+			{3 * time.Second, looked("k", 1, false), fault.Stale},
+			{0, looked("k", 1, true), fault.Stale},
+			{0, looked("k", 2, true), ""},
+		},
 		"settle too early": {
 			{0, begin(1, "k", "", "d", "r"), ""},
 			{0, hand("k", 1, "b1", 7), ""},
--- a/core/ledger/oper.go
+++ b/core/ledger/oper.go
@@ -302,6 +302,10 @@
 	if !ok {
 		return refuse(fault.Missing, "operation %s is not on record; see the list of unknown ones", id)
 	}
+	// What a look-up found of an earlier run says nothing about a later one.
+	if s.GetFence() != 0 && s.GetFence() != old.op.GetFence() {
+		return deny(old, fault.Stale, "fence %d of operation %s is stale; the current one is %d", s.GetFence(), id, old.op.GetFence())
+	}
 	event, goal := chart.Event("deny"), aborted
 	if s.GetRan() {
 		event, goal = "confirm", done
@@ -321,7 +325,7 @@
 	if len(s.GetBody()) > MaxBody {
 		return deny(old, fault.TooLarge, "the answer of operation %s is over %d bytes; send a shorter one", id, MaxBody)
 	}
-	next.op.Status, next.op.Body = s.GetStatus(), s.GetBody()
+	next.op.Status, next.op.Headers, next.op.Body = s.GetStatus(), s.GetHeaders(), s.GetBody()
 	l.store(next)
 	return answer(next, false)
 }
--- a/demo/launch/payout_test.go
+++ b/demo/launch/payout_test.go
@@ -98,3 +98,20 @@
 	}
 	once(ctx, t, s)
 }
+
+// Guards against an outcome that stays unknown although the service knows it:
+// the answer is lost, and the gate looks the call up.
+func TestLostPayoutIsLookedUp(t *testing.T) {
+	ctx, s := start(t, time.Millisecond)
+	fault(ctx, t, s.Services[0], `{"lose":true}`)
+	r, err := caller(s, 0).Call(ctx, "/v1/payouts", "k1", payout)
+	if err != nil || r.Status != http.StatusOK || !strings.Contains(string(r.Body), `"run":1`) {
+		t.Errorf("got %d %s, %v; want the answer that the service has stored", r.Status, r.Body, err)
+	}
+	fault(ctx, t, s.Services[0], `{}`)
+	again, err := caller(s, 1).Call(ctx, "/v1/payouts", "k1", payout)
+	if err != nil || string(again.Body) != string(r.Body) {
+		t.Errorf("got %d %s, %v for the resent key; want the same answer", again.Status, again.Body, err)
+	}
+	once(ctx, t, s)
+}
--- a/gate/route/call.go
+++ b/gate/route/call.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"io"
 	"strings"
+	"sync"
 	"time"
 
 	"citronledge.example/core/conf"
@@ -121,7 +122,7 @@
 	x.judged = true
 	op := res.GetOperation()
 	if !op.GetGranted() {
-		return x.ungranted(op, err)
+		return x.ungranted(ctx, op, err)
 	}
 	// The operation finishes even when its caller is gone; the caller gets
 	// the answer when it sends the key again.
@@ -131,22 +132,29 @@
 	if err != nil {
 		return x.abort(limited, op, err)
 	}
+	release = sync.OnceFunc(release)
 	defer release()
-	return x.handOver(limited, pool.Need{Service: route.Service, Kind: ident.Call}, op)
+	done, err := x.handOver(limited, pool.Need{Service: route.Service, Kind: ident.Call}, op)
+	if done {
+		return err
+	}
+	release() // a look-up of the outcome takes no slot of the service
+	return x.abort(limited, op, err)
 }
 
-// handOver tries side processes until one has taken the operation over.
-func (x *run) handOver(ctx context.Context, need pool.Need, op *wire.Operation) error {
+// handOver tries side processes until one has taken the operation over. It
+// tells whether the operation was done; otherwise the error says why not.
+func (x *run) handOver(ctx context.Context, need pool.Need, op *wire.Operation) (done bool, err error) {
 	var avoid ident.Backend
 	for {
 		a := &stored{}
 		out, id, err := x.try(ctx, effort{need: need, avoid: avoid, op: op.GetId(), fence: op.GetFence()}, a)
 		if err == nil && out.Ran {
 			x.bill(ctx)
-			return x.reply(a.head.GetStatus(), a.head.GetHeaders(), a.body)
+			return true, x.reply(a.head.GetStatus(), a.head.GetHeaders(), a.body)
 		}
 		if out.Ran || !x.again(ctx, lap{out: out, id: id, err: err}) {
-			return x.abort(ctx, op, err)
+			return false, err
 		}
 		avoid = id
 	}
@@ -154,35 +162,52 @@
 
 // abort ends an operation whose attempt failed. Only its commit proves that
 // the service was not called and never will be under this fence.
-func (x *run) abort(ctx context.Context, op *wire.Operation, cause error) error {
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), abortTime)
+func (x *run) abort(request context.Context, op *wire.Operation, cause error) error {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(request), abortTime)
 	defer cancel()
 	res, _ := x.propose(ctx, &wire.Command{Kind: &wire.Command_Abort{Abort: &wire.Abort{
 		Operation: op.GetId(), Fence: op.GetFence(),
 	}}})
 	now := res.GetOperation()
+	if now.GetPhase() == unknownPhase && now.GetFence() == op.GetFence() {
+		now = x.seek(request, now)
+	}
 	switch {
 	case now.GetPhase() == "aborted" && now.GetFence() == op.GetFence():
 		x.rec.note("aborted")
 		f := fault.From(cause)
 		if f == nil || !f.Kind.NotRun() {
-			f = fault.New(fault.Unavailable, "the call was not handed to the service; send it again with the same idempotency key").After(time.Second)
+			f = notRun()
 		}
 		return &Failure{Fault: f}
 	case now.GetPhase() == "done" && now.GetFence() == op.GetFence():
 		x.rec.note("answer of a cut attempt replayed")
-		x.bill(ctx)
+		x.bill(request)
 		return x.reply(now.GetStatus(), now.GetHeaders(), now.GetBody())
 	}
 	return &Failure{Fault: unknown(), Ran: true}
 }
 
+const unknownPhase = "unknown"
+
+func notRun() *fault.Fault {
+	return fault.New(fault.Unavailable, "the call was not handed to the service; send it again with the same idempotency key").After(time.Second)
+}
+
 func unknown() *fault.Fault {
 	return fault.New(fault.Unknown, "the outcome of the call is not known; send it again with the same idempotency key to see it, it does not run twice")
 }
 
 // ungranted answers a call whose operation another request has begun before.
-func (x *run) ungranted(op *wire.Operation, refused error) error {
+func (x *run) ungranted(ctx context.Context, op *wire.Operation, refused error) error {
+	if op.GetPhase() == unknownPhase && fault.From(refused).Kind == fault.Unknown {
+		switch now := x.seek(ctx, op); {
+		case now.GetPhase() == "aborted" && now.GetFence() == op.GetFence():
+			return &Failure{Fault: notRun()}
+		case now.GetPhase() == "done":
+			op, refused = now, nil
+		}
+	}
 	if refused == nil {
 		if op.GetPhase() != "done" {
 			return &Failure{Fault: unknown(), Ran: true}
--- a/gate/route/route.go
+++ b/gate/route/route.go
@@ -106,15 +106,16 @@
 	tools   *tools
 	lanes   *lanes
 	rater   Rater
+	seeks   seeks
 	metrics metrics
 
 	mu       sync.Mutex // guards draining and running
 	draining bool
 	running  map[ident.Request]struct{}
 
-	asking atomic.Int64 // calls to the rating service under way
-	asks   conc.WaitGroup
-	life   context.Context // of those calls; ends with Run
+	asking atomic.Int64    // calls to the rating service under way
+	asks   conc.WaitGroup  // of those calls and of look-ups
+	life   context.Context // of both; ends with Run
 	end    context.CancelFunc
 }
 
@@ -145,6 +146,7 @@
 // New returns a router; Run keeps its queues.
 func New(opts ...Option) *Router {
 	r := &Router{records: newRing(), pins: newPins(), tools: newTools(), lanes: newLanes(), running: map[ident.Request]struct{}{}}
+	r.seeks.list = map[seekKey]*seek{}
 	r.life, r.end = context.WithCancel(context.Background())
 	r.metrics = newMetrics(r)
 	for _, opt := range opts {
--- a/side/caller/caller.go
+++ b/side/caller/caller.go
@@ -144,6 +144,17 @@
 	return out
 }
 
+// Lookup asks the service whether an operation ran: the key that the service
+// got with it is appended to a path. Unlike the operation it may be repeated.
+func (c *Client) Lookup(ctx context.Context, w *wire.Work, path string, sink engine.Sink) engine.Outcome {
+	if path == "" {
+		return engine.Outcome{Fault: fault.New(fault.Invalid, "the route has no look-up any more; settle the operation with ctl settle")}
+	}
+	return c.Call(ctx, &wire.Work{
+		Request: w.GetRequest(), Customer: w.GetCustomer(), Method: http.MethodGet, Path: path + ServiceKey(w.GetOperation()),
+	}, sink)
+}
+
 func copyAnswer(resp *http.Response, sink engine.Sink) error {
 	if err := sink.Head(resp.StatusCode, resp.Header); err != nil {
 		return err
--- a/side/guard/check.go
+++ b/side/guard/check.go
@@ -68,6 +68,8 @@
 		return checkTarget(w, f)
 	case ident.Call.String():
 		return checkCall(w, f)
+	case ident.Lookup:
+		return checkLookup(w, f)
 	}
 	return fault.New(fault.Invalid, "work has an unknown kind; update the side process")
 }
@@ -86,14 +88,35 @@
 	return nil
 }
 
-func checkCall(w *wire.Work, f Facts) *fault.Fault {
+func checkRoute(w *wire.Work, f Facts) (conf.Route, *fault.Fault) {
 	name := ident.Route(w.GetRoute())
 	route, ok := f.View.Routes[name]
 	if !ok || !f.View.MayCall(ident.Customer(w.GetCustomer()), name) {
-		return fault.New(fault.Forbidden, "the customer may not use route "+w.GetRoute()+"; allow it in the settings")
+		return route, fault.New(fault.Forbidden, "the customer may not use route "+w.GetRoute()+"; allow it in the settings")
 	}
 	if f.Report.Service == "" || route.Service != f.Report.Service {
-		return fault.New(fault.Unavailable, "this backend server is not an instance of "+string(route.Service)+"; use another")
+		return route, fault.New(fault.Unavailable, "this backend server is not an instance of "+string(route.Service)+"; use another")
+	}
+	return route, nil
+}
+
+// checkLookup checks a look-up. Its path is set here, by the configuration.
+func checkLookup(w *wire.Work, f Facts) *fault.Fault {
+	route, bad := checkRoute(w, f)
+	if bad != nil {
+		return bad
+	}
+	if route.Repeatable || route.Lookup == "" || w.GetOperation() == "" {
+		return fault.New(fault.Invalid, "route "+w.GetRoute()+" has no look-up; set lookup in the settings")
+	}
+	return nil
+}
+
+func checkCall(w *wire.Work, f Facts) *fault.Fault {
+	name := ident.Route(w.GetRoute())
+	route, bad := checkRoute(w, f)
+	if bad != nil {
+		return bad
 	}
 	u, err := url.ParseRequestURI(w.GetPath())
 	if err != nil || !isClean(u.Path) {
--- a/side/serve/operate_test.go
+++ b/side/serve/operate_test.go
@@ -177,3 +177,26 @@
 		}
 	})
 }
+
+// Guards against a look-up that leads elsewhere or counts as a run, and
+// against one on a route without a path for it.
+func TestLookup(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		w, book := newWorld(t, true), newBook()
+		g := w.link("gate-1", book, 2000, 0)
+		look := payout("k1")
+		look.Kind, look.Method, look.Path, look.Body, look.Sequence = "lookup", "DELETE", "/admin", nil, 0
+		if got := g.run(look); got.head.GetStatus() != 404 {
+			t.Errorf("got %v before the call, want 404", got.head)
+		}
+		paid := g.run(payout("k1"))
+		got := g.run(look)
+		if got.head.GetStatus() != 200 || got.text() != paid.text() || w.service.Count(serviceKey) != 1 || g.billed(0) != 0 {
+			t.Errorf("got %v %q after the call, want %q and one run", got.head, got.text(), paid.text())
+		}
+		look.Route = "state"
+		if got := g.run(look); got.kind() != fault.Invalid || got.end.GetRan() {
+			t.Errorf("got %v on a repeatable route, want a refusal", got.end)
+		}
+	})
+}
--- a/side/serve/work.go
+++ b/side/serve/work.go
@@ -108,8 +108,11 @@
 	// A gate that does not read must not hold the work for ever.
 	stop := context.AfterFunc(ctx, func() { _ = r.st.SetDeadline(time.Now().Add(lastTime)) })
 	defer stop()
-	if r.w.GetKind() == ident.Call.String() {
+	switch r.w.GetKind() {
+	case ident.Call.String():
 		return s.set.Service.Call(ctx, r.w, r)
+	case ident.Lookup:
+		return s.set.Service.Lookup(ctx, r.w, s.guard.Views.View().Routes[ident.Route(r.w.GetRoute())].Lookup, r)
 	}
 	return s.set.Engine.Chat(ctx, r.w, r)
 }
--- a/side/serve/world_test.go
+++ b/side/serve/world_test.go
@@ -167,7 +167,7 @@
 		"withdrawn/small/v2": `{"reason":"bad"}`,
 		"customers/coop":     `{"keys":[],"models":["small"],"routes":["pay","state"]}`,
 		"customers/other":    `{"keys":[],"models":["small/v1"]}`,
-		"routes/pay":         `{"path":"/payouts","methods":["POST"],"service":"payouts"}`,
+		"routes/pay":         `{"path":"/payouts","methods":["POST"],"service":"payouts","lookup":"/lookup/"}`,
 		"routes/state":       `{"path":"/state","methods":["GET"],"service":"payouts","repeatable":true}`,
 	} {
 		d.Entries = append(d.Entries, &wire.Entry{Key: key, Value: []byte(value)})
--- a/stub/plain/plain.go
+++ b/stub/plain/plain.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"path"
 	"strings"
 	"sync"
 	"time"
@@ -25,9 +26,11 @@
 
 // Faults are switched by POST /faults.
 type Faults struct {
-	Lose  bool `json:"lose"`  // run, then drop the connection
-	Slow  int  `json:"slow"`  // ms before the answer, after the run
-	Error int  `json:"error"` // answer with this HTTP status without a run
+	Lose   bool `json:"lose"`   // run, then drop the connection
+	Drop   bool `json:"drop"`   // drop the connection without a run
+	Slow   int  `json:"slow"`   // ms before the answer, after the run
+	Error  int  `json:"error"`  // answer with this HTTP status without a run
+	Lookup int  `json:"lookup"` // answer look-ups with this HTTP status
 }
 
 // Runs counts the runs.
@@ -37,8 +40,8 @@
 	Fences   map[string]string `json:"fences"`   // last fence by idempotency key
 }
 
-// Service is an http.Handler. POST /lookup paths aside, each POST is a run;
-// GET /lookup/KEY answers 200 if the key ran and 404 if not.
+// Service is an http.Handler. Each POST is a run. GET /lookup/KEY and GET of
+// any path that ends in /by-key/KEY answer 200 if the key ran and 404 if not.
 type Service struct {
 	fields []string
 	router http.Handler
@@ -58,7 +61,9 @@
 		stored: map[string][]byte{},
 	}
 	r := httprouter.New()
-	r.HandlerFunc(http.MethodGet, "/lookup/:key", s.lookup)
+	r.HandlerFunc(http.MethodGet, "/lookup/:key", func(w http.ResponseWriter, r *http.Request) {
+		s.lookup(w, httprouter.ParamsFromContext(r.Context()).ByName("key"))
+	})
 	r.HandlerFunc(http.MethodGet, "/runs", func(w http.ResponseWriter, _ *http.Request) { s.writeRuns(w) })
 	r.HandlerFunc(http.MethodPost, "/faults", s.setFaults)
 	r.NotFound = http.HandlerFunc(s.call)
@@ -100,10 +105,15 @@
 	w.WriteHeader(http.StatusNoContent)
 }
 
-func (s *Service) lookup(w http.ResponseWriter, r *http.Request) {
+func (s *Service) lookup(w http.ResponseWriter, key string) {
 	s.mu.Lock()
-	answer, ok := s.stored[httprouter.ParamsFromContext(r.Context()).ByName("key")]
+	answer, ok := s.stored[key]
+	status := s.faults.Lookup
 	s.mu.Unlock()
+	if status != 0 {
+		http.Error(w, "fault switched on", status)
+		return
+	}
 	if !ok {
 		http.Error(w, "no such key", http.StatusNotFound)
 		return
@@ -113,6 +123,10 @@
 }
 
 func (s *Service) call(w http.ResponseWriter, r *http.Request) {
+	if dir, key := path.Split(r.URL.Path); r.Method == http.MethodGet && strings.HasSuffix(dir, "/by-key/") {
+		s.lookup(w, key)
+		return
+	}
 	body, err := io.ReadAll(io.LimitReader(r.Body, maxBody))
 	if err != nil {
 		return // the caller is gone before the call was complete
@@ -124,6 +138,9 @@
 		http.Error(w, "fault switched on", f.Error)
 		return
 	}
+	if f.Drop {
+		panic(http.ErrAbortHandler)
+	}
 	answer := s.run(r, body)
 	if f.Slow > 0 {
 		select {
