route: do not say "not run" for a call whose business key is held

Cause: the 409 for a second idempotency key with a held business key said ran: no, although the payout may have run under the first key.

Change: ran is unknown if the operation on record has the business key of the request and is not aborted.

TestOperationConflicts expected ran=no for the second key. That expectation was the fault; the test now demands unknown there, keeps "no" for a body with another business key, and has two more cases.

--- a/gate/front/oper_test.go
+++ b/gate/front/oper_test.go
@@ -88,12 +88,22 @@
 			k.send(head(k.work, 201, "text/plain"), chunk("paid"), end(0))
 		}, "pay")
 		w.do(payment("k", "h1"))
-		for name, q := range map[string]request{
-			"same key, another body":         payment("k", "h2"),
-			"another key, same business key": {path: "/pay", body: `{"day":7.0,"home":"h1"}`, headers: map[string]string{"Idempotency-Key": "k2"}},
+		send := func(key, body string) request {
+			return request{path: "/pay", body: body, headers: map[string]string{"Idempotency-Key": key}}
+		}
+		// "No" would tell the caller that the payout is safe to make by other
+		// means, although it ran under the first key.
+		for name, c := range map[string]struct {
+			q    request
+			want string
+		}{
+			"same key, another body":                       {payment("k", "h2"), "409 conflict ran=no"},
+			"same key, another body for one business key":  {send("k", `{"day":7,"home":"h1","sum":5}`), "409 conflict ran=unknown"},
+			"another key, same business key":               {send("k2", `{"day":7.0,"home":"h1"}`), "409 conflict ran=unknown"},
+			"another key, same business key, another body": {send("k2", `{"day":7,"home":"h1","sum":5}`), "409 conflict ran=unknown"},
 		} {
-			if rec, _ := w.do(q); code(rec) != "409 conflict ran=no" {
-				t.Errorf("%s: got %s", name, code(rec))
+			if rec, _ := w.do(c.q); code(rec) != c.want {
+				t.Errorf("%s: got %s, want %s", name, code(rec), c.want)
 			}
 		}
 		if runs.Load() != 1 {
--- a/gate/route/call.go
+++ b/gate/route/call.go
@@ -122,7 +122,7 @@
 	x.judged = true
 	op := res.GetOperation()
 	if !op.GetGranted() {
-		return x.ungranted(ctx, op, err)
+		return x.ungranted(ctx, begin, op, err)
 	}
 	// The operation finishes even when its caller is gone; the caller gets
 	// the answer when it sends the key again.
@@ -199,7 +199,7 @@
 }
 
 // ungranted answers a call whose operation another request has begun before.
-func (x *run) ungranted(ctx context.Context, op *wire.Operation, refused error) error {
+func (x *run) ungranted(ctx context.Context, begin *wire.Begin, op *wire.Operation, refused error) error {
 	if op.GetPhase() == unknownPhase && fault.From(refused).Kind == fault.Unknown {
 		switch now := x.seek(ctx, op); {
 		case now.GetPhase() == "aborted" && now.GetFence() == op.GetFence():
@@ -216,9 +216,11 @@
 		return x.reply(op.GetStatus(), op.GetHeaders(), op.GetBody())
 	}
 	// An operation in progress is this very request, sent before: it may run.
-	// A conflict refuses this body, whatever the other operation did.
+	// A conflict refuses this body, but the operation with its business key is
+	// the same payout or registration and may have run under another key.
 	f := fault.From(refused)
-	return &Failure{Fault: f, Ran: !f.Kind.NotRun() || f.Kind == fault.Busy}
+	held := begin.GetBusiness() != "" && op.GetBusiness() == begin.GetBusiness() && op.GetPhase() != "aborted"
+	return &Failure{Fault: f, Ran: !f.Kind.NotRun() || f.Kind == fault.Busy || held}
 }
 
 func (x *run) reply(status uint32, headers []*wire.Header, body []byte) error {
