--- a/demo/launch/payout_test.go
+++ b/demo/launch/payout_test.go
@@ -10,6 +10,9 @@
 
 var payout = map[string]any{"household": "H-17", "day": "2026-06-14", "amount": 1200}
 
+// serviceKey is what the service gets for the key k1 of the customer.
+const serviceKey = customer + ":payouts:k1"
+
 // begin sends a payout through the first gate and waits until the service
 // runs it. The channel gives the answer.
 func begin(ctx context.Context, t *testing.T, s *System) <-chan Reply {
@@ -24,7 +27,7 @@
 	}()
 	err := poll(ctx, func() (bool, error) {
 		keys, _, err := Runs(ctx, s.Services[0])
-		return keys["k1"] == 1, err
+		return keys[serviceKey] == 1, err
 	}, func() string { return "the payout has not reached the service" })
 	if err != nil {
 		t.Fatal(err)
@@ -36,7 +39,7 @@
 func once(ctx context.Context, t *testing.T, s *System) {
 	t.Helper()
 	keys, business, err := Runs(ctx, s.Services[0])
-	if err != nil || len(keys) != 1 || keys["k1"] != 1 || business["household=H-17,day=2026-06-14"] != 1 {
+	if err != nil || len(keys) != 1 || keys[serviceKey] != 1 || business["household=H-17,day=2026-06-14"] != 1 {
 		t.Errorf("got runs %v, %v, error %v; want one", keys, business, err)
 	}
 }
@@ -95,3 +98,20 @@
 	}
 	once(ctx, t, s)
 }
+
+// Guards against an outcome that stays unknown although the service knows it:
+// the answer is lost, and the gate looks the call up.
+func TestLostPayoutIsLookedUp(t *testing.T) {
+	ctx, s := start(t, time.Millisecond)
+	fault(ctx, t, s.Services[0], `{"lose":true}`)
+	r, err := caller(s, 0).Call(ctx, "/v1/payouts", "k1", payout)
+	if err != nil || r.Status != http.StatusOK || !strings.Contains(string(r.Body), `"run":1`) {
+		t.Errorf("got %d %s, %v; want the answer that the service has stored", r.Status, r.Body, err)
+	}
+	fault(ctx, t, s.Services[0], `{}`)
+	again, err := caller(s, 1).Call(ctx, "/v1/payouts", "k1", payout)
+	if err != nil || string(again.Body) != string(r.Body) {
+		t.Errorf("got %d %s, %v for the resent key; want the same answer", again.Status, again.Body, err)
+	}
+	once(ctx, t, s)
+}
--- a/side/caller/caller.go
+++ b/side/caller/caller.go
@@ -144,6 +144,17 @@
 	return out
 }
 
+// Lookup asks the service whether an operation ran: the key that the service
+// got with it is appended to a path. Unlike the operation it may be repeated.
+func (c *Client) Lookup(ctx context.Context, w *wire.Work, path string, sink engine.Sink) engine.Outcome {
+	if path == "" {
+		return engine.Outcome{Fault: fault.New(fault.Invalid, "the route has no look-up any more; settle the operation with ctl settle")}
+	}
+	return c.Call(ctx, &wire.Work{
+		Request: w.GetRequest(), Customer: w.GetCustomer(), Method: http.MethodGet, Path: path + ServiceKey(w.GetOperation()),
+	}, sink)
+}
+
 func copyAnswer(resp *http.Response, sink engine.Sink) error {
 	if err := sink.Head(resp.StatusCode, resp.Header); err != nil {
 		return err
@@ -263,19 +274,13 @@
 	req.Header.Set(RequestHeader, w.GetRequest())
 	if w.GetOperation() != "" {
 		req.Header.Set(FenceHeader, strconv.FormatUint(w.GetFence(), 10))
-		if req.Header.Get(KeyHeader) == "" {
-			req.Header.Set(KeyHeader, operationKey(w.GetOperation()))
-		}
+		req.Header.Set(KeyHeader, ServiceKey(w.GetOperation()))
+	} else if key := req.Header.Get(KeyHeader); key != "" {
+		req.Header.Set(KeyHeader, ServiceKey(w.GetCustomer()+"/"+w.GetRoute()+"/"+key))
 	}
 	return req, nil
 }
 
-// operationKey returns the caller's key of an operation customer/route/key.
-func operationKey(id string) string {
-	parts := strings.SplitN(id, "/", 3)
-	return parts[len(parts)-1]
-}
-
 var (
 	// hops are the headers of one connection.
 	hops = []string{
--- a/side/serve/world_test.go
+++ b/side/serve/world_test.go
@@ -168,7 +168,7 @@
 		"withdrawn/small/v2": `{"reason":"bad"}`,
 		"customers/coop":     `{"keys":[],"models":["small"],"routes":["pay","state"]}`,
 		"customers/other":    `{"keys":[],"models":["small/v1"]}`,
-		"routes/pay":         `{"path":"/payouts","methods":["POST"],"service":"payouts"}`,
+		"routes/pay":         `{"path":"/payouts","methods":["POST"],"service":"payouts","lookup":"/lookup/"}`,
 		"routes/state":       `{"path":"/state","methods":["GET"],"service":"payouts","repeatable":true}`,
 	} {
 		d.Entries = append(d.Entries, &wire.Entry{Key: key, Value: []byte(value)})
@@ -325,7 +325,11 @@
 	}
 }
 
-const operation = "coop/pay/k1"
+// operation and the key of it that the service gets.
+const (
+	operation  = "coop/pay/k1"
+	serviceKey = "coop:pay:k1"
+)
 
 // book is the ledger behind the gates, with faults of the way to it.
 type book struct {
