route: believe a 404 of a look-up only with a body that says so

Ruled out: a trial look-up of a call that ran (there may be none yet), and a warning in the docs only. Change: 404 counts only with the JSON body {"ran": false}. Before and after: without the check TestLookup/path_does_not_exist fails (the call runs twice); with it the look-up tests pass. Conclusion: any other 404 leaves the outcome unknown for an operator.

--- a/core/conf/schema.go
+++ b/core/conf/schema.go
@@ -72,7 +72,8 @@
 	// operation, so that two idempotency keys cannot run it twice.
 	Business []string `json:"business,omitempty"`
 	// Lookup is a path at the service that answers 200 if the operation with
-	// the appended idempotency key ran and 404 if it did not; empty if none.
+	// the appended key ran, and 404 with the JSON body {"ran": false} if it did
+	// not; empty if none.
 	Lookup string `json:"lookup,omitempty"`
 	// Timeout in milliseconds; 0 means the limit for calls.
 	Timeout int `json:"timeout,omitempty"`
--- a/demo/slope/links.go
+++ b/demo/slope/links.go
@@ -128,7 +128,8 @@
 	var pools []*pool.Pool
 	for i := range number {
 		cfg := link.Config{Name: fmt.Sprintf("gate-%03d", i), Keys: keys}
-		p := pool.New(pool.Name(cfg.Name, "zone-a"), pool.Client(f), pool.Dial(func(ctx context.Context, addr string) (*link.Session, error) {
+		// One model stands for the whole catalogue, so the gate links to all.
+		p := pool.New(pool.Name(cfg.Name, "zone-a"), pool.Links(maxLinks), pool.Client(f), pool.Dial(func(ctx context.Context, addr string) (*link.Session, error) {
 			return dial(ctx, m, addr, cfg)
 		}))
 		pools = append(pools, p)
--- a/gate/front/lookup_test.go
+++ b/gate/front/lookup_test.go
@@ -74,6 +74,9 @@
 	return s, calls
 }
 
+// notRun is the body of a 404 that says that a call did not run.
+const notRun = `{"ran": false}`
+
 // A look-up settles an operation of unknown outcome, but only by a clear
 // answer in time: a wrong "not run" would let a payout run twice.
 func TestLookup(t *testing.T) {
@@ -83,14 +86,15 @@
 		calls        int64
 	}{
 		"answer lost after running": {says(200, "paid"), "200  ran=", "200  ran=", 1},
-		"call never arrived":        {says(404, "none"), "503 unavailable ran=no", "201  ran=", 2},
+		"call never arrived":        {says(404, notRun), "503 unavailable ran=no", "201  ran=", 2},
+		"path does not exist":       {says(404, "404 page not found"), "504 unknown ran=unknown", "504 unknown ran=unknown", 1},
 		"look-up fails":             {says(500, "error"), "504 unknown ran=unknown", "504 unknown ran=unknown", 1},
 		"in progress":               {says(202, "wait"), "504 unknown ran=unknown", "504 unknown ran=unknown", 1},
 		"look-up is cut":            {func(*task) {}, "504 unknown ran=unknown", "504 unknown ran=unknown", 1},
 		"side refuses":              {func(k *task) { k.send(refused(fault.Busy)) }, "504 unknown ran=unknown", "504 unknown ran=unknown", 1},
 		"lies late": {func(k *task) {
 			time.Sleep(2500 * time.Millisecond)
-			says(404, "none")(k)
+			says(404, notRun)(k)
 		}, "504 unknown ran=unknown", "504 unknown ran=unknown", 1},
 	}
 	for name, c := range cases {
@@ -125,7 +129,7 @@
 // Without a look-up path nobody asks, and the outcome stays unknown.
 func TestNoLookup(t *testing.T) {
 	inBubble(t, func(t *testing.T, w *world) {
-		asked, _ := w.lookups(says(404, ""), "pay")
+		asked, _ := w.lookups(says(404, notRun), "pay")
 		w.c.put(t, map[string]any{"routes/pay": conf.Route{Path: "/pay", Methods: []string{"POST"}, Service: "pay"}})
 		time.Sleep(time.Second)
 		for range 2 {
@@ -147,7 +151,7 @@
 		answer func(*task)
 		want   string
 	}{
-		"not run": {says(404, ""), "504 unknown ran=unknown"},
+		"not run": {says(404, notRun), "504 unknown ran=unknown"},
 		"ran":     {says(200, "paid"), "200  ran="},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -193,7 +197,7 @@
 					t.Error(err)
 				}
 			}
-			says(404, "")(k)
+			says(404, notRun)(k)
 		}, "pay")
 		var wg sync.WaitGroup
 		for range 3 {
--- a/gate/route/lookup.go
+++ b/gate/route/lookup.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net/http"
 	"sync"
 	"time"
@@ -163,12 +164,22 @@
 			}
 		}
 		return s
-	case status == http.StatusNotFound && string(id) == op.GetBackend():
+	case status == http.StatusNotFound && string(id) == op.GetBackend() && denies(a.body):
 		return s
 	}
 	return nil
 }
 
+// denies tells whether the body of a 404 says that the call did not run. The
+// status alone is not enough: a look-up path that does not exist answers 404
+// for every call, and a call whose answer was lost would run again.
+func denies(body []byte) bool {
+	var answer struct {
+		Ran *bool `json:"ran"`
+	}
+	return json.Unmarshal(body, &answer) == nil && answer.Ran != nil && !*answer.Ran
+}
+
 // witness chooses the instance to ask: the one that the call was sent to, or
 // else any.
 func (r *Router) witness(need pool.Need, handed ident.Backend) (ident.Backend, bool) {
--- a/stub/plain/plain.go
+++ b/stub/plain/plain.go
@@ -41,7 +41,8 @@
 }
 
 // Service is an http.Handler. Each POST is a run. GET /lookup/KEY and GET of
-// any path that ends in /by-key/KEY answer 200 if the key ran and 404 if not.
+// any path that ends in /by-key/KEY answer 200 if the key ran, and 404 with
+// {"ran": false} if not.
 type Service struct {
 	fields []string
 	router http.Handler
@@ -115,7 +116,9 @@
 		return
 	}
 	if !ok {
-		http.Error(w, "no such key", http.StatusNotFound)
+		w.Header().Set("Content-Type", "application/json")
+		w.WriteHeader(http.StatusNotFound)
+		_, _ = w.Write([]byte(`{"ran": false}`))
 		return
 	}
 	w.Header().Set("Content-Type", "application/json")
