slope: link to all side processes and wait until the links are at rest

Cause: a gate links to 8 side processes for each version now, so the part stopped with 16 of 32 links; and 2 s after the start a link still counts as busy. Ruled out: 14 models in the stand-in; the slope per link is the same. Change: the gates of the tool have no such bound, and the tool waits 8 s.

--- a/demo/slope/links.go
+++ b/demo/slope/links.go
@@ -19,7 +19,8 @@
 )
 
 const (
-	settle     = 2 * time.Second // after the links are up
+	settle     = 8 * time.Second // after the links are up; a new link counts as busy for 5 s
+	maxLinks   = 1024            // side processes of one gate
 	linkTime   = 20 * time.Second
 	changes    = 20
 	changeTime = 100 * time.Millisecond // between two changes
