serve: ask for a full configuration only while the view is behind

Cause: a gap that two messages showed was asked for twice. The second renewal was held back for 250 ms, went out when the view had caught up, and said revision 0 instead of the new revision: the acknowledgement of a change was late, and the gate sent the whole configuration again. Change: the link keeps the newest revision that a delta did not lead to; a renewal asks for everything only while the view is older than that.

--- a/side/serve/control.go
+++ b/side/serve/control.go
@@ -52,6 +52,7 @@
 func (s *Server) granted(g *gate, m *wire.Grant) {
 	err := s.guard.Views.Apply(m.GetDelta())
 	if behind := s.guard.Views.View().Revision < ident.Revision(m.GetRevision()); err != nil || behind {
+		g.lacks(max(m.GetRevision(), m.GetDelta().GetRevision()))
 		select {
 		case g.gap <- struct{}{}:
 		default:
@@ -70,11 +71,10 @@
 
 // writer sends what a gate is told. It belongs to one goroutine.
 type writer struct {
-	s    *Server
-	g    *gate
-	st   *link.Stream
-	full bool      // the next renewal asks for a full delta
-	gap  time.Time // of the last such renewal
+	s   *Server
+	g   *gate
+	st  *link.Stream
+	gap time.Time // of the last renewal that asked for a full delta
 
 	last time.Time     // of the last renewal
 	due  time.Duration // until the next one, as the gate was told
@@ -109,7 +109,6 @@
 			// The renewal tells the gate that the revision is in force here.
 			err = w.send(w.load())
 		case <-g.gap:
-			w.full = true
 			// A delta that cannot be applied would else be asked for in a
 			// tight loop.
 			if time.Since(w.gap) >= ident.LoadEvery {
@@ -128,7 +127,7 @@
 // wait returns the time until the next look.
 func (w *writer) wait() time.Duration {
 	since := time.Since(w.last)
-	if (w.due < ident.IdleEvery || w.full) && since < ident.LoadEvery {
+	if (w.due < ident.IdleEvery || w.full()) && since < ident.LoadEvery {
 		return ident.LoadEvery - since
 	}
 	return w.due - since
@@ -138,6 +137,11 @@
 // sub-lease ask for; the answer to the first may be on its way.
 const askAgain = 100 * time.Millisecond
 
+// full tells whether the next renewal asks for a full delta. The view may have
+// caught up since the gap was seen, by another gate or a late delta; then a
+// renewal at revision 0 would hold back the acknowledgement.
+func (w *writer) full() bool { return uint64(w.s.guard.Views.View().Revision) < w.g.lack.Load() }
+
 // look renews if it is due or if the gate must know something now. Without a
 // lease, a work waits for the renewal.
 func (w *writer) look(lacks bool) error {
@@ -148,7 +152,7 @@
 	switch {
 	case since >= w.due,
 		lacks && since >= askAgain,
-		w.full && since >= ident.LoadEvery,
+		w.full() && since >= ident.LoadEvery,
 		quiet && w.g.busy(time.Now()),
 		!quiet && changed && since >= ident.LoadEvery,
 		m.GetHealthy() != w.told.GetHealthy(), m.GetLeaving() != w.told.GetLeaving(), !m.Short(w.told).GetSame():
@@ -164,8 +168,8 @@
 	if w.told == nil {
 		r.Name, r.Zone = string(w.s.set.Name), string(w.s.set.Zone)
 	}
-	if w.full {
-		r.Revision, w.full, w.gap = 0, false, time.Now()
+	if r.Revision < w.g.lack.Load() {
+		r.Revision, w.gap = 0, time.Now()
 	}
 	w.last, w.due = time.Now(), ident.IdleEvery
 	if w.g.busy(w.last) {
@@ -231,6 +235,10 @@
 	return s.gates[s.turn%len(s.gates)]
 }
 
+// lacks notes a revision that the view could not reach. One goroutine, the
+// reader of the control stream, calls it.
+func (g *gate) lacks(revision uint64) { g.lack.Store(max(g.lack.Load(), revision)) }
+
 // post leaves records for the writer, unless it still has some.
 func (g *gate) post(records []*wire.Record) {
 	select {
--- a/side/serve/server.go
+++ b/side/serve/server.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -70,6 +71,7 @@
 	lease *guard.Lease
 	mail  chan *wire.Records
 	gap   chan struct{} // a full delta is needed
+	lack  atomic.Uint64 // newest revision that a delta did not lead to
 	wake  chan struct{} // work has come
 
 	mu    sync.Mutex // guards the fields below
