usage: close the window between a lost session and its record

Cause: whether the gate has a session was read before the record was added. Ruled out: a second look after Add, which another session of the same name could answer wrongly. Change: Add asks under the lock of the book, so the Orphan comes after it. Before and after: with the question before the lock TestOrphanDuringAdd would find no record at the Orphan; it passes now, with the race tests of side. Conclusion: the record is handed to another gate after the grace time.

--- a/side/serve/work.go
+++ b/side/serve/work.go
@@ -127,7 +127,7 @@
 		s.book.Add(g.name(), &wire.Bill{
 			Incarnation: r.w.GetIncarnation(), Sequence: r.w.GetSequence(), Customer: r.w.GetCustomer(),
 			Usages: []*wire.Usage{u}, Request: r.w.GetRequest(), Time: uint64(time.Now().UnixMilli()),
-		}, s.linked(g.name()))
+		}, func() bool { return s.linked(g.name()) })
 	}
 	err := r.end(out, u)
 	s.metrics.done(r.w, out, time.Since(start))
--- a/side/usage/book.go
+++ b/side/usage/book.go
@@ -78,8 +78,9 @@
 
 // Add keeps the usage of one attempt. Attempts of one request share a
 // record. Call it before the gate can confirm the request; linked tells
-// whether the gate has a session.
-func (b *Book) Add(owner string, bill *wire.Bill, linked bool) {
+// whether the gate has a session. It is asked under the lock of the book, so
+// that an Orphan for a session that ends meanwhile comes after the record.
+func (b *Book) Add(owner string, bill *wire.Bill, linked func() bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	k := key(bill)
@@ -92,7 +93,7 @@
 	}
 	b.makeRoom()
 	wait := Grace
-	if linked {
+	if linked() {
 		wait = forgotten
 	}
 	b.records[k] = &record{owner: owner, bill: proto.CloneOf(bill), due: time.Now().Add(wait)}
