gate, server: share the start; fail readiness without a lease

Cause: the gate had its own copy of the start of a program. A gate without a lease stayed ready, so the balancer sent it callers that another gate could serve. Ruled out: liveness (a restart does not bring the lease back), and readiness that fails at once (a change of the leader takes up to a second). Change: the gate uses server.Main; Server.Require adds conditions to readiness; a gate is not ready when it had no lease for 2 s. Before and after: /readyz said ready whatever the lease; TestReadiness passes, and the demo runs through. Conclusion: when all gates are without a lease, all are unready; the balancer decides what callers see then.

--- a/core/server/server.go
+++ b/core/server/server.go
@@ -6,11 +6,14 @@
 	"context"
 	_ "embed" // for the state chart
 	"encoding/json"
+	"maps"
 	"net"
 	"net/http"
 	"net/http/pprof"
 	"os"
 	"os/signal"
+	"slices"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -43,6 +46,7 @@
 	set    Settings
 	status func() any
 	pages  map[string]http.Handler
+	needs  map[string]func() bool
 
 	mu    sync.Mutex
 	state chart.State
@@ -58,6 +62,7 @@
 		set:      set,
 		status:   status,
 		pages:    map[string]http.Handler{},
+		needs:    map[string]func() bool{},
 		state:    life.Start(),
 	}
 	metrics.MustRegister(
@@ -153,6 +158,28 @@
 	}
 }
 
+// Require makes readiness depend on a condition as well. Its name is what
+// /readyz answers while it does not hold. Call it before Run.
+func (s *Server) Require(name string, holds func() bool) { s.needs[name] = holds }
+
+// readiness returns the state, or the names of the conditions that do not hold.
+func (s *Server) readiness() string {
+	state := s.State()
+	if state != "ready" {
+		return state
+	}
+	var missing []string
+	for _, name := range slices.Sorted(maps.Keys(s.needs)) {
+		if !s.needs[name]() {
+			missing = append(missing, name)
+		}
+	}
+	if len(missing) > 0 {
+		return "without " + strings.Join(missing, ", ")
+	}
+	return state
+}
+
 // State returns the state of the program: starting, ready, draining, cut or stopped.
 func (s *Server) State() string {
 	s.mu.Lock()
@@ -172,7 +199,7 @@
 		_, _ = w.Write([]byte("ok\n"))
 	})
 	r.GET("/readyz", func(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
-		state := s.State()
+		state := s.readiness()
 		if state != "ready" {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
--- a/core/server/server_test.go
+++ b/core/server/server_test.go
@@ -10,6 +10,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"citronledge.example/core/chart"
 )
 
 // work is a part whose drain ends when the test says so.
@@ -80,6 +82,31 @@
 	}
 }
 
+// Guards against a load balancer that goes on sending callers to a process
+// that cannot serve them.
+func TestReadiness(t *testing.T) {
+	lease := false
+	s := New(Settings{}, nil)
+	s.Require("lease", func() bool { return lease })
+	for _, step := range []struct {
+		event chart.Event
+		lease bool
+		want  string
+	}{
+		{"", true, "starting"},
+		{"up", true, "ready"},
+		{"", false, "without lease"},
+		{"", true, "ready"},
+		{"signal", true, "draining"},
+	} {
+		s.move(step.event)
+		lease = step.lease
+		if got := s.readiness(); got != step.want {
+			t.Errorf("got %q after %q with lease %t, want %q", got, step.event, step.lease, step.want)
+		}
+	}
+}
+
 // Guards against settings whose faults come up one by one, and against a wrong
 // order of flags, environment and file.
 func TestSettings(t *testing.T) {
--- a/gate/cmd/gate/main.go
+++ b/gate/cmd/gate/main.go
@@ -13,6 +13,7 @@
 	"net/url"
 	"os"
 	"strings"
+	"time"
 
 	"github.com/julienschmidt/httprouter"
 	"github.com/rotisserie/eris"
@@ -39,34 +40,11 @@
 	links   int
 }
 
-func main() {
-	if err := run(os.Args[1:]); err != nil {
-		if !errors.Is(err, flag.ErrHelp) {
-			fmt.Fprintln(os.Stderr, "gate:", err)
-		}
-		os.Exit(1)
-	}
-}
+func main() { os.Exit(server.Main("gate", os.Args[1:], &settings{})) }
 
-func run(args []string) error {
-	var set settings
-	fs := flag.NewFlagSet("gate", flag.ContinueOnError)
-	set.register(fs)
-	if err := server.Parse(fs, args, "GATE"); err != nil {
-		return err
-	}
-	if err := set.validate(); err != nil {
-		return err
-	}
-	if set.Check {
-		fmt.Println("settings are valid")
-		return nil
-	}
-	return serve(set)
-}
-
-func (s *settings) register(fs *flag.FlagSet) {
-	s.Register(fs)
+// Register implements server.Program.
+func (s *settings) Register(fs *flag.FlagSet) {
+	s.Settings.Register(fs)
 	fs.StringVar(&s.listen, "listen", "", "address for callers")
 	fs.StringVar(&s.state, "state", "", "addresses of the state processes, HOST:PORT,...")
 	fs.StringVar(&s.cert, "cert", "", "TLS certificate file for callers; empty for plain HTTP")
@@ -85,9 +63,9 @@
 	return list
 }
 
-// validate returns all faults of the settings at once.
-func (s *settings) validate() error {
-	errs := []error{s.Validate(), server.CheckAddr("listen", s.listen)}
+// Validate implements server.Program.
+func (s *settings) Validate() error {
+	errs := []error{s.Settings.Validate(), server.CheckAddr("listen", s.listen)}
 	if len(s.addresses()) == 0 {
 		errs = append(errs, errors.New("--state is empty; set the addresses of the state processes, separated by commas"))
 	}
@@ -97,12 +75,6 @@
 	if s.links < 2 {
 		errs = append(errs, fmt.Errorf("--links: %d is too few to choose from; set 2 or more", s.links))
 	}
-	if s.Keys != "" {
-		if _, err := os.Stat(s.Keys); err == nil {
-			_, err = link.LoadKeys(s.Keys)
-			errs = append(errs, err)
-		}
-	}
 	switch {
 	case (s.cert == "") != (s.key == ""):
 		errs = append(errs, errors.New("--cert and --key belong together; set both or none"))
@@ -125,20 +97,26 @@
 	router *route.Router
 }
 
-func serve(set settings) error {
-	keys, err := link.LoadKeys(set.Keys)
+// patience is how long a gate stays ready without a lease. A change of the
+// leader takes less, and other gates have no lease then either.
+const patience = 2 * time.Second
+
+// Serve implements server.Program.
+func (s *settings) Serve(ctx context.Context) error {
+	keys, err := link.LoadKeys(s.Keys)
 	if err != nil {
 		return err
 	}
 	g := &gate{}
-	frame := server.New(set.Settings, g.status)
-	if err := g.build(set, link.Config{Name: set.Name, Keys: keys}, frame); err != nil {
+	frame := server.New(s.Settings, g.status)
+	if err := g.build(s, link.Config{Name: s.Name, Keys: keys}, frame); err != nil {
 		return err
 	}
 	defer func() { _ = g.client.Close() }()
+	frame.Require("lease", func() bool { return g.client.Valid(time.Now().Add(-patience)) })
 	frame.Page("/decisions/:id", http.HandlerFunc(g.decision))
-	return frame.Run(context.Background(), front.NewPart(front.Parts{
-		Listen: set.listen, Cert: set.cert, Key: set.key,
+	return frame.Run(ctx, front.NewPart(front.Parts{
+		Listen: s.listen, Cert: s.cert, Key: s.key,
 		Handler: front.New(front.Client(g.client), front.Route(g.router)),
 		Tasks: map[string]func(context.Context) error{
 			"lease": g.client.Hold, "links": g.pool.Run, "bills": g.book.Run, "queues": g.router.Run,
@@ -147,7 +125,7 @@
 	}))
 }
 
-func (g *gate) build(set settings, cfg link.Config, frame *server.Server) error {
+func (g *gate) build(set *settings, cfg link.Config, frame *server.Server) error {
 	var err error
 	sublets := pool.NewSublets()
 	g.client, err = client.New(
--- a/gate/cmd/gate/main_test.go
+++ b/gate/cmd/gate/main_test.go
@@ -3,11 +3,13 @@
 import (
 	"strings"
 	"testing"
+
+	"citronledge.example/core/server"
 )
 
 // Guards against settings whose faults come up one by one.
 func TestAllFaultsAtOnce(t *testing.T) {
-	err := run([]string{"--check", "--admin", "x", "--state", "nowhere", "--cert", "c.pem", "--ratings", "::", "--links", "1"})
+	err := server.Load("gate", []string{"--check", "--admin", "x", "--state", "nowhere", "--cert", "c.pem", "--ratings", "::", "--links", "1"}, &settings{})
 	if err == nil {
 		t.Fatal("got no error")
 	}
