--- a/gate/bill/bill_test.go
+++ b/gate/bill/bill_test.go
@@ -91,7 +91,9 @@
 		if err := b.Commit(late, bill(open, 5, 9), nil); !errors.Is(err, ErrLate) {
 			t.Errorf("got %v without a state cluster, want ErrLate", err)
 		}
-		if err := b.Adopt(ctx, records[:1]); !errors.Is(err, ErrOpen) {
+		again, stop := context.WithTimeout(ctx, time.Second)
+		defer stop()
+		if err := b.Adopt(again, records[:1]); !errors.Is(err, ErrOpen) {
 			t.Errorf("got %v while the bill is queued, want ErrOpen", err)
 		}
 		c.set(false)
