route: use the model name auto of package conf

Cause: conf and route each defined the name that asks for a cascade; a change of one would have left the other behind. Ruled out: keeping the second one as an alias, which hides where it comes from. Change: route and front use conf.Auto. Conclusion: one definition.

--- a/core/policy/queue.go
+++ b/core/policy/queue.go
@@ -60,7 +60,7 @@
 	costGain = 0.05
 	// highPart is the share of tickets that is to end within the time reserved
 	// for them. With the mean reserved, tickets that start at the last moment
-	// miss their deadline half of the time: at the crest of a swing that took
+	// miss their deadline half of the time: at the peak of a swing that took
 	// 21 % of the slot time.
 	highPart = 0.95
 	// highGain is the step by which the reserved time is learned, mostHigh its
--- a/gate/front/front.go
+++ b/gate/front/front.go
@@ -216,7 +216,7 @@
 	if err != nil {
 		return fault.New(fault.Invalid, "the field model is empty or malformed; GET /v1/models lists the models")
 	}
-	if _, ok := x.view.Models[target.Model]; !ok && target.Model != route.Auto {
+	if _, ok := x.view.Models[target.Model]; !ok && target.Model != conf.Auto {
 		return fault.New(fault.Missing, "model "+target.String()+" does not exist; GET /v1/models lists the models")
 	}
 	session := x.r.Header.Get("X-Session-Id")
@@ -267,7 +267,7 @@
 		}
 	}
 	if _, ok := x.view.Cascades[x.view.Customers[x.customer].Cascade]; ok {
-		add(string(route.Auto))
+		add(string(conf.Auto))
 	}
 	x.w.Header().Set("Content-Type", "application/json")
 	return json.NewEncoder(x.w).Encode(map[string]any{"object": "list", "data": list})
--- a/gate/route/admit.go
+++ b/gate/route/admit.go
@@ -125,7 +125,7 @@
 	view := x.r.state.View()
 	customer := view.Customers[x.req.Customer]
 	model, service := x.req.Target.Model, view.Routes[x.req.Route].Service
-	if model == Auto {
+	if model == conf.Auto {
 		// All steps of a cascade queue together in front of its last model,
 		// which any of them may need.
 		if steps := view.Cascades[customer.Cascade].Steps; len(steps) > 0 {
--- a/gate/route/chat.go
+++ b/gate/route/chat.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"citronledge.example/core/conf"
 	"citronledge.example/core/fault"
 	"citronledge.example/core/ident"
 	"citronledge.example/core/wire"
@@ -60,7 +61,7 @@
 }
 
 func (x *run) chat(ctx context.Context) error {
-	if x.req.Target.Model == Auto {
+	if x.req.Target.Model == conf.Auto {
 		return x.cascade(ctx)
 	}
 	return x.last(ctx, x.req.Target.Model)
--- a/gate/route/learn_test.go
+++ b/gate/route/learn_test.go
@@ -197,7 +197,7 @@
 func TestLateRating(t *testing.T) {
 	fixture(t, func(t *testing.T, w *fakes, r *Router) {
 		w.rate = func(Question) (ident.Quality, time.Duration) { return 1, 5 * time.Minute }
-		if err := r.Serve(t.Context(), chat("a", Auto), w); err != nil {
+		if err := r.Serve(t.Context(), chat("a", conf.Auto), w); err != nil {
 			t.Fatal(err)
 		}
 		large := ident.Target{Model: "large", Version: "v1"}
--- a/gate/route/route.go
+++ b/gate/route/route.go
@@ -23,9 +23,6 @@
 	"citronledge.example/gate/pool"
 )
 
-// Auto is the model name that asks for the customer's cascade.
-const Auto ident.Model = "auto"
-
 // State is what a Router needs of the client of the state cluster.
 type State interface {
 	// View returns the configuration in force at this gate.
@@ -58,7 +55,7 @@
 	Customer ident.Customer
 	Kind     ident.Kind
 	// Target of a chat or report. The version is empty unless the caller
-	// named one; the model may be Auto.
+	// named one; the model may be conf.Auto.
 	Target  ident.Target
 	Session ident.Session
 	Stream  bool
@@ -307,7 +304,7 @@
 func (x *run) known() error {
 	view := x.r.state.View()
 	t := x.req.Target
-	if x.req.Kind != ident.Call && t.Model != Auto && len(view.Versions(x.req.Customer, t.Model)) == 0 {
+	if x.req.Kind != ident.Call && t.Model != conf.Auto && len(view.Versions(x.req.Customer, t.Model)) == 0 {
 		return x.forbidden(view, t)
 	}
 	return nil
