route: name races, look-ups and estimates by usual terms

Cause: lap, seek, witness and lesson have to be explained to a reader. Ruled out: renaming race and contender, which the literature on hedged requests uses. Change: result, lookup, instance and workload; no change of behaviour. Conclusion: names only.

--- a/gate/route/attempt.go
+++ b/gate/route/attempt.go
@@ -220,7 +220,7 @@
 	if m, ok := x.r.state.View().Models[e.need.Target.Model]; ok {
 		u.Cost = float64(u.Input)*float64(m.Input) + float64(u.Output)*float64(m.Output)
 		if out.Whole {
-			x.r.tools.learn(lesson{kind: x.req.Kind, model: e.need.Target.Model}, u, m.Output)
+			x.r.tools.learn(workload{kind: x.req.Kind, model: e.need.Target.Model}, u, m.Output)
 		}
 	}
 	x.ledger.add(u)
--- a/gate/route/call.go
+++ b/gate/route/call.go
@@ -153,7 +153,7 @@
 			x.bill(ctx)
 			return true, x.reply(a.head.GetStatus(), a.head.GetHeaders(), a.body)
 		}
-		if out.Ran || !x.again(ctx, lap{out: out, id: id, err: err}) {
+		if out.Ran || !x.again(ctx, result{out: out, id: id, err: err}) {
 			return false, err
 		}
 		avoid = id
@@ -170,7 +170,7 @@
 	}}})
 	now := res.GetOperation()
 	if now.GetPhase() == unknownPhase && now.GetFence() == op.GetFence() {
-		now = x.seek(request, now)
+		now = x.lookupOutcome(request, now)
 	}
 	switch {
 	case now.GetPhase() == "aborted" && now.GetFence() == op.GetFence():
@@ -201,7 +201,7 @@
 // ungranted answers a call whose operation another request has begun before.
 func (x *run) ungranted(ctx context.Context, begin *wire.Begin, op *wire.Operation, refused error) error {
 	if op.GetPhase() == unknownPhase && fault.From(refused).Kind == fault.Unknown {
-		switch now := x.seek(ctx, op); {
+		switch now := x.lookupOutcome(ctx, op); {
 		case now.GetPhase() == "aborted" && now.GetFence() == op.GetFence():
 			return &Failure{Fault: notRun()}
 		case now.GetPhase() == "done":
--- a/gate/route/cascade.go
+++ b/gate/route/cascade.go
@@ -80,7 +80,7 @@
 		if len(versions) > 0 {
 			t.Version = versions[len(versions)-1]
 		}
-		steps[i] = x.r.tools.step(now, lesson{kind: x.req.Kind, model: name}, t, float64(m.Output), float64(m.Quality), x.r.rater != nil)
+		steps[i] = x.r.tools.step(now, workload{kind: x.req.Kind, model: name}, t, float64(m.Output), float64(m.Quality), x.r.rater != nil)
 	}
 	plan := policy.Plan(steps, target)
 	if plan.Start < 0 {
@@ -91,7 +91,7 @@
 
 // keep tells whether a held answer is good enough.
 func (x *run) keep(ctx context.Context, a *answer, target ident.Quality) bool {
-	l := lesson{kind: x.req.Kind, model: a.target.Model}
+	l := workload{kind: x.req.Kind, model: a.target.Model}
 	var score policy.Score
 	if x.r.rater != nil {
 		score = x.r.rateNow(ctx, x, a)
--- a/gate/route/chat.go
+++ b/gate/route/chat.go
@@ -115,7 +115,7 @@
 
 // again tells whether a failed effort is tried once more. Only efforts that
 // may have run count against the budget for extra work.
-func (x *run) again(ctx context.Context, l lap) bool {
+func (x *run) again(ctx context.Context, l result) bool {
 	x.tries++
 	if ctx.Err() != nil || x.leased() != nil {
 		return false
--- a/gate/route/lookup.go
+++ b/gate/route/lookup.go
@@ -31,28 +31,28 @@
 	lookupsOpen = 256
 )
 
-// seeks are the operations whose outcome this gate looks up, by id and fence.
-type seeks struct {
+// lookups are the operations whose outcome this gate looks up, by id and fence.
+type lookups struct {
 	mu   sync.Mutex
-	list map[seekKey]*seek
+	list map[lookupKey]*lookup
 }
 
-type seekKey struct {
+type lookupKey struct {
 	id    string
 	fence uint64
 }
 
-// seek is one look-up. The operation is set before done is closed; it is nil
+// lookup is one look-up. The operation is set before done is closed; it is nil
 // if the outcome stays unknown.
-type seek struct {
+type lookup struct {
 	done chan struct{}
 	op   *wire.Operation
 }
 
-// seek settles an operation of unknown outcome by what the service says, and
+// lookupOutcome settles an operation of unknown outcome by what the service says, and
 // returns it as settled, or nil if its outcome stays unknown until the request
 // has ended. The look-up goes on after that, for the next request with the key.
-func (x *run) seek(ctx context.Context, op *wire.Operation) *wire.Operation {
+func (x *run) lookupOutcome(ctx context.Context, op *wire.Operation) *wire.Operation {
 	s := x.r.lookUp(x.req, op)
 	if s == nil {
 		return nil
@@ -68,7 +68,7 @@
 
 // lookUp starts a look-up or joins the one under way. It returns nil if the
 // route has none.
-func (r *Router) lookUp(req *Request, op *wire.Operation) *seek {
+func (r *Router) lookUp(req *Request, op *wire.Operation) *lookup {
 	view := r.state.View()
 	route := view.Routes[req.Route]
 	limit := max(time.Duration(route.Timeout)*time.Millisecond, view.Limits.Timeout(ident.Call))
@@ -77,22 +77,22 @@
 	if route.Lookup == "" || limit >= states.HandedTime {
 		return nil
 	}
-	key := seekKey{op.GetId(), op.GetFence()}
-	r.seeks.mu.Lock()
-	defer r.seeks.mu.Unlock()
-	if s, ok := r.seeks.list[key]; ok {
+	key := lookupKey{op.GetId(), op.GetFence()}
+	r.lookups.mu.Lock()
+	defer r.lookups.mu.Unlock()
+	if s, ok := r.lookups.list[key]; ok {
 		return s
 	}
-	if len(r.seeks.list) >= lookupsOpen || r.life.Err() != nil {
+	if len(r.lookups.list) >= lookupsOpen || r.life.Err() != nil {
 		return nil
 	}
-	s := &seek{done: make(chan struct{})}
-	r.seeks.list[key] = s
+	s := &lookup{done: make(chan struct{})}
+	r.lookups.list[key] = s
 	r.asks.Go(func() {
 		s.op = r.settleByService(req, op)
-		r.seeks.mu.Lock()
-		delete(r.seeks.list, key)
-		r.seeks.mu.Unlock()
+		r.lookups.mu.Lock()
+		delete(r.lookups.list, key)
+		r.lookups.mu.Unlock()
 		close(s.done)
 	})
 	return s
@@ -134,7 +134,7 @@
 		return nil
 	}
 	need := pool.Need{Service: route.Service, Kind: ident.Call}
-	id, ok := r.witness(need, ident.Backend(op.GetBackend()))
+	id, ok := r.instance(need, ident.Backend(op.GetBackend()))
 	if !ok {
 		return nil
 	}
@@ -164,25 +164,25 @@
 			}
 		}
 		return s
-	case status == http.StatusNotFound && string(id) == op.GetBackend() && denies(a.body):
+	case status == http.StatusNotFound && string(id) == op.GetBackend() && saysNotRun(a.body):
 		return s
 	}
 	return nil
 }
 
-// denies tells whether the body of a 404 says that the call did not run. The
+// saysNotRun tells whether the body of a 404 says that the call did not run. The
 // status alone is not enough: a look-up path that does not exist answers 404
 // for every call, and a call whose answer was lost would run again.
-func denies(body []byte) bool {
+func saysNotRun(body []byte) bool {
 	var answer struct {
 		Ran *bool `json:"ran"`
 	}
 	return json.Unmarshal(body, &answer) == nil && answer.Ran != nil && !*answer.Ran
 }
 
-// witness chooses the instance to ask: the one that the call was sent to, or
+// instance returns the one to ask: the one that the call was sent to, or
 // else any.
-func (r *Router) witness(need pool.Need, handed ident.Backend) (ident.Backend, bool) {
+func (r *Router) instance(need pool.Need, handed ident.Backend) (ident.Backend, bool) {
 	list := r.pool.Candidates(time.Now(), need, nil)
 	for _, c := range list {
 		if c.Backend == handed {
--- a/gate/route/race.go
+++ b/gate/route/race.go
@@ -41,8 +41,8 @@
 	c.first = id
 }
 
-// lap is how one contender ended.
-type lap struct {
+// result is how one contender ended.
+type result struct {
 	out  pool.Outcome
 	id   ident.Backend
 	err  error
@@ -61,20 +61,20 @@
 
 // raced makes one effort, with a hedge if the answer does not come within a
 // high percentile of the usual time. Every contender has ended on return.
-func (x *run) raced(ctx context.Context, e effort, mk func(claim func() bool) contender) lap {
+func (x *run) raced(ctx context.Context, e effort, mk func(claim func() bool) contender) result {
 	c := &race{}
 	delay, ok := x.hedgeable(e)
 	if !ok {
-		return x.lap(ctx, e, mk(func() bool { return c.claim(1) }), func() bool { return c.claim(1) })
+		return x.runOnce(ctx, e, mk(func() bool { return c.claim(1) }), func() bool { return c.claim(1) })
 	}
 	first, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	c.cancels[1] = cancel
 	e.placed = c.place
-	hedge := make(chan lap, 1)
+	hedge := make(chan result, 1)
 	timer := time.AfterFunc(delay, func() { hedge <- x.hedge(ctx, c, e, mk) })
 	claim := func() bool { return c.claim(1) }
-	l := x.lap(first, e, mk(claim), claim)
+	l := x.runOnce(first, e, mk(claim), claim)
 	if timer.Stop() {
 		return l
 	}
@@ -123,7 +123,7 @@
 
 // hedge runs the second contender, unless the race is decided or the budget
 // for extra work is spent.
-func (x *run) hedge(ctx context.Context, c *race, e effort, mk func(claim func() bool) contender) lap {
+func (x *run) hedge(ctx context.Context, c *race, e effort, mk func(claim func() bool) contender) result {
 	second, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	c.mu.Lock()
@@ -131,19 +131,19 @@
 	c.cancels[2] = cancel
 	c.mu.Unlock()
 	if !open || avoid == "" || !x.r.tools.spend() {
-		return lap{err: errLost}
+		return result{err: errLost}
 	}
 	e.avoid, e.quick, e.placed = avoid, true, nil
 	x.r.metrics.hedges.Inc()
 	claim := func() bool { return c.claim(2) }
-	return x.lap(second, e, mk(claim), claim)
+	return x.runOnce(second, e, mk(claim), claim)
 }
 
-// lap runs one contender to its end.
-func (x *run) lap(ctx context.Context, e effort, sink contender, claim func() bool) lap {
+// runOnce runs one contender to its end.
+func (x *run) runOnce(ctx context.Context, e effort, sink contender, claim func() bool) result {
 	out, id, err := x.try(ctx, e, sink)
 	if err == nil && !claim() {
 		err = errLost
 	}
-	return lap{out: out, id: id, err: err, sink: sink}
+	return result{out: out, id: id, err: err, sink: sink}
 }
--- a/gate/route/route.go
+++ b/gate/route/route.go
@@ -103,7 +103,7 @@
 	tools   *tools
 	lanes   *lanes
 	rater   Rater
-	seeks   seeks
+	lookups lookups
 	metrics metrics
 
 	mu       sync.Mutex // guards draining and running
@@ -143,7 +143,7 @@
 // New returns a router; Run keeps its queues.
 func New(opts ...Option) *Router {
 	r := &Router{records: newRing(), pins: newPins(), tools: newTools(), lanes: newLanes(), running: map[ident.Request]struct{}{}}
-	r.seeks.list = map[seekKey]*seek{}
+	r.lookups.list = map[lookupKey]*lookup{}
 	r.life, r.end = context.WithCancel(context.Background())
 	r.metrics = newMetrics(r)
 	for _, opt := range opts {
--- a/gate/route/route_test.go
+++ b/gate/route/route_test.go
@@ -90,7 +90,7 @@
 // or a cascade would skip its cheap step after the first answer.
 func TestExpectedCost(t *testing.T) {
 	tools := newTools()
-	cheap, strong := lesson{ident.Chat, "small"}, lesson{ident.Chat, "large"}
+	cheap, strong := workload{ident.Chat, "small"}, workload{ident.Chat, "large"}
 	tools.learn(cheap, &wire.Usage{Cost: 200}, 1)
 	now := time.Now()
 	a := tools.step(now, cheap, ident.Target{Model: "small"}, 1, 0.5, false)
--- a/gate/route/tools.go
+++ b/gate/route/tools.go
@@ -29,14 +29,14 @@
 	budget *policy.Budget
 	hedger *policy.Hedger
 	rates  *policy.Estimator
-	intime map[lesson]float64 // share of ratings in time
-	length map[lesson]float64 // mean cost of an answer over the price of a token
+	intime map[workload]float64 // share of ratings in time
+	length map[workload]float64 // mean cost of an answer over the price of a token
 	stats  map[ident.Target]policy.Stats
 	inc    ident.Incarnation // that the stats belong to
 }
 
-// lesson is what is learnt apart: a model and a kind of work.
-type lesson struct {
+// workload is a model and a kind of work; estimates are kept for each.
+type workload struct {
 	kind  ident.Kind
 	model ident.Model
 }
@@ -45,8 +45,8 @@
 	return &tools{
 		hedger: policy.NewHedger(hedgeAfter),
 		rates:  policy.NewEstimator(),
-		intime: map[lesson]float64{},
-		length: map[lesson]float64{},
+		intime: map[workload]float64{},
+		length: map[workload]float64{},
 		stats:  map[ident.Target]policy.Stats{},
 	}
 }
@@ -110,7 +110,7 @@
 	t.stats[target] = s
 }
 
-func (t *tools) checked(l lesson, intime bool) {
+func (t *tools) checked(l workload, intime bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	v := 0.0
@@ -125,7 +125,7 @@
 }
 
 // learn counts the cost of an answer, in tokens at the output price.
-func (t *tools) learn(l lesson, u *wire.Usage, price ident.Price) {
+func (t *tools) learn(l workload, u *wire.Usage, price ident.Price) {
 	if u.GetCost() <= 0 || price <= 0 {
 		return
 	}
@@ -142,7 +142,7 @@
 // expect returns the expected length of an answer; the caller holds mu. A
 // model that was not seen yet is taken to answer at the mean length of the
 // others: with a length of its own making it would look too cheap or too dear.
-func (t *tools) expect(l lesson) float64 {
+func (t *tools) expect(l workload) float64 {
 	if tokens, ok := t.length[l]; ok {
 		return tokens
 	}
@@ -160,7 +160,7 @@
 }
 
 // step describes one model of a cascade to the plan.
-func (t *tools) step(now time.Time, l lesson, target ident.Target, price, prior float64, rated bool) policy.Step {
+func (t *tools) step(now time.Time, l workload, target ident.Target, price, prior float64, rated bool) policy.Step {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := policy.Step{
