demo: name the business key in the comment of the payout

Cause: the comment used words of the example data where the field has a term. Ruled out: the example data itself, which stays. Change: the comment says business key and idempotency key. Before and after: a comment only; go vet passes. Conclusion: no such word is left outside example data.

--- a/demo/cmd/demo/main.go
+++ b/demo/cmd/demo/main.go
@@ -145,8 +145,8 @@
 	return nil
 }
 
-// payout sends a payout, the same again, and the same household and day under
-// another key. The service must have run once.
+// payout sends a payout, the same again, and one with the same business key under
+// another idempotency key. The service must have run once.
 func (d *demo) payout(ctx context.Context) error {
 	body := map[string]any{"household": "H-17", "day": "2026-06-14", "amount": 1200}
 	first, err := d.caller(0, insurer).Call(ctx, "/v1/payouts", "payout-1", body)
