core: hold a configuration document and roll-outs of services' versions

Cause: the users' platform replaces its configuration as a whole under a version that the operator counts, and orders roll-outs by service; the ledger knew only folders merged into revisions and roll-outs of model versions. Ruled out: mapping the document onto the folder's keys, since a read must give back what was sent, and a resent version must be decided by its content. Links reset connections whose bytes stay unacknowledged for 2 s.

--- a/core/client/client.go
+++ b/core/client/client.go
@@ -6,11 +6,13 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
+	"k8s.io/klog/v2"
 
 	"citronledge.example/core/conf"
 	"citronledge.example/core/ident"
@@ -94,7 +96,7 @@
 	dial    Dialer
 	sublets Sublets
 
-	mu   sync.Mutex // guards the fields below; held while dialling
+	mu   sync.Mutex // guards the fields below and addrs; held while dialling
 	sess *session
 	next int    // index of the address to try next
 	hint string // address of the leader as told by a follower
@@ -173,6 +175,21 @@
 	return c.sess, nil
 }
 
+// mostAddresses bounds the addresses that a client knows.
+const mostAddresses = 32
+
+// Learn adds the address of a state process to those that are tried. The ones
+// from the start stay: they may be the only ones that are left later.
+func (c *Client) Learn(addr string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if addr == "" || len(c.addrs) >= mostAddresses || slices.Contains(c.addrs, addr) {
+		return
+	}
+	c.addrs = append(slices.Clone(c.addrs), addr)
+	klog.InfoS("Learnt of a state process", "addr", addr)
+}
+
 // pick returns the next address in turn, but not the one that was given up
 // last: a silent process would cost another dialTime.
 func (c *Client) pick() string {
--- a/core/conf/schema.go
+++ b/core/conf/schema.go
@@ -21,6 +21,11 @@
 	Rollouts  = "rollouts/"
 	Withdrawn = "withdrawn/"
 	Members   = "members/"
+
+	// Documented is the key of the document that operators replace as a whole.
+	Documented = "document"
+	// Shifts are the roll-outs of services' versions.
+	Shifts = "shifts/"
 )
 
 // Customer is a tenant.
--- a/core/conf/view.go
+++ b/core/conf/view.go
@@ -27,6 +27,9 @@
 	Rollouts  map[ident.Model]Rollout
 	Withdrawn map[ident.Target]Withdrawal
 	Members   map[ident.Backend]Member
+	// Document is the configuration replaced as a whole; version 0 if none.
+	Document Document
+	Shifts   map[ident.Service]Shift
 
 	raw   map[string]cell
 	floor ident.Revision // what was deleted up to here is not known
@@ -107,6 +110,7 @@
 	v.Rollouts = map[ident.Model]Rollout{}
 	v.Withdrawn = map[ident.Target]Withdrawal{}
 	v.Members = map[ident.Backend]Member{}
+	v.Shifts = map[ident.Service]Shift{}
 }
 
 // inherit takes over the old view. Sections with a changed key are copied,
@@ -122,6 +126,7 @@
 	v.Limits = old.Limits
 	v.Customers, v.Models, v.Cascades, v.Routes = old.Customers, old.Models, old.Cascades, old.Routes
 	v.Rollouts, v.Withdrawn, v.Members = old.Rollouts, old.Withdrawn, old.Members
+	v.Document, v.Shifts = old.Document, old.Shifts
 	if sections[Customers] {
 		v.Customers = maps.Clone(v.Customers)
 	}
@@ -143,6 +148,9 @@
 	if sections[Members] {
 		v.Members = maps.Clone(v.Members)
 	}
+	if sections[Shifts] {
+		v.Shifts = maps.Clone(v.Shifts)
+	}
 }
 
 // forget removes a key.
@@ -171,6 +179,10 @@
 		}
 	case Members:
 		delete(v.Members, ident.Backend(name))
+	case Documented + "/":
+		v.Document = Document{}
+	case Shifts:
+		delete(v.Shifts, ident.Service(name))
 	}
 }
 
@@ -262,6 +274,13 @@
 		err := json.Unmarshal(value, &m)
 		v.Members[ident.Backend(name)] = m
 		return err
+	case Documented + "/":
+		return json.Unmarshal(value, &v.Document)
+	case Shifts:
+		var s Shift
+		err := json.Unmarshal(value, &s)
+		v.Shifts[ident.Service(name)] = s
+		return err
 	}
 	return nil // a newer release may know more sections
 }
--- a/core/ledger/ledger.go
+++ b/core/ledger/ledger.go
@@ -117,6 +117,10 @@
 		return l.pin(k.Pin)
 	case *wire.Command_Batch:
 		return l.batch(k.Batch)
+	case *wire.Command_Replace:
+		return l.replace(c, k.Replace)
+	case *wire.Command_Shift:
+		return l.shift(c, k.Shift)
 	}
 	return refuse(fault.Invalid, "the command has no known kind; upgrade the state processes before their clients")
 }
--- a/core/link/link.go
+++ b/core/link/link.go
@@ -11,9 +11,11 @@
 	"context"
 	"crypto/hmac"
 	"crypto/rand"
+	"errors"
 	"io"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/hashicorp/yamux"
@@ -21,6 +23,7 @@
 	"google.golang.org/protobuf/encoding/protodelim"
 	"google.golang.org/protobuf/encoding/protowire"
 	"google.golang.org/protobuf/proto"
+	"golang.org/x/sys/unix"
 
 	"citronledge.example/core/fault"
 	"citronledge.example/core/wire"
@@ -30,6 +33,7 @@
 	handshakeTime = 3 * time.Second
 	dialTime      = 2 * time.Second
 	writeTime     = 5 * time.Second
+	silentTime    = 2 * time.Second // for bytes without an acknowledgement
 	keepAlive     = 5 * time.Second
 	nonceSize     = 32       // bytes
 	bufferSize    = 1 << 10  // bytes, read buffer of a stream; larger messages bypass it
@@ -65,7 +69,7 @@
 
 // Dial connects to an address and authenticates both ends.
 func Dial(ctx context.Context, addr string, cfg Config) (*Session, error) {
-	d := net.Dialer{Timeout: dialTime}
+	d := net.Dialer{Timeout: dialTime, Control: limitSilence}
 	conn, err := d.DialContext(ctx, "tcp", addr)
 	if err != nil {
 		return nil, eris.Wrapf(err, "cannot connect to %s", addr)
@@ -73,6 +77,16 @@
 	return Client(conn, cfg)
 }
 
+// limitSilence makes the kernel reset a connection whose bytes are not
+// acknowledged for silentTime: one end of it may be gone without a word.
+func limitSilence(_, _ string, c syscall.RawConn) error {
+	var failed error
+	err := c.Control(func(fd uintptr) {
+		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(silentTime/time.Millisecond))
+	})
+	return errors.Join(err, failed)
+}
+
 // Client authenticates the dialling end over conn, which it owns from then on.
 func Client(conn net.Conn, cfg Config) (*Session, error) {
 	peer, err := shake(conn, func(r protodelim.Reader) (Peer, error) { return greet(conn, r, cfg) })
--- /dev/null
+++ b/core/plan/plan.go
@@ -0,0 +1,219 @@
+// Package plan is the configuration that an operator replaces as a whole:
+// routes to services, the services, their customers and the limits on callers.
+// A Plan is immutable once it is indexed.
+package plan
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"citronledge.example/core/ident"
+)
+
+// Repeat tells how often a request of a route may run.
+type Repeat uint8
+
+// Kinds of routes by what may be repeated.
+const (
+	// Safe requests may run more than once.
+	Safe Repeat = iota + 1
+	// Once: at most one run for each attempt of a caller.
+	Once
+	// Stream: an event stream, at most one run unless Route.Resume is set.
+	Stream
+)
+
+// String returns the name used in logs and metrics.
+func (r Repeat) String() string {
+	switch r {
+	case Safe:
+		return "safe"
+	case Once:
+		return "once"
+	case Stream:
+		return "stream"
+	}
+	return "unknown"
+}
+
+// Route leads requests of a host and path prefix to services.
+type Route struct {
+	Name ident.Route
+	Host string
+	// Path is the prefix; it begins and ends with a slash.
+	Path   string
+	Repeat Repeat
+	// Timeout is the longest time that a caller is kept waiting.
+	Timeout time.Duration
+	// Target is the latency within which an answer has its full worth; on
+	// streams it is that of the first event.
+	Target time.Duration
+	// Pause is the longest pause between two events; 0 if not given.
+	Pause time.Duration
+	// Priority is 0 for the most urgent.
+	Priority int
+	// Models are the models that may answer, from small to large. With a
+	// list, the router names the model.
+	Models []ident.Model
+	// Splits share the traffic by weight.
+	Splits []Split
+	// Attempts is the largest number of runs for one attempt of a caller.
+	Attempts int
+	// Public routes need no key.
+	Public bool
+	// Affinity is set if requests share parts of prompts.
+	Affinity bool
+	// Resume is set if a stream may go on at another backend server.
+	Resume bool
+}
+
+// Repeatable tells whether a request may run again after a run of unknown
+// outcome.
+func (r *Route) Repeatable() bool { return r.Repeat == Safe || r.Repeat == Stream && r.Resume }
+
+// Split is a share of a route's traffic.
+type Split struct {
+	Service ident.Service
+	Weight  int
+}
+
+// Service is a group of backend servers that serve the same requests.
+type Service struct {
+	Name ident.Service
+	// Health is the path of its health page.
+	Health string
+	// Connections bounds the connections to one backend server from all
+	// callers together.
+	Connections int
+	// Engine is set for model runners.
+	Engine *Engine
+}
+
+// Engine describes the model runners of a service.
+type Engine struct {
+	// Slots is the number of requests in one batch.
+	Slots int
+	// Memory is the number of tokens that running requests and cached parts
+	// share.
+	Memory ident.Tokens
+	// Costs are the prices of 1,000 generated tokens.
+	Costs map[ident.Model]float64
+}
+
+// Customer holds the keys of a tenant.
+type Customer struct {
+	Name ident.Customer
+	Keys []string
+	// Priority takes precedence over that of the route unless it is nil.
+	Priority *int
+}
+
+// Limits bounds what callers may send; zero means no bound.
+type Limits struct {
+	Header, Body int // bytes
+	HeaderTime   time.Duration
+	// Idle is how long a connection may stay without a request.
+	Idle time.Duration
+}
+
+// Plan is one configuration.
+type Plan struct {
+	Version   uint64
+	Routes    []Route
+	Services  map[ident.Service]Service
+	Customers []Customer
+	Limits    Limits
+
+	hosts map[string][]*Route // longest path first
+	keys  map[string]*Customer
+}
+
+// Index checks the plan and prepares its look-ups. All faults have the form of
+// a sentence that says what to change.
+func (p *Plan) Index() error {
+	p.hosts, p.keys = map[string][]*Route{}, map[string]*Customer{}
+	for i := range p.Routes {
+		r := &p.Routes[i]
+		if err := p.check(r); err != nil {
+			return err
+		}
+		for _, o := range p.hosts[r.Host] {
+			if o.Path == r.Path {
+				return eris.Errorf("routes %s and %s share host %s and path %s; remove one", o.Name, r.Name, r.Host, r.Path)
+			}
+		}
+		p.hosts[r.Host] = append(p.hosts[r.Host], r)
+	}
+	for _, list := range p.hosts {
+		slices.SortFunc(list, func(a, b *Route) int { return len(b.Path) - len(a.Path) })
+	}
+	for i := range p.Customers {
+		c := &p.Customers[i]
+		for _, key := range c.Keys {
+			if o := p.keys[key]; o != nil && o.Name != c.Name {
+				return eris.Errorf("customers %s and %s share a key; give each its own", o.Name, c.Name)
+			}
+			p.keys[key] = c
+		}
+	}
+	return nil
+}
+
+func (p *Plan) check(r *Route) error {
+	switch {
+	case !strings.HasPrefix(r.Path, "/") || !strings.HasSuffix(r.Path, "/"):
+		return eris.Errorf("route %s: path %q must begin and end with a slash", r.Name, r.Path)
+	case r.Timeout <= 0:
+		return eris.Errorf("route %s: the timeout must be above 0", r.Name)
+	case r.Repeat == 0:
+		return eris.Errorf("route %s has no known type", r.Name)
+	}
+	total := 0
+	for _, s := range r.Splits {
+		if _, ok := p.Services[s.Service]; !ok {
+			return eris.Errorf("route %s names the unknown service %q; add the service", r.Name, s.Service)
+		}
+		if s.Weight < 0 {
+			return eris.Errorf("route %s: the weight of %s is below 0", r.Name, s.Service)
+		}
+		total += s.Weight
+	}
+	if total == 0 {
+		return eris.Errorf("route %s: its weights add up to 0; give a service a weight", r.Name)
+	}
+	return nil
+}
+
+// Match returns the route with the longest path prefix of a host.
+func (p *Plan) Match(host, path string) *Route {
+	for _, r := range p.hosts[host] {
+		if strings.HasPrefix(path, r.Path) {
+			return r
+		}
+	}
+	return nil
+}
+
+// Keyed tells whether requests need a key.
+func (p *Plan) Keyed() bool { return len(p.Customers) > 0 }
+
+// Owner returns the customer of a key, or nil.
+func (p *Plan) Owner(key string) *Customer { return p.keys[key] }
+
+// Pick returns the service for a number drawn evenly from all numbers.
+func (r *Route) Pick(draw uint64) ident.Service {
+	total := 0
+	for _, s := range r.Splits {
+		total += s.Weight
+	}
+	at := int(draw % uint64(total))
+	for _, s := range r.Splits {
+		if at -= s.Weight; at < 0 {
+			return s.Service
+		}
+	}
+	return r.Splits[0].Service
+}
--- /dev/null
+++ b/core/policy/climb.go
@@ -0,0 +1,38 @@
+package policy
+
+import "time"
+
+// Climb is what is known when a model has begun an answer and says how sure
+// it is of it, before the caller has received any of it.
+type Climb struct {
+	// Opinion of the model, 0 to 100; negative if it has none.
+	Opinion int
+	// Step is the position of the model in the cascade of Steps models.
+	Step, Steps int
+	// Runs is how many more runs the request may have.
+	Runs int
+	// Left is the time left, Spent the time that this step took.
+	Left, Spent time.Duration
+}
+
+const (
+	// sureOpinion is the opinion from which an answer is good enough.
+	sureOpinion = 50
+	// climbTime is how many times the last step's duration a larger model may
+	// take; with less left the answer at hand is better than none.
+	climbTime = 4
+)
+
+// Next returns the step that answers: the same one to keep the answer, or a
+// higher one to drop it and ask a larger model.
+func (c Climb) Next() (int, Reason) {
+	switch {
+	case c.Step >= c.Steps-1:
+		return c.Step, Last
+	case c.Opinion < 0 || c.Opinion >= sureOpinion:
+		return c.Step, Sure
+	case c.Runs <= 0 || c.Left < climbTime*c.Spent:
+		return c.Step, Late
+	}
+	return c.Steps - 1, Below
+}
--- a/core/policy/trial.go
+++ b/core/policy/trial.go
@@ -97,6 +97,29 @@
 	return judge(base, next, haltError*6/(k*k))
 }
 
+// JudgeShift is Judge for the roll-out of a version of a service within
+// seconds: it says Halt only for a failure or slowness rate that is worse by
+// more than a fault of single backend servers usually makes it, and never
+// says Advance.
+func JudgeShift(base, next Stats) (Verdict, Reason) {
+	const (
+		// ignore is above the share that one failing backend server out of
+		// ten adds to a version's failures.
+		ignore = 0.1
+		// level bounds the error for each route of a service.
+		level = 0.01
+	)
+	for _, m := range []measure{
+		{Failures, 0.5, ignore, 0, count(base.Failures, base.Answers), count(next.Failures, next.Answers)},
+		{Slowness, 0.5, ignore, 0, count(base.Slow, base.Answers), count(next.Slow, next.Answers)},
+	} {
+		if m.harmful(level * m.part) {
+			return Halt, m.reason
+		}
+	}
+	return Continue, Safe
+}
+
 func judge(base, next Stats, level float64) (Verdict, Reason) {
 	list := measures(base, next)
 	for i := range list {
