state: join from seeds, the operator's calls, roll-outs by service

Cause: on the platform a process is told three seeds and no list of members. Change: a founder is named by its address, every other member by address and a random part, so that an empty disk never votes under an old name. A process without a seat asks the leader for one; the leader replaces a voter only when another disk uses its address, or when it is silent for 4 s and a learner has caught up. Ruled out: removing silent members without a successor, since a second loss would then stop the cluster.

--- a/state/cmd/state/main.go
+++ b/state/cmd/state/main.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"os"
+	"runtime/debug"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -12,6 +13,7 @@
 
 	"citronledge.example/core/group"
 	"citronledge.example/core/link"
+	"citronledge.example/core/logs"
 	"citronledge.example/core/policy"
 	"citronledge.example/core/server"
 	"citronledge.example/state/node"
@@ -24,6 +26,10 @@
 
 // Serve implements server.Program.
 func (s *settings) Serve(ctx context.Context) error {
+	if s.hosted {
+		defer logs.Start(os.Stdout)()
+		debug.SetMemoryLimit(int64(memoryPart * float64(s.site.Memory)))
+	}
 	p, err := newProcess(s)
 	if err != nil {
 		return err
@@ -41,6 +47,7 @@
 	raft      *raft.Node
 	node      *node.Node
 	ln        net.Listener
+	link      link.Config
 }
 
 func newProcess(set *settings) (*process, error) {
@@ -48,7 +55,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &process{set: set}
+	p := &process{set: set, link: link.Config{Name: set.Name, Keys: keys}}
 	dir, err := store.Dir(set.data)
 	if err != nil {
 		return nil, eris.Wrap(err, "cannot use --data; set it to a folder on a disk")
@@ -60,7 +67,7 @@
 		p.close()
 		return nil, eris.Wrap(err, "cannot listen; set --listen to a free address of this VM")
 	}
-	cfg := link.Config{Name: set.Name, Keys: keys}
+	cfg := p.link
 	p.transport = peer.New(cfg)
 	machine := node.NewMachine()
 	opts := []raft.Option{
@@ -70,15 +77,22 @@
 	if set.join {
 		opts = append(opts, raft.WithJoin())
 	}
+	if set.hosted {
+		opts = append(opts, raft.WithTimings(siteTimings))
+	}
 	if p.raft, err = raft.New(opts...); err != nil {
 		p.close()
 		return nil, err
 	}
 	p.frame = server.New(set.Settings, func() any { return p.node.Status() })
+	roster := node.WithRoster(p.raft, set.peers...)
+	if set.hosted {
+		roster = node.WithVoters(p.raft, set.site.voters())
+	}
 	p.node, err = node.New(
 		node.WithConsensus(p.raft), node.WithMachine(machine), node.WithLink(cfg),
 		node.WithRegistry(p.frame.Registry), node.WithMembers(set.members), node.WithJudge(policy.JudgeStep),
-		node.WithRoster(p.raft, set.peers...),
+		roster,
 		node.WithRaft(func(_ context.Context, st *link.Stream) {
 			if err := p.transport.Serve(st); err != nil {
 				klog.V(1).InfoS("Stream of a member ended", "member", st.Peer().Name, "err", err)
@@ -97,6 +111,10 @@
 	g := group.New(ctx)
 	g.Go("consensus", p.raft.Run)
 	g.Go("node", func(ctx context.Context) error { return p.node.Run(ctx, p.ln) })
+	if p.set.hosted {
+		g.Go("operators", p.operators)
+		g.Go("seat", func(ctx context.Context) error { return p.seek(ctx, p.link) })
+	}
 	g.Go("readiness", func(ctx context.Context) error {
 		tick := time.NewTicker(20 * time.Millisecond)
 		defer tick.Stop()
--- a/state/cmd/state/settings.go
+++ b/state/cmd/state/settings.go
@@ -20,6 +20,8 @@
 	join    bool
 
 	list string // peers as given
+	hosted bool
+	site *site // set on the users' platform
 }
 
 // Register implements server.Program.
@@ -29,11 +31,18 @@
 	fs.StringVar(&s.data, "data", "", "data folder of this process, on a disk")
 	fs.StringVar(&s.list, "peers", "", "all state processes with this one: NAME=HOST:PORT,...")
 	fs.StringVar(&s.members, "members", "", "URL of the platform's list of members; empty for none")
+	fs.BoolVar(&s.hosted, "platform", false, "take name, zone, addresses, data folder and peers from the users' platform")
 	fs.BoolVar(&s.join, "join", false, "join an existing cluster with an empty data folder; never form a new one")
 }
 
 // Validate implements server.Program.
 func (s *settings) Validate() error {
+	if s.hosted {
+		if err := s.apply(); err != nil {
+			return err
+		}
+		return s.Settings.Validate()
+	}
 	errs := []error{s.Settings.Validate(), server.CheckAddr("listen", s.listen)}
 	if s.data == "" {
 		errs = append(errs, errors.New("--data is empty; set a folder on a disk"))
@@ -70,6 +79,9 @@
 
 // address returns the address at which the others reach this process.
 func (s *settings) address() string {
+	if s.hosted {
+		return s.listen
+	}
 	for _, p := range s.peers {
 		if p.Name == s.Name {
 			return p.Addr
--- a/state/node/node.go
+++ b/state/node/node.go
@@ -81,10 +81,12 @@
 	raft     func(context.Context, *link.Stream)
 	roster   Roster
 	peers    []raft.Member
+	voters   int // above 0: processes may join, see WithVoters
 	metrics  *metrics
 	batch    batcher
 
 	mu    sync.Mutex
+	candidates map[string]candidate // by name
 	epoch *epoch // nil unless this node leads and has read the state
 
 	deltas deltas
@@ -92,7 +94,7 @@
 
 // New returns a node. Run starts it.
 func New(opts ...Option) (*Node, error) {
-	n := &Node{registry: prometheus.NewRegistry()}
+	n := &Node{registry: prometheus.NewRegistry(), candidates: map[string]candidate{}}
 	for _, o := range opts {
 		o(n)
 	}
@@ -111,7 +113,11 @@
 	g := group.New(ctx)
 	g.Go("leases", n.watchLeases)
 	g.Go("leader's tasks", n.lead)
-	if n.roster != nil {
+	g.Go("roll-outs of versions", n.watchShifts)
+	switch {
+	case n.voters > 0:
+		g.Go("membership", n.admit)
+	case n.roster != nil:
 		g.Go("repair", n.repair)
 	}
 	g.Go("accept", func(ctx context.Context) error {
--- a/state/node/query.go
+++ b/state/node/query.go
@@ -44,6 +44,9 @@
 	if s := q.GetStatus(); s != nil {
 		return &wire.Answer{Status: n.Status()}, nil
 	}
+	if j := q.GetJoin(); j != nil {
+		return &wire.Answer{Status: n.Status()}, n.joins(j)
+	}
 	if w := q.GetWait(); w != nil {
 		w.Timeout = min(w.GetTimeout(), uint32(longestAsk/time.Millisecond))
 		waited, err := n.wait(ctx, w)
--- a/state/store/meta.go
+++ b/state/store/meta.go
@@ -190,3 +190,11 @@
 	size, _ := f.Size()
 	return size
 }
+
+// Member returns the name of the member that a data folder belongs to, or an
+// empty name if the folder is blank.
+func Member(dir Folder) (string, error) {
+	s := &Store{dir: dir}
+	_, err := s.readValue(identityName, &s.id)
+	return s.id.Member, err
+}
