gate: serve the platform's callers on backend servers reached directly

Cause: runners are reached over HTTP/1.1 from any VM, with opaque bodies; the gate knew only links to side processes and chat bodies that it parses. Change: package conn owns its connections and says whether a failed request was sent; fleet knows the listed servers, their load and health; relay admits, chooses, climbs, retries within budget and resumes streams.

--- a/gate/cmd/gate/main.go
+++ b/gate/cmd/gate/main.go
@@ -38,6 +38,8 @@
 	key     string
 	ratings string
 	links   int
+	hosted  bool
+	site    *site // set on the users' platform
 }
 
 func main() { os.Exit(server.Main("gate", os.Args[1:], &settings{})) }
@@ -49,6 +51,7 @@
 	fs.StringVar(&s.state, "state", "", "addresses of the state processes, HOST:PORT,...")
 	fs.StringVar(&s.cert, "cert", "", "TLS certificate file for callers; empty for plain HTTP")
 	fs.StringVar(&s.key, "key", "", "TLS key file for callers")
+	fs.BoolVar(&s.hosted, "platform", false, "take name, zone, addresses and limits from the users' platform and serve its callers")
 	fs.IntVar(&s.links, "links", pool.DefaultLinks, "links to side processes for each model version or service")
 	fs.StringVar(&s.ratings, "ratings", "", "URL of the rating service; empty if there is none")
 }
@@ -65,6 +68,12 @@
 
 // Validate implements server.Program.
 func (s *settings) Validate() error {
+	if s.hosted {
+		if err := s.apply(); err != nil {
+			return err
+		}
+		return s.Settings.Validate()
+	}
 	errs := []error{s.Settings.Validate(), server.CheckAddr("listen", s.listen)}
 	if len(s.addresses()) == 0 {
 		errs = append(errs, errors.New("--state is empty; set the addresses of the state processes, separated by commas"))
@@ -103,6 +112,9 @@
 
 // Serve implements server.Program.
 func (s *settings) Serve(ctx context.Context) error {
+	if s.hosted {
+		return s.host(ctx)
+	}
 	keys, err := link.LoadKeys(s.Keys)
 	if err != nil {
 		return err
--- /dev/null
+++ b/gate/relay/attempt.go
@@ -0,0 +1,289 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"citronledge.example/core/ident"
+	"citronledge.example/core/plan"
+	"citronledge.example/core/policy"
+	"citronledge.example/gate/conn"
+	"citronledge.example/gate/fleet"
+	"citronledge.example/platform"
+)
+
+const (
+	// wayBack is taken off the time that a backend server gets, for its answer.
+	wayBack = 10 * time.Millisecond
+	// mostTries bounds the attempts of one request, also those that did not
+	// run anywhere.
+	mostTries = 8
+	// freshOnce is how long a connection may have been idle that carries a
+	// request that may not be repeated: the other end may close an older one
+	// at the same moment.
+	freshOnce = 400 * time.Millisecond
+	// wholeAnswer is the size in bytes up to which an answer is read in full
+	// before any of it is passed on, so that another attempt is possible.
+	wholeAnswer = 64 << 10
+	// slowPart is the part of a route's target after which an answer counts
+	// as slow in the judgement of a version.
+	slowPart = 1.0
+)
+
+// result tells what to do after an attempt.
+type result interface{ isResult() }
+
+type (
+	// done: the caller has the whole answer.
+	done struct{}
+	// again: another attempt may serve the request.
+	again struct {
+		why string
+		// ran is set if the backend server may have run the attempt.
+		ran bool
+	}
+	// climb: the answer was dropped for that of a larger model.
+	climb struct{ step int }
+	// stop: no further attempt.
+	stop struct{ why string }
+)
+
+func (done) isResult()  {}
+func (again) isResult() {}
+func (climb) isResult() {}
+func (stop) isResult()  {}
+
+// run makes attempts until the request is answered or no more are allowed.
+func (c *call) run(ctx context.Context) {
+	c.last = ""
+	for {
+		if c.tries > 0 && !c.r.spend(c.service, time.Now()) {
+			c.reason += "; no retry budget"
+			c.finish(ctx)
+			return
+		}
+		c.tries++
+		switch x := c.attempt(ctx).(type) {
+		case done:
+			return
+		case climb:
+			c.attempts++
+			c.step = x.step
+		case again:
+			c.reason = x.why
+			if x.ran {
+				c.attempts++
+				c.unknown = true
+			}
+			if ctx.Err() != nil || c.tries >= mostTries || c.attempts >= c.route.Attempts || x.ran && !c.route.Repeatable() {
+				c.finish(ctx)
+				return
+			}
+		case stop:
+			c.reason = x.why
+			c.finish(ctx)
+			return
+		}
+	}
+}
+
+// attempt hands the request to one backend server.
+func (c *call) attempt(ctx context.Context) result {
+	model := c.model()
+	want, only := c.version(c.service)
+	now := time.Now()
+	ask := fleet.Ask{
+		Service: c.service, Affinity: c.affinity(model), Avoid: c.avoid, Seed: uint64(now.UnixNano()),
+		Allows: func(v ident.Version) bool { return v == want },
+	}
+	grip := c.r.fleet.Pick(ask, now)
+	if grip == nil && !only {
+		ask.Allows = nil
+		grip = c.r.fleet.Pick(ask, now)
+	}
+	if grip == nil {
+		return stop{"no backend server"}
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	x := &attempt{call: c, grip: grip, model: model, began: now}
+	res, outcome := x.do(ctx)
+	end := time.Now()
+	grip.Release(outcome, x.latency, end)
+	c.judge(x, outcome)
+	c.r.metrics.attempts.WithLabelValues(c.route.Repeat.String(), outcome.String()).Inc()
+	if outcome == fleet.Good && c.tries == 1 {
+		klog.V(1).InfoS("Attempt", "id", c.head.Attempt, "try", c.tries, "backend", grip.ID, "outcome", outcome, "took", end.Sub(now))
+		return res
+	}
+	if outcome != fleet.Good && outcome != fleet.Neutral {
+		c.avoid = append(c.avoid, grip.ID)
+	}
+	klog.InfoS("Attempt", "id", c.head.Attempt, "try", c.tries, "backend", grip.ID, "version", grip.Version, "model", model, "chosen", grip.Reason,
+		"load", grip.Load, "age", grip.Age, "outcome", outcome, "why", x.why, "opinion", x.opinion, "status", x.status, "head", x.latency, "took", end.Sub(now))
+	return res
+}
+
+// judge counts the attempt for the roll-out of its version.
+func (c *call) judge(x *attempt, o fleet.Outcome) {
+	var failed bool
+	switch o {
+	case fleet.Good:
+	case fleet.Failed, fleet.Broke:
+		failed = true
+	default:
+		return
+	}
+	slow := c.route.Target > 0 && x.latency > time.Duration(slowPart*float64(c.route.Target))
+	c.r.tallies.add(tallyKey{c.service, c.route.Name, x.grip.Version}, failed, slow)
+	if !failed {
+		c.served(x.grip.Version, x.began)
+	}
+}
+
+// attempt is one try at one backend server.
+type attempt struct {
+	*call
+	grip    *fleet.Grip
+	model   ident.Model
+	began   time.Time
+	latency time.Duration // to the head of the answer; 0 if none came
+	why     string
+	status  int
+	opinion int
+}
+
+func (x *attempt) do(ctx context.Context) (result, fleet.Outcome) {
+	q := x.request(x.grip.ID, x.model)
+	x.opinion = -1
+	var verdict platform.Verdict
+	q.Own = func(status int, h http.Header) bool {
+		verdict = platform.DecodeAnswer(x.head.Attempt, status, h)
+		return verdict.Own
+	}
+	if !x.route.Repeatable() {
+		q.Fresh = freshOnce
+	}
+	a, err := x.grip.Conns().Do(ctx, q)
+	if err != nil {
+		return x.failed(ctx, err)
+	}
+	defer a.Close()
+	x.latency, x.status, x.opinion = time.Since(x.began), a.Status, verdict.Opinion
+	x.r.metrics.first.WithLabelValues(x.route.Repeat.String()).Observe(x.latency.Seconds())
+	if l := verdict.Load; l.Known {
+		x.grip.Told(l.Running, l.Waiting, l.Slots, l.Pace, time.Now())
+	}
+	switch {
+	case verdict.Elsewhere:
+		x.drop(a)
+		return again{why: "another backend server has the address"}, fleet.Moved
+	case verdict.NotRun:
+		x.drop(a)
+		if a.Status == http.StatusBadRequest {
+			x.why = "refused the request"
+			return stop{"the backend server cannot read the request"}, fleet.Neutral
+		}
+		x.why = "full"
+		return again{why: "backend servers are full"}, fleet.Declined
+	case a.Status >= http.StatusInternalServerError || a.Status >= 300 && !verdict.Signed:
+		return x.failure(a)
+	case a.Status < 300 && !verdict.Signed:
+		x.why = "success without a signature"
+		return again{why: x.why, ran: true}, fleet.Broke
+	}
+	if !x.started && x.head.AnyModel && len(x.route.Models) > 0 {
+		next, reason := policy.Climb{
+			Opinion: verdict.Opinion, Step: x.step, Steps: len(x.route.Models), Runs: x.route.Attempts - x.attempts - 1,
+			Left: time.Until(x.deadline), Spent: x.latency,
+		}.Next()
+		x.why = string(reason)
+		if next != x.step {
+			return climb{next}, fleet.Good
+		}
+	}
+	if x.route.Repeat == plan.Stream {
+		return x.stream(a)
+	}
+	return x.whole(a)
+}
+
+// failed judges an attempt without an answer.
+func (x *attempt) failed(ctx context.Context, err error) (result, fleet.Outcome) {
+	x.why = err.Error()
+	var not conn.NotSent
+	switch {
+	case x.req.Context().Err() != nil && x.route.Repeatable():
+		return stop{errAbandoned.Error()}, fleet.Neutral
+	case errors.As(err, &not) && ctx.Err() != nil:
+		return again{why: "no connection in time"}, fleet.Neutral
+	case errors.As(err, &not):
+		return again{why: "no connection"}, fleet.Unreached
+	}
+	return again{why: "no answer", ran: true}, fleet.Broke
+}
+
+// drop reads the rest of a short answer, so that its connection can be used
+// again.
+func (x *attempt) drop(a *conn.Answer) {
+	if a.Length < 0 || a.Length > wholeAnswer {
+		return
+	}
+	// A fault here only costs the connection.
+	_, _ = io.Copy(io.Discard, a)
+}
+
+// failure keeps an answer that is no success, to be passed on unless another
+// attempt succeeds.
+func (x *attempt) failure(a *conn.Answer) (result, fleet.Outcome) {
+	body, err := io.ReadAll(io.LimitReader(a, wholeAnswer+1))
+	x.why = http.StatusText(a.Status)
+	outcome := fleet.Failed
+	if a.Status == http.StatusGatewayTimeout {
+		outcome = fleet.Neutral // its time was over
+	}
+	if err == nil && len(body) <= wholeAnswer && !x.started {
+		x.call.failure = &failure{a.Status, a.Header, body}
+	}
+	return again{why: "the backend server failed", ran: true}, outcome
+}
+
+// whole passes on an answer that is no stream.
+func (x *attempt) whole(a *conn.Answer) (result, fleet.Outcome) {
+	if a.Length > wholeAnswer {
+		return x.long(a)
+	}
+	body, err := io.ReadAll(io.LimitReader(a, wholeAnswer))
+	if err != nil {
+		x.why = "broke off: " + err.Error()
+		return again{why: "the answer broke off", ran: true}, fleet.Broke
+	}
+	if len(body) == wholeAnswer {
+		x.why = "an answer without a length is too long"
+		return again{why: x.why, ran: true}, fleet.Broke
+	}
+	a.Close()
+	platform.CopyAnswer(a.Header, x.w.Header())
+	x.answer(a.Status, body)
+	return done{}, fleet.Good
+}
+
+// long passes on a long answer as it arrives.
+func (x *attempt) long(a *conn.Answer) (result, fleet.Outcome) {
+	platform.CopyAnswer(a.Header, x.w.Header())
+	x.w.Header()["Content-Length"] = a.Header["Content-Length"]
+	x.w.WriteHeader(a.Status)
+	x.started = true
+	n, err := io.Copy(x.w, a)
+	if err != nil || n != a.Length {
+		x.why = "broke off"
+		return stop{"the answer broke off"}, fleet.Broke
+	}
+	x.end("served", a.Status)
+	return done{}, fleet.Good
+}
--- /dev/null
+++ b/gate/relay/relay.go
@@ -0,0 +1,191 @@
+// Package relay serves callers of routes whose backend servers the gate
+// reaches directly. The bodies of requests and answers stay opaque: model,
+// size, deadline and session are in the head.
+package relay
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"k8s.io/klog/v2"
+
+	"citronledge.example/core/conf"
+	"citronledge.example/core/ident"
+	"citronledge.example/core/plan"
+	"citronledge.example/core/policy"
+	"citronledge.example/core/wire"
+	"citronledge.example/gate/fleet"
+	"citronledge.example/platform"
+)
+
+// Rules are the limits that a deployment sets.
+type Rules struct {
+	// Canary is the share of new sessions that a version on trial gets.
+	Canary float64
+	// Session is the longest pause between two requests of a session.
+	Session time.Duration
+	// RetryRatio, RetrySlack and RetryWindow bound the repeats that this
+	// gate sends to a service.
+	RetryRatio, RetrySlack float64
+	RetryWindow            time.Duration
+	// Strict refuses new work without a lease on the configuration; otherwise
+	// the last known configuration stays in force.
+	Strict bool
+}
+
+// Relay is an http.Handler. It is safe for concurrent use.
+type Relay struct {
+	fleet   *fleet.Fleet
+	rules   Rules
+	leased  func() bool
+	metrics metrics
+	tallies tallies
+
+	state    atomic.Pointer[state]
+	draining atomic.Bool
+
+	mu       sync.Mutex // guards what follows
+	windows  map[ident.Service]*policy.Window
+	sessions sessions
+}
+
+// state is the configuration that a request is served by.
+type state struct {
+	plan     *plan.Plan
+	shifts   map[ident.Service]conf.Shift
+	revision ident.Revision
+	since    time.Time
+}
+
+// Option sets up a Relay.
+type Option func(*Relay)
+
+// WithFleet sets the backend servers.
+func WithFleet(f *fleet.Fleet) Option { return func(r *Relay) { r.fleet = f } }
+
+// WithRules sets the limits of the deployment.
+func WithRules(rules Rules) Option { return func(r *Relay) { r.rules = rules } }
+
+// WithLease sets what tells whether the lease on the configuration holds.
+func WithLease(f func() bool) Option { return func(r *Relay) { r.leased = f } }
+
+// WithRegistry registers the metrics.
+func WithRegistry(reg prometheus.Registerer) Option {
+	return func(r *Relay) { r.metrics.register(reg) }
+}
+
+// New returns a relay without a configuration; it refuses until SetPlan.
+func New(opts ...Option) *Relay {
+	r := &Relay{
+		windows: map[ident.Service]*policy.Window{}, leased: func() bool { return true },
+		sessions: sessions{list: map[ident.Session]seen{}}, metrics: newMetrics(), tallies: newTallies(),
+	}
+	for _, o := range opts {
+		o(r)
+	}
+	return r
+}
+
+// SetPlan puts a configuration in force. It never goes back to an older one.
+func (r *Relay) SetPlan(p *plan.Plan, shifts map[ident.Service]conf.Shift, revision ident.Revision) {
+	old := r.state.Load()
+	if old != nil && revision < old.revision {
+		klog.InfoS("Older configuration ignored", "revision", revision, "held", old.revision)
+		return
+	}
+	r.state.Store(&state{plan: p, shifts: shifts, revision: revision, since: time.Now()})
+	for service, s := range shifts {
+		if s.Stage == conf.Complete {
+			r.fleet.Settle(service, s.Target)
+		}
+	}
+	klog.InfoS("Configuration in force", "version", p.Version, "revision", revision, "routes", len(p.Routes), "customers", len(p.Customers), "rollouts", len(shifts))
+}
+
+// Ready tells whether requests can be served.
+func (r *Relay) Ready() bool {
+	return r.state.Load() != nil && !r.fleet.Read().IsZero() && !r.draining.Load()
+}
+
+// Drain makes callers leave: each answer closes its connection.
+func (r *Relay) Drain() { r.draining.Store(true) }
+
+// Idle returns how long a caller's connection may stay without a request; 0
+// if that is not known yet.
+func (r *Relay) Idle() time.Duration {
+	if s := r.state.Load(); s != nil {
+		return s.plan.Limits.Idle
+	}
+	return 0
+}
+
+// Tallies returns the sums for the judge of roll-outs.
+func (r *Relay) Tallies() []*wire.Tally {
+	s := r.state.Load()
+	if s == nil {
+		return nil
+	}
+	return r.tallies.list(s.shifts)
+}
+
+// Sweep forgets what is out of date until ctx ends.
+func (r *Relay) Sweep(ctx context.Context) error {
+	const every = time.Second
+	tick := time.NewTicker(every)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case now := <-tick.C:
+			r.fleet.Sweep(now)
+			r.mu.Lock()
+			r.sessions.sweep(now, r.rules.Session)
+			r.mu.Unlock()
+		}
+	}
+}
+
+// window returns the retry budget of a service.
+func (r *Relay) window(service ident.Service) *policy.Window {
+	w := r.windows[service]
+	if w == nil {
+		w = policy.NewWindow(r.rules.RetryWindow, r.rules.RetryRatio, r.rules.RetrySlack)
+		r.windows[service] = w
+	}
+	return w
+}
+
+func (r *Relay) earn(service ident.Service, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.window(service).Earn(now)
+}
+
+func (r *Relay) spend(service ident.Service, now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.window(service).Spend(now)
+}
+
+// ServeHTTP implements http.Handler.
+func (r *Relay) ServeHTTP(w http.ResponseWriter, req *http.Request) {
+	c := &call{r: r, w: w, req: req, start: time.Now(), head: platform.DecodeRequest(req.Header)}
+	if r.draining.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	c.serve()
+}
+
+// path returns the path of a raw request target.
+func path(target string) string {
+	if i := strings.IndexByte(target, '?'); i >= 0 {
+		return target[:i]
+	}
+	return target
+}
