gate, state: reload at SIGHUP; copy an answer's head only with its first event

A stream was cut 5/6 into the time of a planned stop though SIGKILL was 1.3 s away. Change: heads are copied with the first event; SIGHUP reads the seeds again; a planned stop ends 0.4 s before SIGKILL.

--- a/core/server/server.go
+++ b/core/server/server.go
@@ -47,6 +47,7 @@
 	status func() any
 	pages  map[string]http.Handler
 	needs  map[string]func() bool
+	reload func()
 
 	mu    sync.Mutex
 	state chart.State
@@ -76,6 +77,10 @@
 // parameters as in httprouter, for example /decisions/:id.
 func (s *Server) Page(path string, h http.Handler) { s.pages[path] = h }
 
+// Reload sets what a SIGHUP calls: the settings outside this process may have
+// changed. Without it the signal has no effect. Call it before Run.
+func (s *Server) Reload(f func()) { s.reload = f }
+
 // Part is what a program runs inside the frame.
 type Part interface {
 	// Run works until ctx ends. It calls ready once it can serve.
@@ -95,6 +100,9 @@
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
 	defer signal.Stop(signals)
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
 
 	admin, err := s.admin()
 	if err != nil {
@@ -104,6 +112,7 @@
 
 	failed := make(chan error, 1)
 	go func() { failed <- part.Run(ctx, func() { s.move("up") }) }()
+	go s.hangup(ctx, hangups)
 	select {
 	case err := <-failed:
 		return err
@@ -126,6 +135,21 @@
 	return nil
 }
 
+// hangup reloads at each SIGHUP until ctx ends.
+func (s *Server) hangup(ctx context.Context, hangups <-chan os.Signal) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangups:
+			klog.InfoS("Reload", "signal", "hangup", "supported", s.reload != nil)
+			if s.reload != nil {
+				s.reload()
+			}
+		}
+	}
+}
+
 func (s *Server) drain(ctx context.Context, part Part, signals <-chan os.Signal) []string {
 	ctx, cancel := context.WithTimeout(ctx, s.set.Deadline)
 	defer cancel()
--- a/gate/cmd/gate/site.go
+++ b/gate/cmd/gate/site.go
@@ -31,9 +31,9 @@
 	// noticeTime is how long the load balancer takes to see that a VM is not
 	// ready: two questions a second apart, and some time for the answers.
 	noticeTime = 2500 * time.Millisecond
-	// stopPart of the time before SIGKILL is used for a planned stop. Streams
-	// that last longer are broken off.
-	stopPart = 5.0 / 6
+	// stopMargin before SIGKILL a planned stop ends; streams that last longer
+	// are broken off.
+	stopMargin = 400 * time.Millisecond
 	// listEvery is the interval between two readings of the list of backend
 	// servers. A server that leaves must be known within a few seconds.
 	listEvery = time.Second
@@ -73,7 +73,7 @@
 	}
 	s.site = &site{n}
 	s.Name, s.Zone, s.listen = n.Name, string(n.Zone), n.Callers
-	s.Grace, s.Deadline = noticeTime, time.Duration(stopPart*float64(n.Bounds.Stop))
+	s.Grace, s.Deadline = noticeTime, n.Bounds.Stop-stopMargin
 	if _, port, err := net.SplitHostPort(s.Admin); err == nil {
 		s.Admin = net.JoinHostPort(n.IP, port)
 	}
@@ -90,10 +90,8 @@
 	}
 	h := &hosted{set: s, fleet: fleet.New(s.site.Zone), list: platform.NewList(s.site.List, listTime)}
 	h.frame = server.New(s.Settings, h.status)
-	var addrs []string
-	for _, seed := range s.site.Seeds {
-		addrs = append(addrs, net.JoinHostPort(seed, strconv.Itoa(s.site.FirstPort)))
-	}
+	addrs := s.site.seeds()
+	h.frame.Reload(h.reload)
 	bounds := s.site.Bounds
 	h.client, err = client.New(
 		client.WithAddresses(addrs...), client.WithLink(link.Config{Name: s.Name, Keys: keys}), client.WithZone(s.site.Zone),
@@ -114,6 +112,28 @@
 	return h.frame.Run(ctx, h)
 }
 
+// seeds returns the addresses of the state processes on the seeds.
+func (s *site) seeds() []string {
+	var addrs []string
+	for _, seed := range s.Seeds {
+		addrs = append(addrs, net.JoinHostPort(seed, strconv.Itoa(s.FirstPort)))
+	}
+	return addrs
+}
+
+// reload takes the seeds of a settings file that may have changed; all else in
+// it is fixed for the life of a process.
+func (h *hosted) reload() {
+	n, err := platform.ReadNode()
+	if err != nil {
+		klog.ErrorS(err, "Settings file not read; the last settings stay")
+		return
+	}
+	for _, addr := range (&site{n}).seeds() {
+		h.client.Learn(addr)
+	}
+}
+
 // hosted is the part that the frame runs on the users' platform.
 type hosted struct {
 	set    *settings
@@ -261,7 +281,8 @@
 		a, err := h.client.Query(ask, &wire.Query{Kind: &wire.Query_Status{Status: &wire.StatusQuery{}}})
 		cancel()
 		if err != nil {
-			klog.V(1).InfoS("State processes not asked", "err", err)
+			klog.InfoS("State processes do not answer; looking for others in the settings file", "err", err)
+			h.reload()
 			continue
 		}
 		for _, m := range a.GetStatus().GetPeers() {
--- a/gate/relay/stream.go
+++ b/gate/relay/stream.go
@@ -31,12 +31,6 @@
 // stream passes on whole events as they arrive. What is left of an event when
 // the backend server breaks off is dropped: the next run sends it again.
 func (x *attempt) stream(a *conn.Answer) (result, fleet.Outcome) {
-	if !x.started {
-		platform.CopyAnswer(a.Header, x.w.Header())
-		// The length is that of this run only, and the stream may go on in
-		// another one.
-		x.w.Header().Del("Content-Length")
-	}
 	control := http.NewResponseController(x.w)
 	// A writer without deadlines, as in tests, is bounded by the request. The
 	// deadline must not stay for the next request of the connection.
@@ -83,6 +77,9 @@
 // pass writes whole events to the caller.
 func (x *attempt) pass(control *http.ResponseController, a *conn.Answer, events []byte) error {
 	if !x.started {
+		// Only now: an earlier run may have broken off before its first event.
+		// The length is left out, as the stream may go on in another run.
+		platform.CopyAnswer(a.Header, x.w.Header())
 		x.w.WriteHeader(a.Status)
 		x.started = true
 	}
--- a/state/cmd/state/site.go
+++ b/state/cmd/state/site.go
@@ -106,12 +106,7 @@
 // seek asks for a seat in the cluster for as long as this process knows no
 // leader or is no voter.
 func (p *process) seek(ctx context.Context, cfg link.Config) error {
-	var addrs []string
-	for _, seed := range p.set.site.Seeds {
-		if addr := p.set.site.internal(seed); addr != p.set.listen {
-			addrs = append(addrs, addr)
-		}
-	}
+	addrs := p.others(p.set.site.Seeds)
 	if len(addrs) == 0 {
 		return nil // a cluster of one
 	}
@@ -143,7 +138,14 @@
 		}}})
 		cancel()
 		if err != nil {
-			klog.InfoS("No seat in the state cluster yet", "member", p.set.Name, "err", err)
+			klog.InfoS("No seat in the state cluster yet; looking for others in the settings file", "member", p.set.Name, "err", err)
+			if n, err := platform.ReadNode(); err != nil {
+				klog.ErrorS(err, "Settings file not read; the last settings stay")
+			} else {
+				for _, addr := range p.others(n.Seeds) {
+					c.Learn(addr)
+				}
+			}
 			continue
 		}
 		for _, m := range a.GetStatus().GetPeers() {
@@ -152,6 +154,18 @@
 	}
 }
 
+// others returns the addresses of the state processes on the seeds but for this
+// one.
+func (p *process) others(seeds []string) []string {
+	var addrs []string
+	for _, seed := range seeds {
+		if addr := p.set.site.internal(seed); addr != p.set.listen {
+			addrs = append(addrs, addr)
+		}
+	}
+	return addrs
+}
+
 // seated tells whether a leader of a cluster in which this process votes is
 // known to it.
 func (p *process) seated() bool {
--- a/state/node/join.go
+++ b/state/node/join.go
@@ -113,14 +113,14 @@
 	return list
 }
 
-// change is one step of the membership.
-type change func(ctx context.Context, r Roster) error
+// seatChange is one step of the membership.
+type seatChange func(ctx context.Context, r Roster) error
 
 // nextSeat decides the next change of the membership. A member whose address a
 // process with another disk uses is gone for good, since that process never
 // returns under the old name. Other members are removed only for a successor.
-func nextSeat(members []raft.MemberStatus, waiting []raft.Member, quiet map[string]time.Time, self string, voters int, now time.Time) (name, why string, act change) {
-	remove := func(name, why string) (string, string, change) {
+func nextSeat(members []raft.MemberStatus, waiting []raft.Member, quiet map[string]time.Time, self string, voters int, now time.Time) (name, why string, act seatChange) {
+	remove := func(name, why string) (string, string, seatChange) {
 		return name, why, func(ctx context.Context, r Roster) error { return r.Remove(ctx, name) }
 	}
 	known := map[string]bool{}
