--- a/gate/relay/attempt.go
+++ b/gate/relay/attempt.go
@@ -117,14 +117,10 @@
 	grip.Release(outcome, x.latency, end)
 	c.judge(x, outcome)
 	c.r.metrics.attempts.WithLabelValues(c.route.Repeat.String(), outcome.String()).Inc()
-	if outcome == fleet.Good && c.tries == 1 {
-		klog.V(1).InfoS("Attempt", "id", c.head.Attempt, "try", c.tries, "backend", grip.ID, "outcome", outcome, "took", end.Sub(now))
-		return res
-	}
 	if outcome != fleet.Good && outcome != fleet.Neutral {
 		c.avoid = append(c.avoid, grip.ID)
 	}
-	klog.InfoS("Attempt", "id", c.head.Attempt, "try", c.tries, "backend", grip.ID, "version", grip.Version, "model", model, "chosen", grip.Reason,
+	klog.InfoS("Attempt", "id", c.head.Attempt, "try", c.tries, "backend", grip.ID, "version", grip.Version, "model", model, "input", c.head.Input, "output", c.head.Output, "chosen", grip.Reason,
 		"load", grip.Load, "age", grip.Age, "outcome", outcome, "why", x.why, "opinion", x.opinion, "status", x.status, "head", x.latency, "took", end.Sub(now))
 	return res
 }
--- a/gate/relay/call.go
+++ b/gate/relay/call.go
@@ -174,15 +174,11 @@
 	}
 	took := time.Since(c.start)
 	c.r.metrics.ended(kind, how, took)
-	if how == "served" && c.tries <= 1 {
-		klog.V(1).InfoS("Request", "id", c.head.Attempt, "end", how, "route", route, "status", status, "took", took)
-		return
-	}
 	revision := ident.Revision(0)
 	if c.state != nil {
 		revision = c.state.revision
 	}
-	klog.InfoS("Request", "id", c.head.Attempt, "end", how, "status", status, "why", c.reason, "route", route, "revision", revision,
+	klog.InfoS("Request", "id", c.head.Attempt, "end", how, "status", status, "why", c.reason, "kind", kind, "route", route, "hint", c.head.Hint, "revision", revision,
 		"tries", c.tries, "runs", c.attempts, "event", c.last, "took", took, "deadline", c.deadline.Sub(c.start))
 }
 
