gate: exchange loads between gates; choose runners by the prompts that wait there

Change: gates tell each other in sealed datagrams, at most every 40 ms, what they have under way at each runner, and what outcomes they saw. The choice weighs the prompts that wait, the own prompt less its shared part at the preferred runner, the batch, failures and distance, in tokens of the smallest model. The leader tells the gates each other's addresses with the grants.

--- a/core/client/client.go
+++ b/core/client/client.go
@@ -51,6 +51,12 @@
 // WithZone sets the availability zone of this process.
 func WithZone(zone ident.Zone) Option { return func(c *Client) { c.zone = zone } }
 
+// WithExchange sets the address at which this process takes the loads of other
+// gates, and what is called with the addresses of the others.
+func WithExchange(addr string, others func([]string)) Option {
+	return func(c *Client) { c.exchange, c.others = addr, others }
+}
+
 // WithTallies sets the source of the tallies that go with each renewal. They
 // are cumulative over the current incarnation.
 func WithTallies(f func() []*wire.Tally) Option { return func(c *Client) { c.tallies = f } }
@@ -96,6 +102,9 @@
 	dial    Dialer
 	sublets Sublets
 
+	exchange string
+	others   func([]string)
+
 	mu   sync.Mutex // guards the fields below and addrs; held while dialling
 	sess *session
 	next int    // index of the address to try next
--- a/core/client/lease.go
+++ b/core/client/lease.go
@@ -234,7 +234,7 @@
 	_ = h.st.SetDeadline(now.Add(silentAfter)) // a stalled write must not hold up the loop
 	r := &wire.Renew{
 		Seq: h.seq, Name: h.c.link.Name, Zone: string(h.c.zone), Incarnation: h.c.incarnation.Load(),
-		Revision: uint64(acked), Leaving: leaving,
+		Revision: uint64(acked), Leaving: leaving, Exchange: h.c.exchange,
 	}
 	if applied > acked {
 		r.Applied = uint64(applied)
@@ -276,6 +276,9 @@
 			delete(h.sent, seq)
 		}
 	}
+	if h.c.others != nil {
+		h.c.others(g.GetExchanges())
+	}
 	if g.GetTtl() > 0 {
 		h.good = true
 		h.c.extend(sent.Add(min(time.Duration(g.GetTtl())*time.Millisecond, ident.LeaseTime)))
--- a/core/link/keys.go
+++ b/core/link/keys.go
@@ -96,6 +96,28 @@
 	return Key{}, false
 }
 
+// sealSize is the length of a seal in bytes.
+const sealSize = 16
+
+// Seal appends a proof of the signing key to a datagram.
+func (k *Keys) Seal(datagram []byte) []byte {
+	return append(datagram, k.Signer().proof([]byte("datagram"), datagram)[:sealSize]...)
+}
+
+// Unseal returns the content of a datagram that a process sealed.
+func (k *Keys) Unseal(sealed []byte) ([]byte, bool) {
+	if len(sealed) < sealSize {
+		return nil, false
+	}
+	data, seal := sealed[:len(sealed)-sealSize], sealed[len(sealed)-sealSize:]
+	for _, key := range k.list {
+		if key.Role == Process && hmac.Equal(seal, key.proof([]byte("datagram"), data)[:sealSize]) {
+			return data, true
+		}
+	}
+	return nil, false
+}
+
 // proof returns the HMAC-SHA256 of the parts, each preceded by its length.
 func (k Key) proof(parts ...[]byte) []byte {
 	mac := hmac.New(sha256.New, k.secret)
--- a/core/plan/plan.go
+++ b/core/plan/plan.go
@@ -103,6 +103,17 @@
 	Costs map[ident.Model]float64
 }
 
+// Least returns the lowest cost of a model, 0 if none is known.
+func (e *Engine) Least() float64 {
+	least := 0.0
+	for _, cost := range e.Costs {
+		if least == 0 || cost < least {
+			least = cost
+		}
+	}
+	return least
+}
+
 // Customer holds the keys of a tenant.
 type Customer struct {
 	Name ident.Customer
--- a/core/policy/seat.go
+++ b/core/policy/seat.go
@@ -1,7 +1,5 @@
 package policy
 
-import "time"
-
 // Seat is a backend server as a gate that reaches it directly sees it.
 type Seat struct {
 	// Local is set if it is in the gate's own availability zone.
@@ -10,68 +8,88 @@
 	Out bool
 	// Load is the estimated number of requests there relative to its slots.
 	Load float64
-	// Latency is the recent time to the head of an answer; 0 if none was seen.
-	Latency time.Duration
+	// Waiting is the work of the prompts that are read or wait there, in
+	// tokens of the smallest model.
+	Waiting float64
 	// Failing is the recent share of failures.
 	Failing float64
-	// Rank orders the servers for one affinity key; the highest is preferred.
+	// Rank orders the servers for one affinity key; the highest one is
+	// expected to hold the shared part of the prompt. Without a key it breaks
+	// ties.
 	Rank uint64
 }
 
+// Prompt is the work that an attempt brings, in tokens of the smallest model.
+type Prompt struct {
+	// Work is that of the whole prompt, Shared that of the part that the
+	// preferred server is expected to hold; 0 without affinity.
+	Work, Shared float64
+}
+
+// Weights of the parts of the cost, in tokens of the smallest model.
 const (
-	// roomyLoad is the load up to which a server takes all requests of its
-	// affinity keys: batches that are half full slow nothing down.
-	roomyLoad = 0.5
-	// remotePart is added to the load of a server in another zone.
-	remotePart = 0.02
-	// failPart turns a share of failures into load.
-	failPart = 2.0
+	// fullCost is that of a full batch, in which each token takes longer.
+	fullCost = 20_000
+	// remoteCostWork is that of the bytes between availability zones and of
+	// the way.
+	remoteCostWork = 400
+	// failCost is that of certain failure.
+	failCost = 200_000
+	// overCost is that of a server without a free slot.
+	overCost = 1_000_000
+	// sureLoad is the load from which no slot may be free: reports are late.
+	sureLoad = 0.95
 )
 
 // Seats returns the index of the server for an attempt, or -1 if there is
-// none. With affinity, the highest rank with room wins; without, or when no
-// server has room, the least cost does. Servers that are out are used only if
-// all are.
-func Seats(list []Seat, affine bool) (int, Reason) {
-	best, reason := -1, None
-	if affine {
+// none. It is the one with the least cost: the prompts that wait there, what
+// has to be read of the attempt's own prompt, the batch, failures and distance.
+// Servers that are out are used only if all are.
+func Seats(list []Seat, p Prompt) (int, Reason) {
+	top := -1
+	if p.Shared > 0 {
 		for i := range list {
-			s := &list[i]
-			if s.Out || s.Load >= roomyLoad || s.Failing >= roomyLoad/2 {
-				continue
-			}
-			if best < 0 || s.Rank > list[best].Rank {
-				best, reason = i, Prefix
+			if !list[i].Out && (top < 0 || list[i].Rank > list[top].Rank) {
+				top = i
 			}
 		}
-		if best >= 0 {
-			return best, reason
-		}
 	}
 	for _, out := range []bool{false, true} {
+		best, least := -1, 0.0
 		for i := range list {
-			if list[i].Out != out {
+			s := &list[i]
+			if s.Out != out {
 				continue
 			}
-			if best < 0 || list[i].cost() < list[best].cost() || list[i].cost() == list[best].cost() && list[i].Rank > list[best].Rank {
-				best, reason = i, Least
+			cost := s.cost()
+			if i == top {
+				cost -= p.Shared
 			}
-		}
-		if best >= 0 {
-			if out {
-				reason = Floor
+			if best < 0 || cost < least || cost == least && s.Rank > list[best].Rank {
+				best, least = i, cost
 			}
-			return best, reason
+		}
+		switch {
+		case best < 0:
+		case out:
+			return best, Floor
+		case best == top:
+			return best, Prefix
+		default:
+			return best, Least
 		}
 	}
 	return -1, None
 }
 
-// cost compares servers without regard to affinity.
+// cost compares servers without regard to the attempt.
 func (s *Seat) cost() float64 {
-	cost := s.Load + failPart*s.Failing
+	cost := s.Waiting + fullCost*s.Load + failCost*s.Failing
 	if !s.Local {
-		cost += remotePart
+		cost += remoteCostWork
+	}
+	if s.Load >= sureLoad {
+		cost += overCost
 	}
 	return cost
 }
--- a/gate/cmd/gate/site.go
+++ b/gate/cmd/gate/site.go
@@ -21,6 +21,7 @@
 	"citronledge.example/core/wire"
 	"citronledge.example/gate/fleet"
 	"citronledge.example/gate/relay"
+	"citronledge.example/gate/share"
 	"citronledge.example/platform"
 )
 
@@ -93,7 +94,10 @@
 	addrs := s.site.seeds()
 	h.frame.Reload(h.reload)
 	bounds := s.site.Bounds
+	exchange := net.JoinHostPort(s.site.IP, strconv.Itoa(s.site.FirstPort+1))
+	h.share = share.New(s.Name, exchange, keys, h.fleet)
 	h.client, err = client.New(
+		client.WithExchange(exchange, h.share.SetOthers),
 		client.WithAddresses(addrs...), client.WithLink(link.Config{Name: s.Name, Keys: keys}), client.WithZone(s.site.Zone),
 		client.WithTallies(func() []*wire.Tally { return h.relay.Tallies() }),
 	)
@@ -141,6 +145,7 @@
 	client *client.Client
 	relay  *relay.Relay
 	fleet  *fleet.Fleet
+	share  *share.Exchange
 	list   *platform.List
 	srv    *http.Server
 }
@@ -170,6 +175,7 @@
 	g.Go("configuration", h.follow)
 	g.Go("backend servers", h.watchList)
 	g.Go("state processes", h.watchPeers)
+	g.Go("loads", h.share.Run)
 	g.Go("idle connections", sweeper.run)
 	g.Go("sweep", h.relay.Sweep)
 	klog.InfoS("Gate started", "name", h.set.Name, "zone", h.set.Zone, "listen", h.set.listen)
--- a/gate/fleet/fleet.go
+++ b/gate/fleet/fleet.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"k8s.io/klog/v2"
 
 	"citronledge.example/core/ident"
@@ -29,11 +30,15 @@
 type Server struct {
 	Listing
 	conns *conn.Pool
+	hash  uint64 // of ID
 
 	seen     time.Time // first listed
 	inflight int       // own attempts
+	reading  float64   // work of own prompts without an answer yet
+	touched  time.Time // last change of the two
 	load     report
 	health   health
+	parts    map[string]*part // of other gates, by name
 }
 
 // Conns returns the connections to the server.
@@ -57,6 +62,9 @@
 	services map[ident.Service][]*Server
 	read     time.Time // of the last list
 	last     map[ident.Service]ident.Version
+	peers    map[string]*peer // other gates, by name
+	changed  bool             // since Shares
+	busy     bool             // the last Shares told of a server
 }
 
 // New returns an empty fleet of a gate in a zone.
@@ -64,6 +72,7 @@
 	return &Fleet{
 		zone: zone, servers: map[ident.Backend]*Server{},
 		services: map[ident.Service][]*Server{}, last: map[ident.Service]ident.Version{},
+		peers: map[string]*peer{},
 	}
 }
 
@@ -79,7 +88,7 @@
 		}
 		s := f.servers[l.ID]
 		if s == nil || s.Address != l.Address || s.Service != l.Service || s.Version != l.Version {
-			s = &Server{Listing: l, conns: conn.New(l.Address), seen: now}
+			s = &Server{Listing: l, conns: conn.New(l.Address), hash: xxhash.Sum64String(string(l.ID)), seen: now}
 			klog.InfoS("Backend server listed", "backend", l.ID, "service", l.Service, "addr", l.Address, "zone", l.Zone, "version", l.Version, "leaving", l.Leaving)
 		} else if s.Leaving != l.Leaving {
 			klog.InfoS("Backend server changed", "backend", l.ID, "leaving", l.Leaving)
--- a/gate/fleet/health.go
+++ b/gate/fleet/health.go
@@ -26,6 +26,8 @@
 type health struct {
 	at        time.Time // of the sums
 	good, bad float64   // outcomes, fading with time
+	goods     uint32    // own good and bad outcomes
+	bads      uint32
 	latency   time.Duration
 	until     time.Time     // out until then
 	pause     time.Duration // of the last time out
@@ -61,6 +63,7 @@
 	switch o {
 	case Good:
 		h.good++
+		h.goods++
 		if latency > 0 {
 			if h.latency == 0 {
 				h.latency = latency
@@ -74,6 +77,7 @@
 		return
 	case Failed, Broke:
 		h.bad++
+		h.bads++
 		if tried || h.bad >= leastSeen && h.bad/(h.good+h.bad) >= failShare {
 			h.eject(s, o, now)
 		}
@@ -84,6 +88,19 @@
 	}
 }
 
+// heard adds the outcomes that another gate has seen.
+func (h *health) heard(s *Server, good, bad float64, now time.Time) {
+	if good == 0 && bad == 0 {
+		return
+	}
+	h.fade(now)
+	h.good += good
+	h.bad += bad
+	if bad > 0 && !h.out(now) && h.bad >= leastSeen && h.bad/(h.good+h.bad) >= failShare {
+		h.eject(s, Failed, now)
+	}
+}
+
 func (h *health) eject(s *Server, o Outcome, now time.Time) {
 	h.pause = min(max(2*h.pause, firstOut), mostOut)
 	h.until = now.Add(h.pause)
--- a/gate/fleet/pick.go
+++ b/gate/fleet/pick.go
@@ -3,8 +3,6 @@
 import (
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"citronledge.example/core/ident"
 	"citronledge.example/core/policy"
 )
@@ -18,6 +16,8 @@
 	// the request has none. Requests with the same one go to the same server
 	// as long as its load allows.
 	Affinity uint64
+	// Prompt is the work of the attempt.
+	Prompt policy.Prompt
 	// Seed breaks ties between equal servers.
 	Seed uint64
 	// Avoid are the servers of earlier attempts.
@@ -30,10 +30,9 @@
 	fleet  *Fleet
 	start  time.Time
 	Reason policy.Reason
-	// Load is the estimated load relative to the slots at the choice, and Age
-	// that of the report behind it.
-	Load float64
-	Age  time.Duration
+	work   float64 // of the prompt, until the head of the answer
+	// Load and Waiting are what the choice was made by; see policy.Seat.
+	Load, Waiting float64
 }
 
 // Pick chooses a server, or returns nil if there is none.
@@ -49,16 +48,18 @@
 		list = append(list, s)
 		seats = append(seats, f.seat(s, ask, now))
 	}
-	i, reason := policy.Seats(seats, ask.Affinity != 0)
+	i, reason := policy.Seats(seats, ask.Prompt)
 	if i < 0 {
 		return nil
 	}
 	s := list[i]
 	s.inflight++
+	s.reading += ask.Prompt.Work
+	s.touched, f.changed = now, true
 	if s.health.probing(now) {
 		s.health.probe(now)
 	}
-	return &Grip{Server: s, fleet: f, start: now, Reason: reason, Load: seats[i].Load, Age: now.Sub(s.load.at)}
+	return &Grip{Server: s, fleet: f, start: now, Reason: reason, work: ask.Prompt.Work, Load: seats[i].Load, Waiting: seats[i].Waiting}
 }
 
 func contains(list []ident.Backend, id ident.Backend) bool {
@@ -73,29 +74,31 @@
 // seat describes a server to the policy. The caller holds the lock.
 func (f *Fleet) seat(s *Server, ask Ask, now time.Time) policy.Seat {
 	seat := policy.Seat{
-		Local: s.Zone == f.zone, Out: s.health.out(now), Load: s.estimate(now),
-		Latency: s.health.latency, Failing: s.health.failing(now),
+		Local: s.Zone == f.zone, Out: s.health.out(now), Failing: s.health.failing(now),
 	}
+	running, reading := s.others(now)
+	seat.Load, seat.Waiting = s.estimate(running, now), s.reading+reading
 	key := ask.Affinity
 	if key == 0 {
 		key = ask.Seed
 	}
 	// Rendezvous hashing: all gates rank the servers of a key alike, and a
 	// server that leaves moves only its own keys.
-	seat.Rank = mix(key ^ xxhash.Sum64String(string(s.ID)))
+	seat.Rank = mix(key ^ s.hash)
 	return seat
 }
 
 const reportTrust = 400 * time.Millisecond // age at which a load report counts half
 
-// estimate returns the load relative to the slots: own attempts in full, and
-// those of others as the last report told, less the older it is.
-func (s *Server) estimate(now time.Time) float64 {
-	load := float64(s.inflight)
+// estimate returns the load relative to the slots: own attempts, and those of
+// others as they tell themselves or as the last report told, which counts less
+// the older it is.
+func (s *Server) estimate(others float64, now time.Time) float64 {
 	if !s.load.at.IsZero() {
-		others := float64(max(0, s.load.running-s.load.own))
-		load += others / (1 + float64(now.Sub(s.load.at))/float64(reportTrust))
+		reported := float64(max(0, s.load.running-s.load.own))
+		others = max(others, reported/(1+float64(now.Sub(s.load.at))/float64(reportTrust)))
 	}
+	load := float64(s.inflight) + others
 	slots := max(1, s.Slots, s.load.slots)
 	return load / float64(slots)
 }
@@ -134,9 +137,25 @@
 	g.fleet.mu.Lock()
 	defer g.fleet.mu.Unlock()
 	g.inflight--
+	g.read()
+	g.touched, g.fleet.changed = now, true
 	g.health.note(g.Server, o, latency, now)
 }
 
+// read takes the prompt off the work that waits. The caller holds the lock.
+func (g *Grip) read() {
+	g.reading = max(0, g.reading-g.work)
+	g.work = 0
+}
+
+// Began notes that the answer has begun, so the prompt has been read.
+func (g *Grip) Began(now time.Time) {
+	g.fleet.mu.Lock()
+	defer g.fleet.mu.Unlock()
+	g.read()
+	g.touched, g.fleet.changed = now, true
+}
+
 // Told notes the load that the server reported in an answer's head.
 func (g *Grip) Told(running, waiting, slots int, pace float64, now time.Time) {
 	g.fleet.mu.Lock()
--- a/gate/relay/attempt.go
+++ b/gate/relay/attempt.go
@@ -98,7 +98,7 @@
 	want, only := c.version(c.service)
 	now := time.Now()
 	ask := fleet.Ask{
-		Service: c.service, Affinity: c.affinity(model), Avoid: c.avoid, Seed: uint64(now.UnixNano()),
+		Service: c.service, Affinity: c.affinity(model), Prompt: c.prompt(model), Avoid: c.avoid, Seed: uint64(now.UnixNano()),
 		Allows: func(v ident.Version) bool { return v == want },
 	}
 	grip := c.r.fleet.Pick(ask, now)
@@ -121,7 +121,7 @@
 		c.avoid = append(c.avoid, grip.ID)
 	}
 	klog.InfoS("Attempt", "id", c.head.Attempt, "try", c.tries, "backend", grip.ID, "version", grip.Version, "model", model, "input", c.head.Input, "output", c.head.Output, "chosen", grip.Reason,
-		"load", grip.Load, "age", grip.Age, "outcome", outcome, "why", x.why, "opinion", x.opinion, "status", x.status, "head", x.latency, "took", end.Sub(now))
+		"load", grip.Load, "waiting", grip.Waiting, "work", ask.Prompt.Work, "outcome", outcome, "why", x.why, "opinion", x.opinion, "status", x.status, "head", x.latency, "took", end.Sub(now))
 	return res
 }
 
@@ -170,6 +170,7 @@
 		return x.failed(ctx, err)
 	}
 	defer a.Close()
+	x.grip.Began(time.Now())
 	x.latency, x.status, x.opinion = time.Since(x.began), a.Status, verdict.Opinion
 	x.r.metrics.first.WithLabelValues(x.route.Repeat.String()).Observe(x.latency.Seconds())
 	if l := verdict.Load; l.Known {
--- a/gate/relay/call.go
+++ b/gate/relay/call.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"math"
 	"net/http"
 	"strconv"
 	"time"
@@ -13,6 +14,7 @@
 
 	"citronledge.example/core/ident"
 	"citronledge.example/core/plan"
+	"citronledge.example/core/policy"
 	"citronledge.example/gate/conn"
 	"citronledge.example/platform"
 )
@@ -224,6 +226,31 @@
 	return c.route.Models[c.step]
 }
 
+// slower is the exponent that turns the ratio of two models' costs into that
+// of their times.
+const slower = 0.7
+
+// prompt estimates the work of reading the prompt, in tokens of the smallest
+// model.
+func (c *call) prompt(model ident.Model) (p policy.Prompt) {
+	engine := c.state.plan.Services[c.service].Engine
+	if c.head.Input == 0 || engine == nil {
+		return p
+	}
+	factor := 1.0
+	if least := engine.Least(); model != "" && least > 0 && engine.Costs[model] > 0 {
+		factor = math.Pow(engine.Costs[model]/least, slower)
+	}
+	p.Work = float64(c.head.Input) * factor
+	if n := len(c.head.Parts); c.route.Affinity && n >= 2 {
+		for _, part := range c.head.Parts[:n-1] {
+			p.Shared += float64(part.Tokens) * factor
+		}
+		p.Shared = min(p.Shared, p.Work)
+	}
+	return p
+}
+
 // request encodes an attempt.
 func (c *call) request(backend ident.Backend, model ident.Model) *conn.Request {
 	x := platform.Handoff{
--- /dev/null
+++ b/gate/share/share.go
@@ -0,0 +1,171 @@
+// Package share exchanges the loads of backend servers between gates. Each gate
+// sends what it has under way there in datagrams; one that is lost is replaced
+// by the next.
+package share
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"google.golang.org/protobuf/proto"
+	"k8s.io/klog/v2"
+
+	"citronledge.example/core/group"
+	"citronledge.example/core/link"
+	"citronledge.example/core/wire"
+)
+
+const (
+	// leastEvery is the interval of the datagrams to a few gates.
+	leastEvery = 40 * time.Millisecond
+	// mostRate bounds the datagrams that a gate gets per second; with many
+	// gates each one sends less often.
+	mostRate = 160.0
+	// KeepEvery is the longest interval while nothing changes.
+	KeepEvery = time.Second
+	// mostDatagram bounds a datagram, in bytes.
+	mostDatagram = 32 << 10
+)
+
+// Source is what the exchange tells others of, and tells of others.
+type Source interface {
+	// Shares returns this gate's loads, and whether they have changed since
+	// the last call.
+	Shares() ([]*wire.Share, bool)
+	// Heard takes the loads of another gate, which holds until the next ones
+	// or until keep has passed.
+	Heard(l *wire.Loads, keep time.Duration)
+}
+
+// Exchange sends and takes loads. It is safe for concurrent use.
+type Exchange struct {
+	name   string
+	listen string
+	keys   *link.Keys
+	source Source
+	run    uint64
+
+	mu     sync.Mutex // guards others
+	others []netip.AddrPort
+}
+
+// New returns an exchange that takes datagrams at listen, HOST:PORT.
+func New(name, listen string, keys *link.Keys, source Source) *Exchange {
+	return &Exchange{name: name, listen: listen, keys: keys, source: source, run: rand.Uint64()}
+}
+
+// Address returns the address for the other gates.
+func (x *Exchange) Address() string { return x.listen }
+
+// SetOthers sets the gates to send to.
+func (x *Exchange) SetOthers(addrs []string) {
+	var list []netip.AddrPort
+	for _, a := range addrs {
+		addr, err := netip.ParseAddrPort(a)
+		if err != nil {
+			klog.ErrorS(err, "Address of a gate is not valid", "addr", a)
+			continue
+		}
+		list = append(list, addr)
+	}
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if len(list) == 0 && len(x.others) > 0 {
+		return // a new leader does not know the gates yet
+	}
+	if !slices.Equal(list, x.others) {
+		klog.InfoS("Gates to exchange loads with", "gates", addrs)
+	}
+	x.others = list
+}
+
+// every returns the interval of the datagrams.
+func (x *Exchange) every() (time.Duration, []netip.AddrPort) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return max(leastEvery, time.Duration(float64(len(x.others))/mostRate*float64(time.Second))), x.others
+}
+
+// Run exchanges loads until ctx ends.
+func (x *Exchange) Run(ctx context.Context) error {
+	addr, err := net.ResolveUDPAddr("udp4", x.listen)
+	if err != nil {
+		return eris.Wrap(err, "the address for the loads of other gates is not valid")
+	}
+	conn, err := net.ListenUDP("udp4", addr)
+	if err != nil {
+		return eris.Wrap(err, "cannot listen for the loads of other gates")
+	}
+	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	defer stop()
+	g := group.New(ctx)
+	g.Go("send loads", func(ctx context.Context) error { return x.send(ctx, conn) })
+	g.Go("take loads", func(ctx context.Context) error { return x.take(ctx, conn) })
+	return g.Wait()
+}
+
+func (x *Exchange) send(ctx context.Context, conn *net.UDPConn) error {
+	var seq uint64
+	var buf []byte
+	last := time.Time{}
+	timer := time.NewTimer(leastEvery)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-timer.C:
+		}
+		every, others := x.every()
+		timer.Reset(every)
+		shares, changed := x.source.Shares()
+		if !changed && time.Since(last) < KeepEvery || len(others) == 0 {
+			continue
+		}
+		last = time.Now()
+		seq++
+		data, err := proto.MarshalOptions{}.MarshalAppend(buf[:0], &wire.Loads{Name: x.name, Run: x.run, Seq: seq, Shares: shares})
+		if err != nil {
+			klog.ErrorS(err, "Loads not encoded")
+			continue
+		}
+		buf = x.keys.Seal(data)
+		for _, to := range others {
+			// A lost datagram is replaced by the next.
+			_, _ = conn.WriteToUDPAddrPort(buf, to)
+		}
+	}
+}
+
+// keepTimes is how many intervals the loads of a silent gate count.
+const keepTimes = 3
+
+func (x *Exchange) take(ctx context.Context, conn *net.UDPConn) error {
+	buf := make([]byte, mostDatagram)
+	for {
+		n, _, err := conn.ReadFromUDPAddrPort(buf)
+		if ctx.Err() != nil {
+			return nil
+		}
+		if err != nil {
+			return eris.Wrap(err, "cannot take the loads of other gates")
+		}
+		data, ok := x.keys.Unseal(buf[:n])
+		if !ok {
+			klog.V(1).InfoS("Datagram without a valid seal left out")
+			continue
+		}
+		l := &wire.Loads{}
+		if err := proto.Unmarshal(data, l); err != nil {
+			klog.ErrorS(err, "Datagram of a gate cannot be read")
+			continue
+		}
+		x.source.Heard(l, keepTimes*KeepEvery)
+	}
+}
--- a/state/node/epoch.go
+++ b/state/node/epoch.go
@@ -55,6 +55,7 @@
 // holder is a lease given out.
 type holder struct {
 	name, zone string
+	exchange   string // address for the loads of other gates
 	revision   uint64 // acknowledged
 	until      time.Time
 }
@@ -169,6 +170,8 @@
 			h = &holder{name: r.GetName(), zone: r.GetZone(), revision: r.GetRevision()}
 			e.holders[id] = h
 		}
+		h.exchange = r.GetExchange()
+		grant.Exchanges = e.exchanges(id, h)
 		h.until = now.Add(ident.LeaseGuard)
 		grant.Ttl = uint32(ident.LeaseTime / time.Millisecond)
 	}
@@ -178,6 +181,21 @@
 	return grant
 }
 
+// exchanges returns the addresses of the other gates that take loads.
+func (e *epoch) exchanges(id uint64, of *holder) []string {
+	if of.exchange == "" {
+		return nil
+	}
+	var list []string
+	for other, h := range e.holders {
+		if other != id && h.exchange != "" {
+			list = append(list, h.exchange)
+		}
+	}
+	slices.Sort(list)
+	return list
+}
+
 // applied returns the revision that the sender of a renewal uses itself.
 func applied(r *wire.Renew) uint64 { return max(r.GetRevision(), r.GetApplied()) }
 
