gate: a gate that stops refuses streams that would outlast it

Change: the gate learns how long streams take for a token; while it stops, a stream that would probably last longer than the stop is refused before it runs, with a short Retry-After; the frame tells its part when a planned stop begins.

--- /dev/null
+++ b/core/policy/pace.go
@@ -0,0 +1,39 @@
+package policy
+
+import (
+	"math"
+	"time"
+)
+
+// Pace learns how long streams take for each token that they may have.
+type Pace struct {
+	mean, spread float64 // ms for a token
+	count        int
+}
+
+const (
+	paceWeight = 0.05 // of a new stream in the means
+	paceHigh   = 2.5  // spreads above the mean that few streams exceed
+	paceLeast  = 20   // streams from which the means count
+)
+
+// Note counts a whole stream.
+func (p *Pace) Note(took time.Duration, tokens int64) {
+	if tokens <= 0 {
+		return
+	}
+	x := float64(took) / float64(time.Millisecond) / float64(tokens)
+	weight := max(paceWeight, 1/float64(p.count+1))
+	p.count++
+	p.spread += weight * (math.Abs(x-p.mean) - p.spread)
+	p.mean += weight * (x - p.mean)
+}
+
+// High returns a time that few streams of so many tokens exceed; 0 if too
+// little is known.
+func (p *Pace) High(tokens int64) time.Duration {
+	if p.count < paceLeast {
+		return 0
+	}
+	return time.Duration((p.mean + paceHigh*p.spread) * float64(tokens) * float64(time.Millisecond))
+}
--- a/core/server/server.go
+++ b/core/server/server.go
@@ -48,6 +48,7 @@
 	pages  map[string]http.Handler
 	needs  map[string]func() bool
 	reload func()
+	notice func()
 
 	mu    sync.Mutex
 	state chart.State
@@ -81,6 +82,10 @@
 // changed. Without it the signal has no effect. Call it before Run.
 func (s *Server) Reload(f func()) { s.reload = f }
 
+// Notice sets what is called when a planned stop begins, before the grace time.
+// Call it before Run.
+func (s *Server) Notice(f func()) { s.notice = f }
+
 // Part is what a program runs inside the frame.
 type Part interface {
 	// Run works until ctx ends. It calls ready once it can serve.
@@ -121,6 +126,9 @@
 	case <-ctx.Done():
 	}
 	s.move("signal")
+	if s.notice != nil {
+		s.notice()
+	}
 	cut := s.drain(ctx, part, signals)
 	cancel()
 	if err := <-failed; err != nil {
--- a/gate/cmd/gate/site.go
+++ b/gate/cmd/gate/site.go
@@ -93,6 +93,7 @@
 	h.frame = server.New(s.Settings, h.status)
 	addrs := s.site.seeds()
 	h.frame.Reload(h.reload)
+	h.frame.Notice(func() { h.relay.Drain(time.Now().Add(s.Deadline)) })
 	bounds := s.site.Bounds
 	exchange := net.JoinHostPort(s.site.IP, strconv.Itoa(s.site.FirstPort+1))
 	h.share = share.New(s.Name, exchange, keys, h.fleet)
@@ -198,13 +199,7 @@
 	if err != nil {
 		return eris.Wrap(err, "cannot listen for the readiness question")
 	}
-	srv := &http.Server{ReadHeaderTimeout: headTime, Handler: platform.NewReadiness(func() bool {
-		if h.frame.State() != "ready" {
-			h.relay.Drain()
-			return false
-		}
-		return h.relay.Ready()
-	})}
+	srv := &http.Server{ReadHeaderTimeout: headTime, Handler: platform.NewReadiness(h.relay.Ready)}
 	stop := context.AfterFunc(ctx, func() { _ = srv.Close() })
 	defer stop()
 	if err := srv.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
--- a/gate/relay/call.go
+++ b/gate/relay/call.go
@@ -26,6 +26,9 @@
 	mostBody = 4 << 20 // bytes
 	// retryAfter is the wait suggested with a refusal for lack of capacity.
 	retryAfter = 300 * time.Millisecond
+	// elsewhereAfter is the wait suggested by a gate that stops: other gates
+	// can serve the request at once.
+	elsewhereAfter = 20 * time.Millisecond
 	// startAfter is the wait suggested by a gate without a configuration.
 	startAfter = 500 * time.Millisecond
 )
@@ -89,6 +92,10 @@
 	if !c.read() {
 		return
 	}
+	if c.route.Repeat == plan.Stream && c.r.outlasts(c.head.Output, c.start) {
+		c.refuse(http.StatusServiceUnavailable, elsewhereAfter, "this gate stops before the stream would end")
+		return
+	}
 	limit := c.route.Timeout
 	if c.head.Deadline > 0 {
 		limit = min(limit, c.head.Deadline)
--- a/gate/relay/relay.go
+++ b/gate/relay/relay.go
@@ -46,12 +46,13 @@
 	metrics metrics
 	tallies tallies
 
-	state    atomic.Pointer[state]
-	draining atomic.Bool
+	state atomic.Pointer[state]
+	stop  atomic.Pointer[time.Time] // end of a planned stop under way
 
 	mu       sync.Mutex // guards what follows
 	windows  map[ident.Service]*policy.Window
 	sessions sessions
+	pace     policy.Pace
 }
 
 // state is the configuration that a request is served by.
@@ -109,11 +110,31 @@
 
 // Ready tells whether requests can be served.
 func (r *Relay) Ready() bool {
-	return r.state.Load() != nil && !r.fleet.Read().IsZero() && !r.draining.Load()
+	return r.state.Load() != nil && !r.fleet.Read().IsZero() && r.stop.Load() == nil
 }
 
-// Drain makes callers leave: each answer closes its connection.
-func (r *Relay) Drain() { r.draining.Store(true) }
+// Drain makes callers leave: each answer closes its connection, and streams that
+// would not end by then are refused.
+func (r *Relay) Drain(end time.Time) { r.stop.CompareAndSwap(nil, &end) }
+
+// outlasts tells whether a new stream would probably last longer than a planned
+// stop that is under way.
+func (r *Relay) outlasts(tokens ident.Tokens, now time.Time) bool {
+	end := r.stop.Load()
+	if end == nil {
+		return false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return now.Add(r.pace.High(int64(tokens))).After(*end)
+}
+
+// streamed notes how long a whole stream took after its head.
+func (r *Relay) streamed(took time.Duration, tokens ident.Tokens) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.pace.Note(took, int64(tokens))
+}
 
 // Idle returns how long a caller's connection may stay without a request; 0
 // if that is not known yet.
@@ -176,7 +197,7 @@
 // ServeHTTP implements http.Handler.
 func (r *Relay) ServeHTTP(w http.ResponseWriter, req *http.Request) {
 	c := &call{r: r, w: w, req: req, start: time.Now(), head: platform.DecodeRequest(req.Header)}
-	if r.draining.Load() {
+	if r.stop.Load() != nil {
 		w.Header().Set("Connection", "close")
 	}
 	c.serve()
--- a/gate/relay/stream.go
+++ b/gate/relay/stream.go
@@ -66,6 +66,7 @@
 		switch {
 		case errors.Is(err, io.EOF):
 			a.Close()
+			x.r.streamed(time.Since(x.began)-x.latency, x.head.Output)
 			x.end("served", a.Status)
 			return done{}, fleet.Good
 		case err != nil:
