gate: prefer near runners while a path loses packets; no climb that would be late

Change: gates measure the loss between zones from the numbers of the datagrams that they exchange; they learn how long a prompt takes to its first token and keep an answer of middling confidence if the larger model would be late.

--- a/core/policy/climb.go
+++ b/core/policy/climb.go
@@ -11,16 +11,21 @@
 	Step, Steps int
 	// Runs is how many more runs the request may have.
 	Runs int
-	// Left is the time left, Spent the time that this step took.
-	Left, Spent time.Duration
+	// Left is the time left until the deadline, Aim that until the answer
+	// counts as late, and Need how long a larger model is expected to take to
+	// its first token.
+	Left, Aim, Need time.Duration
 }
 
 const (
 	// sureOpinion is the opinion from which an answer is good enough.
 	sureOpinion = 50
-	// climbTime is how many times the last step's duration a larger model may
-	// take; with less left the answer at hand is better than none.
-	climbTime = 4
+	// lateOpinion takes its place if the larger model would answer late: a
+	// late answer is worth about a third.
+	lateOpinion = 20
+	// leftTimes is how many times the expected time of the larger model must be
+	// left; with less the answer at hand is better than none.
+	leftTimes = 3
 )
 
 // Next returns the step that answers: the same one to keep the answer, or a
@@ -31,7 +36,7 @@
 		return c.Step, Last
 	case c.Opinion < 0 || c.Opinion >= sureOpinion:
 		return c.Step, Sure
-	case c.Runs <= 0 || c.Left < climbTime*c.Spent:
+	case c.Runs <= 0 || c.Left < leftTimes*c.Need, c.Need > c.Aim && c.Opinion >= lateOpinion:
 		return c.Step, Late
 	}
 	return c.Steps - 1, Below
--- a/core/policy/seat.go
+++ b/core/policy/seat.go
@@ -11,6 +11,8 @@
 	// Waiting is the work of the prompts that are read or wait there, in
 	// tokens of the smallest model.
 	Waiting float64
+	// Loss is the recent share of packets lost on the way to its zone.
+	Loss float64
 	// Failing is the recent share of failures.
 	Failing float64
 	// Rank orders the servers for one affinity key; the highest one is
@@ -33,6 +35,11 @@
 	// remoteCostWork is that of the bytes between availability zones and of
 	// the way.
 	remoteCostWork = 400
+	// lossCost is that of a path that loses everything. With a few packets in
+	// a hundred lost, most streams of some ten events have a late one.
+	lossCost = 2_000_000
+	// sureLoss is the loss that a sound path may show.
+	sureLoss = 0.004
 	// failCost is that of certain failure.
 	failCost = 200_000
 	// overCost is that of a server without a free slot.
@@ -86,7 +93,7 @@
 func (s *Seat) cost() float64 {
 	cost := s.Waiting + fullCost*s.Load + failCost*s.Failing
 	if !s.Local {
-		cost += remoteCostWork
+		cost += remoteCostWork + lossCost*max(0, s.Loss-sureLoss)
 	}
 	if s.Load >= sureLoad {
 		cost += overCost
--- a/gate/cmd/gate/site.go
+++ b/gate/cmd/gate/site.go
@@ -96,7 +96,7 @@
 	h.frame.Notice(func() { h.relay.Drain(time.Now().Add(s.Deadline)) })
 	bounds := s.site.Bounds
 	exchange := net.JoinHostPort(s.site.IP, strconv.Itoa(s.site.FirstPort+1))
-	h.share = share.New(s.Name, exchange, keys, h.fleet)
+	h.share = share.New(s.Name, s.site.Zone, exchange, keys, h.fleet)
 	h.client, err = client.New(
 		client.WithExchange(exchange, h.share.SetOthers),
 		client.WithAddresses(addrs...), client.WithLink(link.Config{Name: s.Name, Keys: keys}), client.WithZone(s.site.Zone),
--- a/gate/fleet/fleet.go
+++ b/gate/fleet/fleet.go
@@ -63,6 +63,7 @@
 	read     time.Time // of the last list
 	last     map[ident.Service]ident.Version
 	peers    map[string]*peer // other gates, by name
+	paths    map[ident.Zone]*path
 	changed  bool             // since Shares
 	busy     bool             // the last Shares told of a server
 }
@@ -72,7 +73,7 @@
 	return &Fleet{
 		zone: zone, servers: map[ident.Backend]*Server{},
 		services: map[ident.Service][]*Server{}, last: map[ident.Service]ident.Version{},
-		peers: map[string]*peer{},
+		peers: map[string]*peer{}, paths: map[ident.Zone]*path{},
 	}
 }
 
--- a/gate/fleet/pick.go
+++ b/gate/fleet/pick.go
@@ -32,7 +32,7 @@
 	Reason policy.Reason
 	work   float64 // of the prompt, until the head of the answer
 	// Load and Waiting are what the choice was made by; see policy.Seat.
-	Load, Waiting float64
+	Load, Waiting, Loss float64
 }
 
 // Pick chooses a server, or returns nil if there is none.
@@ -59,7 +59,24 @@
 	if s.health.probing(now) {
 		s.health.probe(now)
 	}
-	return &Grip{Server: s, fleet: f, start: now, Reason: reason, work: ask.Prompt.Work, Load: seats[i].Load, Waiting: seats[i].Waiting}
+	return &Grip{Server: s, fleet: f, start: now, Reason: reason, work: ask.Prompt.Work, Load: seats[i].Load, Waiting: seats[i].Waiting, Loss: seats[i].Loss}
+}
+
+// Waiting returns the least work that waits at any server of a service that is
+// in use.
+func (f *Fleet) Waiting(service ident.Service, now time.Time) float64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	least := -1.0
+	for _, s := range f.services[service] {
+		if s.Leaving || s.health.out(now) {
+			continue
+		}
+		if _, reading := s.others(now); least < 0 || s.reading+reading < least {
+			least = s.reading + reading
+		}
+	}
+	return max(0, least)
 }
 
 func contains(list []ident.Backend, id ident.Backend) bool {
@@ -76,6 +93,9 @@
 	seat := policy.Seat{
 		Local: s.Zone == f.zone, Out: s.health.out(now), Failing: s.health.failing(now),
 	}
+	if !seat.Local {
+		seat.Loss = f.path(s.Zone).loss(now)
+	}
 	running, reading := s.others(now)
 	seat.Load, seat.Waiting = s.estimate(running, now), s.reading+reading
 	key := ask.Affinity
--- a/gate/fleet/share.go
+++ b/gate/fleet/share.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"citronledge.example/core/ident"
 	"citronledge.example/core/wire"
 )
 
@@ -56,6 +57,9 @@
 	if !fresh && l.GetSeq() <= p.seq {
 		return // overtaken on the way
 	}
+	if zone := ident.Zone(l.GetZone()); !fresh && zone != f.zone {
+		f.path(zone).note(float64(l.GetSeq()-p.seq-1), now)
+	}
 	p.run, p.seq, p.at = l.GetRun(), l.GetSeq(), now
 	told := make(map[uint64]*wire.Share, len(l.GetShares()))
 	for _, s := range l.GetShares() {
@@ -93,6 +97,50 @@
 	at       time.Time
 }
 
+// path is the way between this gate's availability zone and another one.
+type path struct {
+	at         time.Time
+	lost, came float64 // datagrams, fading with time
+}
+
+// pathTime is the time in which what was seen of a path counts half.
+const pathTime = 1500 * time.Millisecond
+
+// pathLeast is the number of datagrams that count as come before any did.
+const pathLeast = 20
+
+func (f *Fleet) path(zone ident.Zone) *path {
+	p := f.paths[zone]
+	if p == nil {
+		p = &path{}
+		f.paths[zone] = p
+	}
+	return p
+}
+
+// note counts a datagram that came and those that were missing before it. A gap
+// as long as a cut of the path counts no more than a few lost ones.
+func (p *path) note(missing float64, now time.Time) {
+	const most = 4
+	p.fade(now)
+	p.came++
+	p.lost += min(missing, most)
+}
+
+func (p *path) fade(now time.Time) {
+	if !p.at.IsZero() {
+		f := math.Exp2(-float64(now.Sub(p.at)) / float64(pathTime))
+		p.lost, p.came = p.lost*f, p.came*f
+	}
+	p.at = now
+}
+
+// loss returns the recent share of lost datagrams.
+func (p *path) loss(now time.Time) float64 {
+	p.fade(now)
+	return p.lost / (p.lost + p.came + pathLeast)
+}
+
 // others sums up what the other gates told.
 func (s *Server) others(now time.Time) (running, reading float64) {
 	for _, p := range s.parts {
--- a/gate/relay/attempt.go
+++ b/gate/relay/attempt.go
@@ -121,7 +121,7 @@
 		c.avoid = append(c.avoid, grip.ID)
 	}
 	klog.InfoS("Attempt", "id", c.head.Attempt, "try", c.tries, "backend", grip.ID, "version", grip.Version, "model", model, "input", c.head.Input, "output", c.head.Output, "chosen", grip.Reason,
-		"load", grip.Load, "waiting", grip.Waiting, "work", ask.Prompt.Work, "outcome", outcome, "why", x.why, "opinion", x.opinion, "status", x.status, "head", x.latency, "took", end.Sub(now))
+		"load", grip.Load, "waiting", grip.Waiting, "loss", grip.Loss, "work", ask.Prompt.Work, "outcome", outcome, "why", x.why, "opinion", x.opinion, "status", x.status, "head", x.latency, "took", end.Sub(now))
 	return res
 }
 
@@ -173,6 +173,13 @@
 	x.grip.Began(time.Now())
 	x.latency, x.status, x.opinion = time.Since(x.began), a.Status, verdict.Opinion
 	x.r.metrics.first.WithLabelValues(x.route.Repeat.String()).Observe(x.latency.Seconds())
+	if p := x.prompt(x.model); p.Work > 0 && !verdict.NotRun {
+		work := p.Work + x.grip.Waiting
+		if x.grip.Reason == policy.Prefix {
+			work -= p.Shared
+		}
+		x.r.began(x.service, work, x.latency)
+	}
 	if l := verdict.Load; l.Known {
 		x.grip.Told(l.Running, l.Waiting, l.Slots, l.Pace, time.Now())
 	}
@@ -197,7 +204,8 @@
 	if !x.started && x.head.AnyModel && len(x.route.Models) > 0 {
 		next, reason := policy.Climb{
 			Opinion: verdict.Opinion, Step: x.step, Steps: len(x.route.Models), Runs: x.route.Attempts - x.attempts - 1,
-			Left: time.Until(x.deadline), Spent: x.latency,
+			Left: time.Until(x.deadline), Aim: time.Until(x.start.Add(x.route.Target)),
+			Need: x.r.need(x.service, x.prompt(x.route.Models[len(x.route.Models)-1]).Work),
 		}.Next()
 		x.why = string(reason)
 		if next != x.step {
--- a/gate/relay/relay.go
+++ b/gate/relay/relay.go
@@ -53,6 +53,7 @@
 	windows  map[ident.Service]*policy.Window
 	sessions sessions
 	pace     policy.Pace
+	speeds   map[ident.Service]*policy.Speed
 }
 
 // state is the configuration that a request is served by.
@@ -83,7 +84,7 @@
 // New returns a relay without a configuration; it refuses until SetPlan.
 func New(opts ...Option) *Relay {
 	r := &Relay{
-		windows: map[ident.Service]*policy.Window{}, leased: func() bool { return true },
+		windows: map[ident.Service]*policy.Window{}, speeds: map[ident.Service]*policy.Speed{}, leased: func() bool { return true },
 		sessions: sessions{list: map[ident.Session]seen{}}, metrics: newMetrics(), tallies: newTallies(),
 	}
 	for _, o := range opts {
@@ -129,6 +130,29 @@
 	return now.Add(r.pace.High(int64(tokens))).After(*end)
 }
 
+// need returns how long a prompt is expected to take to its first token.
+func (r *Relay) need(service ident.Service, work float64) time.Duration {
+	waiting := r.fleet.Waiting(service, time.Now())
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if s := r.speeds[service]; s != nil {
+		return s.Need(work + waiting)
+	}
+	return 0
+}
+
+// began notes how long a prompt took to its first token.
+func (r *Relay) began(service ident.Service, work float64, took time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := r.speeds[service]
+	if s == nil {
+		s = &policy.Speed{}
+		r.speeds[service] = s
+	}
+	s.Note(took, work)
+}
+
 // streamed notes how long a whole stream took after its head.
 func (r *Relay) streamed(took time.Duration, tokens ident.Tokens) {
 	r.mu.Lock()
--- a/gate/share/share.go
+++ b/gate/share/share.go
@@ -17,6 +17,7 @@
 	"k8s.io/klog/v2"
 
 	"citronledge.example/core/group"
+	"citronledge.example/core/ident"
 	"citronledge.example/core/link"
 	"citronledge.example/core/wire"
 )
@@ -46,6 +47,7 @@
 // Exchange sends and takes loads. It is safe for concurrent use.
 type Exchange struct {
 	name   string
+	zone   ident.Zone
 	listen string
 	keys   *link.Keys
 	source Source
@@ -55,9 +57,10 @@
 	others []netip.AddrPort
 }
 
-// New returns an exchange that takes datagrams at listen, HOST:PORT.
-func New(name, listen string, keys *link.Keys, source Source) *Exchange {
-	return &Exchange{name: name, listen: listen, keys: keys, source: source, run: rand.Uint64()}
+// New returns an exchange of a gate in a zone that takes datagrams at listen,
+// HOST:PORT.
+func New(name string, zone ident.Zone, listen string, keys *link.Keys, source Source) *Exchange {
+	return &Exchange{name: name, zone: zone, listen: listen, keys: keys, source: source, run: rand.Uint64()}
 }
 
 // Address returns the address for the other gates.
@@ -130,7 +133,7 @@
 		}
 		last = time.Now()
 		seq++
-		data, err := proto.MarshalOptions{}.MarshalAppend(buf[:0], &wire.Loads{Name: x.name, Run: x.run, Seq: seq, Shares: shares})
+		data, err := proto.MarshalOptions{}.MarshalAppend(buf[:0], &wire.Loads{Name: x.name, Zone: string(x.zone), Run: x.run, Seq: seq, Shares: shares})
 		if err != nil {
 			klog.ErrorS(err, "Loads not encoded")
 			continue
