--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # All targets run on a fresh machine with Go, gcc and make; modules are fetched by the go command.
 SHELL := /bin/bash
 GO ?= go
-MODULES := core gate side state ctl stub demo tools
+MODULES := core platform gate side state ctl stub demo tools
 PACKAGES := $(addsuffix /...,$(addprefix ./,$(MODULES)))
 SOURCES = $(shell git ls-files -co --exclude-standard '*.go' | grep -v '\.pb\.go$$')
 
--- a/core/conf/shift.go
+++ b/core/conf/shift.go
@@ -13,9 +13,9 @@
 // version that the operator counts.
 type Document struct {
 	Version uint64 `json:"version"`
-	// Digest is the hex SHA-256 of Body.
+	// Digest is the hex SHA-256 of the document as it was sent.
 	Digest string `json:"digest"`
-	// Body is the document as it was sent.
+	// Body is the document, without insignificant white space.
 	Body json.RawMessage `json:"body"`
 }
 
--- a/core/link/link.go
+++ b/core/link/link.go
@@ -20,10 +20,10 @@
 
 	"github.com/hashicorp/yamux"
 	"github.com/rotisserie/eris"
+	"golang.org/x/sys/unix"
 	"google.golang.org/protobuf/encoding/protodelim"
 	"google.golang.org/protobuf/encoding/protowire"
 	"google.golang.org/protobuf/proto"
-	"golang.org/x/sys/unix"
 
 	"citronledge.example/core/fault"
 	"citronledge.example/core/wire"
--- /dev/null
+++ b/core/policy/site_test.go
@@ -0,0 +1,159 @@
+package policy
+
+import (
+	"testing"
+	"time"
+)
+
+// The repeats of any window must stay within its share, also when the requests
+// that earned them are gone from it.
+func TestWindow(t *testing.T) {
+	w := NewWindow(10*time.Second, 0.5, 2)
+	now := time.Unix(1_700_000_000, 0)
+	spent := func() (n int) {
+		for w.Spend(now) {
+			n++
+		}
+		return n
+	}
+	if got := spent(); got != 2 {
+		t.Errorf("got %d repeats without requests, want the slack of 2", got)
+	}
+	for range 10 {
+		w.Earn(now)
+	}
+	if got := spent(); got != 5 {
+		t.Errorf("got %d more repeats after 10 requests, want 5", got)
+	}
+	now = now.Add(5 * time.Second)
+	if got := spent(); got != 0 {
+		t.Errorf("got %d repeats in the middle of the window, want 0", got)
+	}
+	now = now.Add(6 * time.Second)
+	if got := spent(); got != 2 {
+		t.Errorf("got %d repeats in a new window, want 2", got)
+	}
+}
+
+func TestSeats(t *testing.T) {
+	prompt := Prompt{Work: 10_000, Shared: 6_000}
+	for name, x := range map[string]struct {
+		list   []Seat
+		prompt Prompt
+		want   int
+		reason Reason
+	}{
+		"none":                    {nil, Prompt{}, -1, None},
+		"less load":               {[]Seat{{Load: 0.4, Local: true}, {Load: 0.1, Local: true}}, Prompt{}, 1, Least},
+		"near before far":         {[]Seat{{}, {Local: true}}, Prompt{}, 1, Least},
+		"far before loaded":       {[]Seat{{}, {Local: true, Load: 0.3}}, Prompt{}, 0, Least},
+		"tie":                     {[]Seat{{Rank: 1}, {Rank: 2}}, Prompt{}, 1, Least},
+		"prefix":                  {[]Seat{{Rank: 1}, {Rank: 2, Waiting: 5_000}}, prompt, 1, Prefix},
+		"prefix behind a prompt":  {[]Seat{{Rank: 1}, {Rank: 2, Waiting: 50_000}}, prompt, 0, Least},
+		"prefix is out":           {[]Seat{{Rank: 1}, {Rank: 2, Out: true}}, prompt, 0, Prefix},
+		"all are out":             {[]Seat{{Out: true, Load: 0.5}, {Out: true}}, Prompt{}, 1, Floor},
+		"failing":                 {[]Seat{{Failing: 0.3}, {Load: 0.9}}, Prompt{}, 1, Least},
+		"full":                    {[]Seat{{Load: 1}, {Waiting: 500_000, Load: 0.5}}, Prompt{}, 1, Least},
+		"path that loses packets": {[]Seat{{Loss: 0.03}, {Local: true, Load: 0.8}}, Prompt{}, 1, Least},
+		"path with a stray loss":  {[]Seat{{Loss: 0.003}, {Local: true, Load: 0.8}}, Prompt{}, 0, Least},
+	} {
+		t.Run(name, func(t *testing.T) {
+			if got, reason := Seats(x.list, x.prompt); got != x.want || reason != x.reason {
+				t.Errorf("got %d for %q, want %d for %q", got, reason, x.want, x.reason)
+			}
+		})
+	}
+}
+
+func TestClimbNext(t *testing.T) {
+	need := func(ms ...int) func(int) time.Duration {
+		return func(step int) time.Duration { return time.Duration(ms[step]) * time.Millisecond }
+	}
+	base := Climb{Steps: 3, Runs: 2, Left: 20 * time.Second, Aim: 2 * time.Second, Need: need(10, 100, 300)}
+	for name, x := range map[string]struct {
+		change func(*Climb)
+		want   int
+		reason Reason
+	}{
+		"sure":                      {func(c *Climb) { c.Opinion = 50 }, 0, Sure},
+		"no opinion":                {func(c *Climb) { c.Opinion = -1 }, 0, Sure},
+		"unsure":                    {func(c *Climb) { c.Opinion = 49 }, 2, Below},
+		"no runs left":              {func(c *Climb) { c.Runs = 0 }, 0, Late},
+		"largest is late":           {func(c *Climb) { c.Need = need(10, 100, 2500) }, 1, Below},
+		"all are late, half sure":   {func(c *Climb) { c.Need, c.Opinion = need(10, 2100, 2500), 30 }, 0, Late},
+		"all are late, not sure":    {func(c *Climb) { c.Need, c.Opinion = need(10, 2100, 2500), 5 }, 2, Below},
+		"no time for the largest":   {func(c *Climb) { c.Need, c.Left = need(10, 2100, 2500), 5*time.Second }, 0, Late},
+		"already at the largest":    {func(c *Climb) { c.Step = 2 }, 2, Last},
+		"one model":                 {func(c *Climb) { c.Steps = 1 }, 0, Last},
+		"from the middle, not sure": {func(c *Climb) { c.Step, c.Opinion = 1, 10 }, 2, Below},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := base
+			x.change(&c)
+			if got, reason := c.Next(); got != x.want || reason != x.reason {
+				t.Errorf("got step %d for %q, want %d for %q", got, reason, x.want, x.reason)
+			}
+		})
+	}
+}
+
+func TestPace(t *testing.T) {
+	var p Pace
+	for range paceLeast - 1 {
+		p.Note(time.Second, 100)
+	}
+	if got := p.High(100); got != 0 {
+		t.Errorf("got %v before enough is known, want 0", got)
+	}
+	for i := range 200 {
+		p.Note(time.Duration(800+400*(i%2))*time.Millisecond, 100)
+	}
+	if got := p.High(100); got < 1200*time.Millisecond || got > 2*time.Second {
+		t.Errorf("got %v for streams of 0.8 and 1.2 s, want somewhat above 1.2 s", got)
+	}
+	p.Note(time.Hour, 0) // a stream without a size tells nothing
+	if got := p.High(100); got > 2*time.Second {
+		t.Errorf("got %v after a stream without a size", got)
+	}
+}
+
+func TestSpeed(t *testing.T) {
+	var s Speed
+	if got := s.Need(1000); got != 0 {
+		t.Errorf("got %v while nothing is known, want 0", got)
+	}
+	for range 500 {
+		s.Note(50*time.Millisecond, 100)
+		s.Note(150*time.Millisecond, 10_000)
+	}
+	for work, want := range map[float64]time.Duration{0: 50 * time.Millisecond, 10_000: 150 * time.Millisecond, 50_000: 550 * time.Millisecond} {
+		if got := s.Need(work); got < want*8/10 || got > want*12/10 {
+			t.Errorf("got %v for work %v, want about %v", got, work, want)
+		}
+	}
+}
+
+// A version of a service that fails more must be halted by its 50th bad answer; one that is as good must not be halted, and neither must one whose
+// share of failures is only that of a single bad server.
+func TestJudgeShift(t *testing.T) {
+	for name, x := range map[string]struct {
+		base, next Stats
+		want       Verdict
+	}{
+		"no answers":      {Stats{}, Stats{}, Continue},
+		"as good":         {Stats{Answers: 1000, Failures: 10}, Stats{Answers: 100, Failures: 1}, Continue},
+		"half fail":       {Stats{Answers: 300, Failures: 3}, Stats{Answers: 30, Failures: 15}, Halt},
+		"40% fail, 50th":  {Stats{Answers: 600, Failures: 6}, Stats{Answers: 125, Failures: 50}, Halt},
+		"25% fail, 50th":  {Stats{Answers: 600, Failures: 6}, Stats{Answers: 200, Failures: 50}, Halt},
+		"slow":            {Stats{Answers: 300, Slow: 10}, Stats{Answers: 40, Slow: 30}, Halt},
+		"one bad server":  {Stats{Answers: 300, Failures: 3}, Stats{Answers: 60, Failures: 6}, Continue},
+		"all fail alike":  {Stats{Answers: 300, Failures: 150}, Stats{Answers: 60, Failures: 30}, Continue},
+		"two of two fail": {Stats{Answers: 300}, Stats{Answers: 2, Failures: 2}, Continue},
+	} {
+		t.Run(name, func(t *testing.T) {
+			if got, reason := JudgeShift(x.base, x.next); got != x.want {
+				t.Errorf("got %v for %q, want %v", got, reason, x.want)
+			}
+		})
+	}
+}
--- a/gate/fleet/fleet.go
+++ b/gate/fleet/fleet.go
@@ -64,8 +64,8 @@
 	last     map[ident.Service]ident.Version
 	peers    map[string]*peer // other gates, by name
 	paths    map[ident.Zone]*path
-	changed  bool             // since Shares
-	busy     bool             // the last Shares told of a server
+	changed  bool // since Shares
+	busy     bool // the last Shares told of a server
 }
 
 // New returns an empty fleet of a gate in a zone.
--- a/gate/relay/relay.go
+++ b/gate/relay/relay.go
@@ -85,7 +85,7 @@
 // New returns a relay without a configuration; it refuses until SetPlan.
 func New(opts ...Option) *Relay {
 	r := &Relay{
-		begun: time.Now(),
+		begun:   time.Now(),
 		windows: map[ident.Service]*policy.Window{}, speeds: map[ident.Service]*policy.Speed{}, leased: func() bool { return true },
 		sessions: sessions{list: map[ident.Session]seen{}}, metrics: newMetrics(), tallies: newTallies(),
 	}
--- /dev/null
+++ b/gate/relay/relay_test.go
@@ -0,0 +1,503 @@
+package relay_test
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"citronledge.example/core/conf"
+	"citronledge.example/core/ident"
+	"citronledge.example/core/plan"
+	"citronledge.example/gate/fleet"
+	"citronledge.example/gate/relay"
+	"citronledge.example/stub/runner"
+)
+
+// rig is a relay in front of stand-ins of backend servers, "s0", "s1", ....
+type rig struct {
+	t       *testing.T
+	relay   *relay.Relay
+	fleet   *fleet.Fleet
+	runners []*runner.Runner
+	list    []fleet.Listing
+	url     string
+}
+
+const (
+	service = ident.Service("pool")
+	key     = "secret-key"
+)
+
+func newRig(t *testing.T, replies ...runner.Reply) *rig {
+	r := &rig{t: t, fleet: fleet.New("a")}
+	for i, reply := range replies {
+		x, err := runner.Start(reply)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(x.Close)
+		r.runners = append(r.runners, x)
+		r.list = append(r.list, fleet.Listing{
+			ID: ident.Backend(fmt.Sprintf("s%d", i)), Service: service, Address: x.Addr(), Zone: "a", Version: "v1", Slots: 8,
+		})
+	}
+	r.fleet.Update(r.list, time.Now())
+	r.relay = relay.New(relay.WithFleet(r.fleet), relay.WithRules(relay.Rules{
+		Canary: 0.1, Session: 5 * time.Second, RetryRatio: 1, RetrySlack: 20, RetryWindow: 10 * time.Second,
+	}))
+	r.plan(1, nil)
+	srv := httptest.NewServer(r.relay)
+	t.Cleanup(srv.Close)
+	r.url = srv.URL
+	return r
+}
+
+// plan puts a configuration in force with the routes /safe/, /once/, /stream/,
+// /sized/ and /public/ of host h.example.
+func (r *rig) plan(revision ident.Revision, shifts map[ident.Service]conf.Shift) {
+	r.t.Helper()
+	route := func(name string, repeat plan.Repeat) plan.Route {
+		return plan.Route{
+			Name: ident.Route(name), Host: "h.example", Path: "/" + name + "/", Repeat: repeat, Timeout: 3 * time.Second,
+			Target: time.Second, Splits: []plan.Split{{Service: service, Weight: 1}}, Attempts: 3, Resume: repeat == plan.Stream,
+		}
+	}
+	sized, public := route("sized", plan.Stream), route("public", plan.Safe)
+	sized.Models = []ident.Model{"small", "middle", "large"}
+	public.Public = true
+	p := &plan.Plan{
+		Version: uint64(revision), Services: map[ident.Service]plan.Service{service: {Name: service}},
+		Routes:    []plan.Route{route("safe", plan.Safe), route("once", plan.Once), route("stream", plan.Stream), sized, public},
+		Customers: []plan.Customer{{Name: "acme", Keys: []string{key}}},
+	}
+	if err := p.Index(); err != nil {
+		r.t.Fatal(err)
+	}
+	r.relay.SetPlan(p, shifts, revision)
+}
+
+// answer is what a caller got.
+type answer struct {
+	status int
+	header http.Header
+	body   string
+	err    error // of the body
+}
+
+func (r *rig) send(method, target, id string, header map[string]string) answer {
+	r.t.Helper()
+	req, err := http.NewRequest(method, r.url+target, strings.NewReader("question"))
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	req.Host = "h.example"
+	req.Header.Set("Attempt-Id", id)
+	req.Header.Set("Key", key)
+	req.Header.Set("Deadline-Ms", "2000")
+	for k, v := range header {
+		req.Header.Set(k, v)
+	}
+	resp, err := http.DefaultTransport.RoundTrip(req)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	return answer{resp.StatusCode, resp.Header, string(body), err}
+}
+
+// runs returns how many requests the stand-ins have read.
+func (r *rig) runs() int {
+	n := 0
+	for _, x := range r.runners {
+		n += len(x.Seen())
+	}
+	return n
+}
+
+func events(first, last int) string {
+	var b strings.Builder
+	for i := first; i <= last; i++ {
+		b.WriteString(runner.Event(i))
+	}
+	return b.String()
+}
+
+// brokenStream sends the events up to last, a part of the next one, and resets.
+func brokenStream(last int) runner.Reply {
+	return func(c net.Conn, r *runner.Request) bool {
+		head := runner.Head(http.StatusOK, r, "X-Run: broken\r\nTransfer-Encoding: chunked\r\n\r\n")
+		_, _ = io.WriteString(c, head+runner.Chunk(events(1, last)+"id: 99\nda"))
+		_ = c.(*net.TCPConn).SetLinger(0)
+		return false
+	}
+}
+
+// What the platform's callers get for each end of an attempt. A request that may
+// run once must not be sent again after any byte of it may have been read.
+func TestOutcomes(t *testing.T) {
+	closed := runner.Cut(func(*runner.Request) string { return "" })
+	failing := runner.Status(http.StatusInternalServerError, "broken")
+	for name, x := range map[string]struct {
+		target  string
+		replies []runner.Reply
+		status  int
+		most    int // runs
+	}{
+		"served":                   {"/safe/x", []runner.Reply{runner.OK("ok")}, 200, 1},
+		"full, then served":        {"/once/x", []runner.Reply{runner.Full, runner.Full, runner.OK("ok")}, 200, 3},
+		"all full":                 {"/once/x", []runner.Reply{runner.Full, runner.Full}, 503, 2},
+		"safe after a reset":       {"/safe/x", []runner.Reply{closed, runner.OK("ok")}, 200, 2},
+		"once after a reset":       {"/once/x", []runner.Reply{closed, closed}, 502, 1},
+		"once that fails":          {"/once/x", []runner.Reply{failing, failing}, 500, 1},
+		"safe that fails":          {"/safe/x", []runner.Reply{failing, failing}, 500, 2},
+		"safe that fails once":     {"/safe/x", []runner.Reply{failing, runner.OK("ok")}, 200, 2},
+		"no signature":             {"/once/x", []runner.Reply{runner.Cut(unsigned)}, 502, 1},
+		"once, silent":             {"/once/x", []runner.Reply{runner.Silent}, 504, 1},
+		"unknown path":             {"/nowhere/x", []runner.Reply{runner.OK("ok")}, 404, 0},
+		"success cut short":        {"/once/x", []runner.Reply{runner.Cut(short)}, 502, 1},
+		"safe success cut short":   {"/safe/x", []runner.Reply{runner.Cut(short), runner.OK("ok")}, 200, 2},
+		"another at the address":   {"/once/x", []runner.Reply{elsewhere, runner.OK("ok")}, 200, 2},
+		"no server can be reached": {"/once/x", nil, 503, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			r := newRig(t, x.replies...)
+			got := r.send(http.MethodPost, x.target, "1", map[string]string{"Deadline-Ms": "400"})
+			if got.err != nil || got.status != x.status {
+				t.Errorf("got status %d (%v, %q), want %d", got.status, got.err, got.body, x.status)
+			}
+			if runs := r.runs(); runs > x.most {
+				t.Errorf("got %d runs, want at most %d", runs, x.most)
+			}
+			if got.status == 503 && got.header.Get("Retry-After") == "" {
+				t.Error("a refusal does not say when to come back")
+			}
+			if sig := got.header.Get("Server-Signature"); got.status == 200 && sig != "sig-1" {
+				t.Errorf("got signature %q of a success", sig)
+			}
+		})
+	}
+}
+
+func unsigned(r *runner.Request) string {
+	return "HTTP/1.1 200 OK\r\nAttempt-Id: " + r.Attempt() + "\r\nContent-Length: 2\r\n\r\nok"
+}
+
+func short(r *runner.Request) string { return runner.Head(200, r, "Content-Length: 9\r\n\r\nok") }
+
+func elsewhere(c net.Conn, r *runner.Request) bool {
+	_, err := io.WriteString(c, "HTTP/1.1 421 Misdirected Request\r\nAttempt-Id: "+r.Attempt()+"\r\nInstance-Id: other\r\nContent-Length: 0\r\n\r\n")
+	return err == nil
+}
+
+// The headers that a backend server sees: the customer's name in place of the
+// key, whatever the caller claims, and the instance that is meant.
+func TestHeaders(t *testing.T) {
+	r := newRig(t, runner.OK("ok"))
+	got := r.send(http.MethodPost, "/safe/a//b/../c?q=%2f", "1", map[string]string{
+		"Tenant": "forged", "Expect-Instance": "forged", "Kv-From": "forged", "Pin-Ms": "9", "Connection": "X-Hop", "X-Hop": "1", "X-Kept": "2",
+	})
+	if got.status != 200 {
+		t.Fatalf("got status %d", got.status)
+	}
+	q := r.runners[0].Seen()[0]
+	if got, want := q.RequestURI, "/safe/a//b/../c?q=%2f"; got != want {
+		t.Errorf("got target %q, want %q", got, want)
+	}
+	for name, want := range map[string]string{
+		"Tenant": "acme", "Expect-Instance": "s0", "Key": "", "Kv-From": "", "Pin-Ms": "", "X-Hop": "", "X-Kept": "2", "Attempt-Id": "1",
+	} {
+		if got := strings.Join(q.Header[name], "|"); got != want {
+			t.Errorf("%s: got %q, want %q", name, got, want)
+		}
+	}
+	var left int
+	if _, err := fmt.Sscan(q.Header.Get("Deadline-Ms"), &left); err != nil || left <= 0 || left > 2000 {
+		t.Errorf("got deadline %q, want at most 2000", q.Header.Get("Deadline-Ms"))
+	}
+}
+
+// Keys decide before anything runs.
+func TestKeys(t *testing.T) {
+	r := newRig(t, runner.OK("ok"))
+	for name, x := range map[string]struct {
+		target, key string
+		want        int
+	}{
+		"known":          {"/safe/x", key, 200},
+		"unknown":        {"/safe/x", "other", 401},
+		"none":           {"/safe/x", "", 401},
+		"public, none":   {"/public/x", "", 200},
+		"public, unkown": {"/public/x", "other", 200},
+	} {
+		if got := r.send(http.MethodGet, x.target, "1", map[string]string{"Key": x.key}).status; got != x.want {
+			t.Errorf("%s: got %d, want %d", name, got, x.want)
+		}
+	}
+}
+
+// A stream whose backend server breaks off goes on at another one, without a
+// missing or repeated event, under the head of its first run.
+func TestResume(t *testing.T) {
+	r := newRig(t, brokenStream(3), brokenStream(3))
+	r.resume(3)
+	got := r.send(http.MethodPost, "/stream/x", "1", nil)
+	if want := events(1, 9); got.err != nil || got.body != want {
+		t.Errorf("got %q (%v), want %q", got.body, got.err, want)
+	}
+	if got := got.header.Values("Server-Signature"); len(got) != 1 {
+		t.Errorf("got signatures %q, want the one of the first run", got)
+	}
+}
+
+// resume makes each stand-in serve the rest of a stream that another one began.
+func (r *rig) resume(last int) {
+	for _, x := range r.runners {
+		x.SetReply(func(c net.Conn, q *runner.Request) bool {
+			if q.Header.Get("Last-Event-Id") == fmt.Sprint(last) {
+				return runner.Events(last+1, 9, 0, "")(c, q)
+			}
+			return brokenStream(last)(c, q)
+		})
+	}
+}
+
+// The head of a run that broke off before its first event must not stay: the
+// answer would bear the signatures of two runs.
+func TestHeadOfLostRun(t *testing.T) {
+	lost := runner.Cut(func(r *runner.Request) string {
+		return runner.Head(200, r, "X-Run: lost\r\nTransfer-Encoding: chunked\r\n\r\n")
+	})
+	r := newRig(t, lost, lost)
+	for i := range 4 { // whichever server is asked first
+		r.runners[i%2].SetReply(lost)
+		r.runners[1-i%2].SetReply(runner.Events(1, 3, 0, "X-Run: whole\r\n"))
+		got := r.send(http.MethodPost, "/stream/x", fmt.Sprint(i), nil)
+		if got.status != 200 || got.body != events(1, 3) {
+			t.Fatalf("got %d %q (%v)", got.status, got.body, got.err)
+		}
+		if got, want := strings.Join(got.header["X-Run"], "|"), "whole"; got != want {
+			t.Errorf("got runs %q in the head, want %q", got, want)
+		}
+	}
+}
+
+// A stream that cannot go on must not look complete.
+func TestCutStream(t *testing.T) {
+	r := newRig(t, brokenStream(2))
+	got := r.send(http.MethodPost, "/stream/x", "1", nil)
+	if got.err == nil {
+		t.Errorf("got a complete stream %q", got.body)
+	}
+	if got.body != events(1, 2) {
+		t.Errorf("got %q, want the whole events %q", got.body, events(1, 2))
+	}
+}
+
+// With a choice of models the smallest is asked first; an answer that it is not
+// sure of is dropped for that of a larger one.
+func TestClimb(t *testing.T) {
+	for name, x := range map[string]struct {
+		sure []string // by model: small, middle, large
+		want string
+	}{
+		"sure":   {[]string{"80", "90", "95"}, "small"},
+		"unsure": {[]string{"10", "90", "95"}, "large"},
+		"never":  {[]string{"10", "10", "10"}, "large"},
+		"silent": {[]string{"", "", ""}, "small"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, func(c net.Conn, q *runner.Request) bool {
+				model := q.Header.Get("Model")
+				opinion := x.sure[map[string]int{"small": 0, "middle": 1, "large": 2}[model]]
+				more := "X-Model: " + model + "\r\n"
+				if opinion != "" {
+					more += "Confidence: " + opinion + "\r\n"
+				}
+				return runner.Events(1, 2, 0, more)(c, q)
+			})
+			got := r.send(http.MethodPost, "/sized/x", "1", map[string]string{"Model": "*", "Token-Usage": "100,10"})
+			if model := got.header.Get("X-Model"); model != x.want || got.body != events(1, 2) {
+				t.Errorf("got model %q and body %q, want %q", model, got.body, x.want)
+			}
+		})
+	}
+}
+
+// A caller that leaves must not keep a backend server at work.
+func TestCallerLeaves(t *testing.T) {
+	r := newRig(t, runner.Silent)
+	c, err := net.Dial("tcp", strings.TrimPrefix(r.url, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, _ = io.WriteString(c, "GET /safe/x HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: 1\r\nKey: "+key+"\r\nDeadline-Ms: 60000\r\n\r\n")
+	r.until("the request reaches the runner", func() bool { return r.runs() == 1 })
+	_ = c.Close()
+	r.until("the runner's connection ends", func() bool { return r.runners[0].Open() == 0 })
+}
+
+func (r *rig) until(what string, f func() bool) {
+	r.t.Helper()
+	for end := time.Now().Add(5 * time.Second); !f(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			r.t.Fatalf("not in 5 s: %s", what)
+		}
+	}
+}
+
+// Without a configuration nothing is known of the request: the refusal says that
+// it has not run.
+func TestNoPlan(t *testing.T) {
+	srv := httptest.NewServer(relay.New(relay.WithFleet(fleet.New("a"))))
+	defer srv.Close()
+	resp, err := http.Get(srv.URL + "/x/")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = resp.Body.Close()
+	if resp.StatusCode != http.StatusServiceUnavailable || resp.Header.Get("Retry-After") == "" {
+		t.Errorf("got %d with Retry-After %q, want 503 with one", resp.StatusCode, resp.Header.Get("Retry-After"))
+	}
+}
+
+// A configuration that arrives late must not replace a newer one.
+func TestPlanNeverGoesBack(t *testing.T) {
+	r := newRig(t, runner.OK("ok"))
+	r.plan(7, nil)
+	older := &plan.Plan{Version: 1}
+	if err := older.Index(); err != nil {
+		t.Fatal(err)
+	}
+	r.relay.SetPlan(older, nil, 5)
+	if got := r.send(http.MethodGet, "/safe/x", "1", nil).status; got != 200 {
+		t.Errorf("got %d by an older configuration, want 200", got)
+	}
+}
+
+// While the gate stops, answers close their connections and streams that would
+// outlast the stop are refused; others are still served.
+func TestDrain(t *testing.T) {
+	r := newRig(t, runner.Events(1, 3, 5*time.Millisecond, ""))
+	for i := range 25 { // the gate learns how long streams take
+		r.send(http.MethodPost, "/stream/x", fmt.Sprint(i), map[string]string{"Token-Usage": "10,10"})
+	}
+	r.relay.Drain(time.Now().Add(time.Second))
+	if r.relay.Ready() {
+		t.Error("a gate that stops is ready")
+	}
+	for name, x := range map[string]struct {
+		tokens string
+		want   int
+	}{"short": {"10,10", 200}, "long": {"10,100000", 503}} {
+		got := r.send(http.MethodPost, "/stream/x", "d"+name, map[string]string{"Token-Usage": x.tokens})
+		if got.status != x.want {
+			t.Errorf("%s: got %d, want %d", name, got.status, x.want)
+		}
+	}
+	if got := r.raw("GET /stream/x HTTP/1.1\r\nHost: h.example\r\nKey: " + key + "\r\nAttempt-Id: z\r\n\r\n"); !got.Close {
+		t.Error("an answer of a gate that stops keeps its connection")
+	}
+}
+
+// raw sends bytes and reads one answer.
+func (r *rig) raw(bytes string) *http.Response {
+	r.t.Helper()
+	c, err := net.Dial("tcp", strings.TrimPrefix(r.url, "http://"))
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	r.t.Cleanup(func() { _ = c.Close() })
+	if _, err := io.WriteString(c, bytes); err != nil {
+		r.t.Fatal(err)
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	return resp
+}
+
+// During a roll-out, sessions that were served by the old version stay there,
+// and a share of the others tries the new one; afterwards only the outcome counts.
+func TestShift(t *testing.T) {
+	by := func(version string) runner.Reply { return runner.Events(1, 1, 0, "X-Version: "+version+"\r\n") }
+	r := newRig(t, by("v1"), by("v2"))
+	version := func(session, id string) string {
+		return r.send(http.MethodPost, "/stream/x", id, map[string]string{"Session": session}).header.Get("X-Version")
+	}
+	r.fleet.Update(r.list[:1], time.Now())
+	for i := range 40 {
+		version(fmt.Sprint("old", i), fmt.Sprint("a", i))
+	}
+	r.list[1].Version = "v2"
+	r.fleet.Update(r.list, time.Now())
+	for i := range 40 {
+		if got := version(fmt.Sprint("fresh", i), fmt.Sprint("b", i)); got != "v1" {
+			t.Fatalf("got version %q before the order, want v1", got)
+		}
+	}
+	shift := conf.Shift{Target: "v2", Duration: 10_000, Stage: conf.Canary}
+	r.plan(2, map[ident.Service]conf.Shift{service: shift})
+	count := 0
+	for i := range 40 {
+		if got := version(fmt.Sprint("old", i), fmt.Sprint("c", i)); got != "v1" {
+			t.Errorf("session old%d moved to %q", i, got)
+		}
+	}
+	for i := range 200 {
+		if version(fmt.Sprint("new", i), fmt.Sprint("d", i)) == "v2" {
+			count++
+		}
+	}
+	if count < 5 || count > 45 {
+		t.Errorf("got %d of 200 new sessions on the canary, want about 20", count)
+	}
+	for _, x := range []struct {
+		stage conf.Stage
+		want  string
+	}{{conf.Moving, "v2"}, {conf.Withdrew, "v1"}} {
+		shift.Stage = x.stage
+		r.plan(ident.Revision(3+len(x.stage)), map[ident.Service]conf.Shift{service: shift})
+		for i := range 20 {
+			if got := version(fmt.Sprint(x.stage, i), fmt.Sprint(x.stage, i)); got != x.want {
+				t.Errorf("%s: got version %q, want %q", x.stage, got, x.want)
+			}
+		}
+	}
+}
+
+// Two lengths that differ would let a caller smuggle a second request.
+func TestTwoLengths(t *testing.T) {
+	r := newRig(t, runner.OK("ok"))
+	resp := r.raw("POST /safe/x HTTP/1.1\r\nHost: h.example\r\nContent-Length: 3\r\nContent-Length: 5\r\nKey: " + key + "\r\n\r\nabcde")
+	if resp.StatusCode != http.StatusBadRequest || r.runs() != 0 {
+		t.Errorf("got %d and %d runs, want 400 and none", resp.StatusCode, r.runs())
+	}
+}
+
+// A body that breaks off must not run in part.
+func TestBodyBreaksOff(t *testing.T) {
+	r := newRig(t, runner.OK("ok"))
+	c, err := net.Dial("tcp", strings.TrimPrefix(r.url, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, _ = io.WriteString(c, "POST /once/x HTTP/1.1\r\nHost: h.example\r\nContent-Length: 100\r\nKey: "+key+"\r\n\r\nhalf")
+	_ = c.(*net.TCPConn).CloseWrite()
+	if _, err := io.ReadAll(c); err != nil && !errors.Is(err, net.ErrClosed) && r.runs() > 0 {
+		t.Error(err)
+	}
+	_ = c.Close()
+	if got := r.runs(); got != 0 {
+		t.Errorf("got %d runs of half a request", got)
+	}
+}
--- a/state/cmd/state/settings.go
+++ b/state/cmd/state/settings.go
@@ -19,9 +19,9 @@
 	members string
 	join    bool
 
-	list string // peers as given
+	list   string // peers as given
 	hosted bool
-	site *site // set on the users' platform
+	site   *site // set on the users' platform
 }
 
 // Register implements server.Program.
--- a/state/node/node.go
+++ b/state/node/node.go
@@ -85,9 +85,9 @@
 	metrics  *metrics
 	batch    batcher
 
-	mu    sync.Mutex
+	mu         sync.Mutex
 	candidates map[string]candidate // by name
-	epoch *epoch // nil unless this node leads and has read the state
+	epoch      *epoch               // nil unless this node leads and has read the state
 
 	deltas deltas
 }
--- a/state/node/shift.go
+++ b/state/node/shift.go
@@ -31,7 +31,7 @@
 // watched is what a leader knows of one running roll-out.
 type watched struct {
 	number int
-	began  time.Time // by the clock of this process
+	began  time.Time                  // by the clock of this process
 	starts map[uint64]map[string]pair // by incarnation and route
 	latest map[uint64]map[string]pair
 }
