test: seats, roll-outs, shared loads, logs and hosted state processes

TestHosted runs the real state process on loopback addresses: all killed, a disk lost, a VM replaced; nothing acknowledged is lost and no older state is read.

--- /dev/null
+++ b/gate/fleet/fleet_test.go
@@ -0,0 +1,221 @@
+package fleet
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"citronledge.example/core/ident"
+	"citronledge.example/core/policy"
+	"citronledge.example/core/wire"
+)
+
+func newFleet(n int) *Fleet {
+	f := New("a")
+	f.Update(list(n), time.Now())
+	return f
+}
+
+func list(n int) []Listing {
+	var l []Listing
+	for i := range n {
+		l = append(l, Listing{
+			ID: ident.Backend(fmt.Sprintf("s%d", i)), Service: "pool", Address: fmt.Sprintf("127.0.0.1:%d", 20000+i),
+			Zone: ident.Zone([]string{"a", "b", "c"}[i%3]), Version: "v1", Slots: 8,
+		})
+	}
+	return l
+}
+
+// Every gate must send the requests of one key to the same server, or each one
+// would read the shared part of the prompt anew.
+func TestAffinity(t *testing.T) {
+	now := time.Now()
+	one, two := newFleet(12), newFleet(12)
+	two.zone = "b"
+	ask := Ask{Service: "pool", Prompt: policy.Prompt{Work: 8000, Shared: 5000}}
+	count := map[ident.Backend]int{}
+	for key := range uint64(120) {
+		ask.Affinity = mix(key + 1)
+		a, b := one.Pick(ask, now), two.Pick(ask, now)
+		if a.ID != b.ID {
+			t.Errorf("key %d: got %s and %s at two gates", key, a.ID, b.ID)
+		}
+		count[a.ID]++
+		a.Release(Good, 0, now)
+		b.Release(Good, 0, now)
+	}
+	for id, n := range count {
+		if n > 30 {
+			t.Errorf("%s has %d of 120 keys", id, n)
+		}
+	}
+}
+
+// What other gates have under way counts like own work, until it is out of date.
+func TestHeard(t *testing.T) {
+	f := newFleet(2)
+	now := time.Now()
+	ask := Ask{Service: "pool", Prompt: policy.Prompt{Work: 1000}}
+	first := f.servers["s0"]
+	f.Heard(&wire.Loads{Name: "g2", Zone: "a", Run: 1, Seq: 1, Shares: []*wire.Share{{Server: first.hash, Running: 4, Reading: 90_000}}}, time.Second)
+	for range 3 {
+		if got := f.Pick(ask, now); got.ID != "s1" {
+			t.Errorf("got %s, where another gate's prompts wait", got.ID)
+		}
+	}
+	// Overtaken on the way.
+	f.Heard(&wire.Loads{Name: "g2", Zone: "a", Run: 1, Seq: 1}, time.Second)
+	if got := f.seat(first, ask, now); got.Waiting != 90_000 {
+		t.Errorf("got %v waiting after an old datagram, want 90,000", got.Waiting)
+	}
+	if got := f.seat(first, ask, now.Add(2*time.Second)); got.Waiting != 0 {
+		t.Errorf("got %v waiting after the gate fell silent, want 0", got.Waiting)
+	}
+	f.Heard(&wire.Loads{Name: "g2", Zone: "a", Run: 1, Seq: 2}, time.Second)
+	if got := f.seat(first, ask, now); got.Waiting != 0 {
+		t.Errorf("got %v waiting after the work ended, want 0", got.Waiting)
+	}
+}
+
+// A server that fails at several gates is taken out though each of them has seen
+// too little.
+func TestSharedFailures(t *testing.T) {
+	f := newFleet(3)
+	hash := f.servers["s0"].hash
+	for i, bad := range []uint32{0, 2, 5} {
+		f.Heard(&wire.Loads{Name: "g2", Run: 1, Seq: uint64(i + 1), Shares: []*wire.Share{{Server: hash, Good: 1, Bad: bad}}}, time.Second)
+	}
+	now := time.Now()
+	for range 6 {
+		if got := f.Pick(Ask{Service: "pool"}, now); got.ID == "s0" {
+			t.Error("got the server that fails at another gate")
+		}
+	}
+	// A new run of the gate counts from its start.
+	f = newFleet(3)
+	f.Heard(&wire.Loads{Name: "g2", Run: 1, Seq: 9, Shares: []*wire.Share{{Server: hash, Good: 1, Bad: 50}}}, time.Second)
+	if f.servers["s0"].health.out(time.Now()) {
+		t.Error("failures from before the first word of a gate count")
+	}
+}
+
+// Datagrams that are missing tell that the path to their zone loses packets.
+func TestPathLoss(t *testing.T) {
+	f := newFleet(3)
+	now := time.Now()
+	loss := func(from, to uint64, skip uint64) float64 {
+		for seq := from; seq <= to; seq++ {
+			if skip == 0 || seq%skip != 0 {
+				f.Heard(&wire.Loads{Name: "g2", Zone: "b", Run: 1, Seq: seq}, time.Second)
+			}
+		}
+		return f.path("b").loss(now)
+	}
+	if got := loss(1, 100, 0); got != 0 {
+		t.Errorf("got loss %v of a sound path", got)
+	}
+	if got := loss(101, 400, 20); got < 0.02 || got > 0.06 {
+		t.Errorf("got loss %v with one of 20 lost, want about 0.04", got)
+	}
+	if got := f.path("c").loss(now); got != 0 {
+		t.Errorf("got loss %v of another path", got)
+	}
+}
+
+// A server that cannot be reached is out for a while and comes back by one test;
+// its failures must not take out the others.
+func TestEjection(t *testing.T) {
+	f := newFleet(1)
+	now := time.Now()
+	ask := Ask{Service: "pool"}
+	f.Pick(ask, now).Release(Unreached, 0, now)
+	s := f.servers["s0"]
+	if !s.health.out(now) {
+		t.Fatal("a server that cannot be reached is in use")
+	}
+	if got := f.Pick(ask, now); got == nil || got.Reason != policy.Floor {
+		t.Fatalf("got %v, want the only server in spite of all", got)
+	} else {
+		got.Release(Neutral, 0, now)
+	}
+	now = now.Add(firstOut + time.Millisecond)
+	g := f.Pick(ask, now)
+	if !s.health.out(now) {
+		t.Error("more than one attempt tests a server")
+	}
+	g.Release(Good, time.Millisecond, now)
+	if s.health.out(now) || s.health.probing(now) {
+		t.Error("a server that serves again is not in use")
+	}
+}
+
+// A server with failures now and then, like all its peers, stays in use.
+func TestFewFailures(t *testing.T) {
+	f := newFleet(1)
+	now := time.Now()
+	for i := range 100 {
+		o := Good
+		if i%7 == 0 {
+			o = Failed
+		}
+		f.Pick(Ask{Service: "pool"}, now).Release(o, time.Millisecond, now)
+		if f.servers["s0"].health.out(now) {
+			t.Fatalf("out after %d attempts with one of 7 failed", i+1)
+		}
+		now = now.Add(50 * time.Millisecond)
+	}
+}
+
+// Servers that leave or are gone take nothing new; one that starts anew under its
+// name at another address is another server.
+func TestUpdate(t *testing.T) {
+	f := newFleet(2)
+	now := time.Now()
+	l := list(2)
+	l[0].Leaving = true
+	f.Update(l, now)
+	for range 4 {
+		if got := f.Pick(Ask{Service: "pool"}, now); got.ID != "s1" {
+			t.Errorf("got %s, which leaves", got.ID)
+		}
+	}
+	f.Update(l[:1], now)
+	if got := f.Pick(Ask{Service: "pool"}, now); got != nil {
+		t.Errorf("got %s, which leaves", got.ID)
+	}
+	old := f.servers["s0"]
+	l[0].Address, l[0].Leaving = "127.0.0.1:30000", false
+	f.Update(l[:1], now)
+	if f.servers["s0"] == old {
+		t.Error("a server at another address kept its connections")
+	}
+	if got := f.Pick(Ask{Service: "none"}, now); got != nil {
+		t.Errorf("got %s of an unknown service", got.ID)
+	}
+}
+
+// A version that appears without an order must not take traffic.
+func TestIncumbent(t *testing.T) {
+	f := newFleet(2)
+	now := time.Now()
+	if got := f.Incumbent("pool"); got != "v1" {
+		t.Fatalf("got %q, want v1", got)
+	}
+	l := list(8)
+	for i := 1; i < 8; i++ {
+		l[i].Version = "v2"
+	}
+	f.Update(l, now)
+	if got := f.Incumbent("pool"); got != "v1" {
+		t.Errorf("got %q while v1 has a server, want v1", got)
+	}
+	f.Settle("pool", "v2")
+	if got := f.Incumbent("pool"); got != "v2" {
+		t.Errorf("got %q after the roll-out, want v2", got)
+	}
+	f.Update(list(1), now)
+	if got := f.Incumbent("pool"); got != "v1" {
+		t.Errorf("got %q when the last v2 is gone, want v1", got)
+	}
+}
--- /dev/null
+++ b/gate/share/share_test.go
@@ -0,0 +1,99 @@
+package share
+
+import (
+	"context"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"citronledge.example/core/group"
+	"citronledge.example/core/link"
+	"citronledge.example/core/wire"
+)
+
+// source counts what it is told.
+type source struct {
+	mu    sync.Mutex
+	own   []*wire.Share
+	heard map[string]*wire.Loads
+}
+
+func (s *source) Shares() ([]*wire.Share, bool) { return s.own, true }
+
+func (s *source) Heard(l *wire.Loads, _ time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.heard[l.GetName()] = l
+}
+
+func (s *source) from(name string) *wire.Loads {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.heard[name]
+}
+
+func address(t *testing.T) string {
+	t.Helper()
+	c, err := net.ListenPacket("udp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	return c.LocalAddr().String()
+}
+
+// Loads reach the other gates, and datagrams of somebody without the key are left
+// out: they could keep all traffic from a server.
+func TestExchange(t *testing.T) {
+	keys := link.NewKeys("k", link.Process, []byte("0123456789abcdef"))
+	other := link.NewKeys("k", link.Process, []byte("fedcba9876543210"))
+	g := group.New(t.Context())
+	one, two := address(t), address(t)
+	a, b := &source{own: []*wire.Share{{Server: 7, Running: 2}}, heard: map[string]*wire.Loads{}}, &source{heard: map[string]*wire.Loads{}}
+	start := func(name, addr string, k *link.Keys, s Source, to string) {
+		x := New(name, "zone", addr, k, s)
+		x.SetOthers([]string{to})
+		g.Go(name, func(ctx context.Context) error { return x.Run(ctx) })
+	}
+	start("a", one, keys, a, two)
+	start("b", two, keys, b, one)
+	start("stranger", address(t), other, a, two)
+	for end := time.Now().Add(5 * time.Second); b.from("a") == nil || a.from("b") == nil; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("no loads in 5 s")
+		}
+	}
+	if got := b.from("a"); len(got.GetShares()) != 1 || got.GetShares()[0].GetRunning() != 2 || got.GetZone() != "zone" {
+		t.Errorf("got %v", got)
+	}
+	for last := b.from("a").GetSeq(); b.from("a").GetSeq() < last+5; time.Sleep(time.Millisecond) {
+		if b.from("stranger") != nil {
+			t.Fatal("a datagram without a valid seal was taken")
+		}
+	}
+	g.Stop()
+	if err := g.Wait(); err != nil {
+		t.Error(err)
+	}
+}
+
+// With many gates each one sends less often, so that the datagrams that a gate
+// gets stay bounded; a leader that does not know the gates yet changes nothing.
+func TestEvery(t *testing.T) {
+	x := New("a", "z", "127.0.0.1:1", nil, nil)
+	for name, c := range map[string]struct {
+		others int
+		want   time.Duration
+	}{"few": {2, leastEvery}, "many": {320, 2 * time.Second}} {
+		var list []string
+		for range c.others {
+			list = append(list, "127.0.0.1:9")
+		}
+		x.SetOthers(list)
+		x.SetOthers(nil)
+		if got, others := x.every(); got != c.want || len(others) != c.others {
+			t.Errorf("%s: got %v to %d, want %v to %d", name, got, len(others), c.want, c.others)
+		}
+	}
+}
--- /dev/null
+++ b/state/cmd/state/site_test.go
@@ -0,0 +1,245 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// hosts are state processes on the users' platform, each on a loopback address
+// of its own and all on the same ports.
+type hosts struct {
+	t     *testing.T
+	dir   string
+	port  int // of the processes' own connections; that for operators is next
+	procs map[string]*exec.Cmd
+	seeds []string
+}
+
+const patience = 20 * time.Second // bounds each wait on the processes
+
+func newHosts(t *testing.T, ips ...string) *hosts {
+	h := &hosts{t: t, dir: t.TempDir(), procs: map[string]*exec.Cmd{}, seeds: ips}
+	if err := os.WriteFile(filepath.Join(h.dir, "keys"), []byte(keyFile), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	for h.port == 0 {
+		h.port = freePorts(20000+rand.IntN(10000), ips)
+	}
+	t.Cleanup(func() {
+		for ip := range h.procs {
+			h.kill(ip)
+		}
+	})
+	return h
+}
+
+// freePorts returns the port if it and the next two are free on all addresses.
+func freePorts(port int, ips []string) int {
+	for _, ip := range ips {
+		for p := port; p < port+3; p++ {
+			ln, err := net.Listen("tcp", fmt.Sprintf("%s:%d", ip, p))
+			if err != nil {
+				return 0
+			}
+			_ = ln.Close()
+		}
+	}
+	return port
+}
+
+func (h *hosts) operators(ip string) string { return fmt.Sprintf("%s:%d", ip, h.port+1) }
+
+func (h *hosts) data(ip string) string { return filepath.Join(h.dir, "data-"+ip) }
+
+// start runs the process of an address.
+func (h *hosts) start(ip string, found bool) {
+	h.t.Helper()
+	var seeds []string
+	for _, s := range h.seeds {
+		seeds = append(seeds, h.operators(s))
+	}
+	node := map[string]any{
+		"node-name": "node-" + ip, "ip": ip, "zone": "a", "listen": map[string]string{"control-plane": h.operators(ip)},
+		"internal-port-range": []int{h.port, h.port}, "seed-nodes": seeds, "bootstrap": found, "data-dir": h.data(ip),
+		"limits": map[string]int{"memory-mb": 134}, "fault-tolerance": map[string]int{"machines": 1}, "bounds": map[string]any{"grace-period-s": 8},
+	}
+	text, err := json.Marshal(node)
+	if err != nil {
+		h.t.Fatal(err)
+	}
+	file := filepath.Join(h.dir, "node-"+ip)
+	if err := os.WriteFile(file, text, 0o600); err != nil {
+		h.t.Fatal(err)
+	}
+	log, err := os.OpenFile(filepath.Join(h.dir, "log-"+ip), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		h.t.Fatal(err)
+	}
+	defer func() { _ = log.Close() }()
+	cmd := exec.Command(os.Args[0], "--platform", "--keys", filepath.Join(h.dir, "keys"), "--admin", "0.0.0.0:0")
+	cmd.Env = append(os.Environ(), "RUN_STATE=1", "CITRONLEDGE_NODE_FILE="+file)
+	cmd.Stdout, cmd.Stderr = log, log
+	if err := cmd.Start(); err != nil {
+		h.t.Fatal(err)
+	}
+	h.procs[ip] = cmd
+}
+
+func (h *hosts) kill(ip string) {
+	_ = h.procs[ip].Process.Signal(syscall.SIGKILL)
+	_ = h.procs[ip].Wait()
+	delete(h.procs, ip)
+}
+
+// call makes one call of the operator and follows redirects; 0 stands for no answer.
+func (h *hosts) call(ip, method, path, body string) (int, string) {
+	c := &http.Client{Timeout: time.Second}
+	req, err := http.NewRequest(method, "http://"+h.operators(ip)+path, bytes.NewReader([]byte(body)))
+	if err != nil {
+		h.t.Fatal(err)
+	}
+	resp, err := c.Do(req)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer func() { _ = resp.Body.Close() }()
+	text, _ := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(text)
+}
+
+// until calls f until it returns an empty string.
+func (h *hosts) until(what string, f func() string) {
+	h.t.Helper()
+	last := ""
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if last = f(); last == "" {
+			return
+		}
+	}
+	for ip := range h.procs {
+		log, _ := os.ReadFile(filepath.Join(h.dir, "log-"+ip))
+		h.t.Logf("log of %s:\n%s", ip, log)
+	}
+	h.t.Fatalf("%s: %s", what, last)
+}
+
+func config(version int) string {
+	return fmt.Sprintf(`{"version":%d,"routes":[{"name":"r","host":"h","path-prefix":"/","type":"safe","timeout-ms":100,"service":"s"}],"services":[{"name":"s"}]}`, version)
+}
+
+// replace sends a configuration until it is acknowledged.
+func (h *hosts) replace(ip string, version int) {
+	h.t.Helper()
+	h.until(fmt.Sprintf("version %d acknowledged", version), func() string {
+		status, text := h.call(ip, http.MethodPost, "/api/configuration/replace", config(version))
+		if status == http.StatusOK {
+			return ""
+		}
+		return fmt.Sprint(status, text)
+	})
+}
+
+// reads waits until a process answers with a version; an older one is a failure
+// at once.
+func (h *hosts) reads(ip string, version int) {
+	h.t.Helper()
+	h.until(fmt.Sprintf("%s reads version %d", ip, version), func() string {
+		status, text := h.call(ip, http.MethodGet, "/api/configuration/read", "")
+		switch {
+		case status != http.StatusOK:
+			return fmt.Sprint(status, text)
+		case !strings.HasPrefix(text, fmt.Sprintf(`{"version":%d,`, version)):
+			h.t.Fatalf("%s reads %s, want version %d", ip, text, version)
+		}
+		return ""
+	})
+}
+
+// A configuration that was acknowledged must outlast the death of all state
+// processes, a lost disk and a lost VM, and no process may show an older one.
+func TestHosted(t *testing.T) {
+	a, b, c, d := "127.0.77.1", "127.0.77.2", "127.0.77.3", "127.0.77.4"
+	h := newHosts(t, a, b, c)
+	for _, ip := range []string{a, b, c} {
+		h.start(ip, true)
+	}
+	h.replace(a, 4)
+	for _, ip := range []string{a, b, c} {
+		h.reads(ip, 4)
+	}
+	if status, text := h.call(b, http.MethodPost, "/api/configuration/replace", strings.Replace(config(4), "100", "200", 1)); status != http.StatusConflict {
+		t.Errorf("got %d %s for other content under the held version, want 409", status, text)
+	}
+	if status, _ := h.call(b, http.MethodPost, "/api/configuration/replace", config(9)[:80]); status != http.StatusBadRequest {
+		t.Errorf("got %d for a configuration that is cut short, want 400", status)
+	}
+
+	for _, ip := range []string{a, b, c} { // all at once
+		h.kill(ip)
+	}
+	for _, ip := range []string{a, b, c} {
+		h.start(ip, false)
+	}
+	h.reads(c, 4)
+	h.replace(b, 7)
+
+	h.kill(a) // comes back with an empty disk
+	if err := os.RemoveAll(h.data(a)); err != nil {
+		t.Fatal(err)
+	}
+	h.start(a, false)
+	h.reads(a, 7)
+	h.seated(a)
+
+	h.kill(b) // gone for good; another VM comes
+	h.start(d, false)
+	h.reads(d, 7)
+	h.seated(d)
+	h.kill(c) // the two that joined carry on alone
+	h.replace(d, 11)
+	h.reads(a, 11)
+}
+
+// seated waits until a process has a vote.
+func (h *hosts) seated(ip string) {
+	h.t.Helper()
+	h.until(ip+" votes", func() string {
+		log, err := os.ReadFile(filepath.Join(h.dir, "log-"+ip))
+		if err != nil {
+			return err.Error()
+		}
+		text := string(log)
+		if i := strings.LastIndex(text, "State process started"); !strings.Contains(text[max(0, i):], "Voter of the state cluster") {
+			return "no vote yet"
+		}
+		return ""
+	})
+}
+
+// A process with an empty disk must never found a cluster after the first start
+// of the system, whatever its seeds are.
+func TestHostedNeverFoundsTwice(t *testing.T) {
+	a, b, c := "127.0.78.1", "127.0.78.2", "127.0.78.3"
+	h := newHosts(t, a, b, c)
+	for _, ip := range []string{a, b, c} {
+		h.start(ip, false)
+	}
+	end := time.Now().Add(3 * time.Second)
+	for ; time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		if status, text := h.call(a, http.MethodPost, "/api/configuration/replace", config(1)); status == http.StatusOK {
+			t.Fatalf("three empty disks acknowledged a configuration: %s", text)
+		}
+	}
+}
--- a/state/node/join.go
+++ b/state/node/join.go
@@ -78,13 +78,12 @@
 		now := time.Now()
 		members := n.cons.Status().Members
 		for _, m := range members {
-			switch since, was := quiet[m.Name]; {
+			_, was := quiet[m.Name]
+			switch {
 			case m.Live || m.Name == n.link.Name:
 				delete(quiet, m.Name)
 			case !was:
 				quiet[m.Name] = now
-			case now.Before(since):
-				quiet[m.Name] = now
 			}
 		}
 		name, why, act := nextSeat(members, n.waiting(now), quiet, n.link.Name, n.voters, now)
