--- a/state/node/join_test.go
+++ b/state/node/join_test.go
@@ -18,8 +18,10 @@
 	s.did = "add " + m.Name
 	return nil
 }
+
 func (s *seats) Promote(_ context.Context, name string) error { s.did = "promote " + name; return nil }
-func (s *seats) Remove(_ context.Context, name string) error  { s.did = "remove " + name; return nil }
+
+func (s *seats) Remove(_ context.Context, name string) error { s.did = "remove " + name; return nil }
 
 // A disk that came back empty must not vote under its old name, and no voter may
 // be removed before a successor has caught up: a second loss would stop the
