--- a/core/policy/site_test.go
+++ b/core/policy/site_test.go
@@ -133,6 +133,26 @@
 	}
 }
 
+// Slow durations are those far above the median, also when a few are huge.
+func TestTypical(t *testing.T) {
+	var u Typical
+	for i := range 400 {
+		d := time.Duration(80+i%40) * time.Millisecond
+		if i%20 == 0 {
+			d = time.Minute
+		}
+		u.Note(d)
+	}
+	for d, want := range map[time.Duration]bool{100: false, 150: false, 250: true, 400: true} {
+		if got := u.Slow(d * time.Millisecond); got != want {
+			t.Errorf("%d ms: got slow %v, want %v", d, got, want)
+		}
+	}
+	if (&Typical{}).Slow(time.Hour) {
+		t.Error("slow while nothing is known")
+	}
+}
+
 // A version of a service that fails more must be halted by its 50th bad answer; one that is as good must not be halted, and neither must one whose
 // share of failures is only that of a single bad server.
 func TestJudgeShift(t *testing.T) {
--- a/core/policy/speed.go
+++ b/core/policy/speed.go
@@ -39,3 +39,40 @@
 	}
 	return time.Duration((s.base + work*s.time/s.work) * float64(time.Millisecond))
 }
+
+// Typical learns the median of a duration, to tell which ones are slow.
+type Typical struct {
+	median float64
+	count  int
+}
+
+const (
+	typicalLeast = 20 // durations from which the median counts
+	// typicalStep is the relative step of the median for each duration; it is
+	// larger for the first ones.
+	typicalStep  = 0.03
+	typicalFirst = 0.5
+	// slowTimes the median is slow. Of the answers of a sound version about one
+	// in five is, since servers share their machines with others.
+	slowTimes = 1.7
+)
+
+// Note counts a duration.
+func (t *Typical) Note(d time.Duration) {
+	t.count++
+	if t.count == 1 {
+		t.median = float64(d)
+		return
+	}
+	step := max(typicalStep, typicalFirst/float64(t.count))
+	if float64(d) > t.median {
+		t.median *= 1 + step
+	} else {
+		t.median /= 1 + step
+	}
+}
+
+// Slow tells whether a duration is far above the median.
+func (t *Typical) Slow(d time.Duration) bool {
+	return t.count >= typicalLeast && float64(d) > slowTimes*t.median
+}
--- a/core/policy/trial.go
+++ b/core/policy/trial.go
@@ -104,14 +104,16 @@
 func JudgeShift(base, next Stats) (Verdict, Reason) {
 	const (
 		// ignore is above the share that one failing backend server out of
-		// ten adds to a version's failures.
-		ignore = 0.1
+		// ten adds to a version's failures; ignoreSlow is above what cold
+		// caches add to its slow answers.
+		ignore     = 0.1
+		ignoreSlow = 0.12
 		// level bounds the error for each route of a service.
 		level = 0.01
 	)
 	for _, m := range []measure{
 		{Failures, 0.5, ignore, 0, count(base.Failures, base.Answers), count(next.Failures, next.Answers)},
-		{Slowness, 0.5, ignore, 0, count(base.Slow, base.Answers), count(next.Slow, next.Answers)},
+		{Slowness, 0.5, ignoreSlow, 0, count(base.Slow, base.Answers), count(next.Slow, next.Answers)},
 	} {
 		if m.harmful(level * m.part) {
 			return Halt, m.reason
--- a/gate/cmd/gate/site.go
+++ b/gate/cmd/gate/site.go
@@ -98,9 +98,8 @@
 	h.frame.Notice(func() { h.relay.Drain(time.Now().Add(s.Deadline)) })
 	bounds := s.site.Bounds
 	exchange := net.JoinHostPort(s.site.IP, strconv.Itoa(s.site.FirstPort+1))
-	h.share = share.New(s.Name, s.site.Zone, exchange, keys, h.fleet)
 	h.client, err = client.New(
-		client.WithPause(findPause), client.WithExchange(exchange, h.share.SetOthers),
+		client.WithPause(findPause), client.WithExchange(exchange, func(others []string) { h.share.SetOthers(others) }),
 		client.WithAddresses(addrs...), client.WithLink(link.Config{Name: s.Name, Keys: keys}), client.WithZone(s.site.Zone),
 		client.WithTallies(func() []*wire.Tally { return h.relay.Tallies() }),
 	)
@@ -116,6 +115,7 @@
 			RetryRatio: retryPart * bounds.RetryRatio, RetrySlack: min(retrySlack, bounds.RetrySlack), RetryWindow: bounds.RetryWindow,
 		}),
 	)
+	h.share = share.New(s.Name, s.site.Zone, exchange, keys, h.fleet, h.relay)
 	return h.frame.Run(ctx, h)
 }
 
--- a/gate/relay/attempt.go
+++ b/gate/relay/attempt.go
@@ -30,9 +30,6 @@
 	// wholeAnswer is the size in bytes up to which an answer is read in full
 	// before any of it is passed on, so that another attempt is possible.
 	wholeAnswer = 64 << 10
-	// slowPart is the part of a route's target after which an answer counts
-	// as slow in the judgement of a version.
-	slowPart = 1.0
 )
 
 // result tells what to do after an attempt.
@@ -109,37 +106,53 @@
 	if grip == nil {
 		return stop{"no backend server"}
 	}
+	c.served(grip.Version, now)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	x := &attempt{call: c, grip: grip, model: model, began: now}
 	res, outcome := x.do(ctx)
 	end := time.Now()
 	grip.Release(outcome, x.latency, end)
-	c.judge(x, outcome)
+	x.judge(outcome)
 	c.r.metrics.attempts.WithLabelValues(c.route.Repeat.String(), outcome.String()).Inc()
 	if outcome != fleet.Good && outcome != fleet.Neutral {
 		c.avoid = append(c.avoid, grip.ID)
 	}
-	klog.InfoS("Attempt", "id", c.head.Attempt, "try", c.tries, "backend", grip.ID, "version", grip.Version, "model", model, "input", c.head.Input, "output", c.head.Output, "chosen", grip.Reason,
-		"load", grip.Load, "waiting", grip.Waiting, "loss", grip.Loss, "work", ask.Prompt.Work, "outcome", outcome, "why", x.why, "opinion", x.opinion, "status", x.status, "head", x.latency, "took", end.Sub(now))
+	klog.InfoS("Attempt", "id", c.head.Attempt, "try", c.tries, "backend", grip.ID, "version", grip.Version, "session", c.head.Session, "model", model, "input", c.head.Input, "output", c.head.Output, "chosen", grip.Reason,
+		"load", grip.Load, "waiting", grip.Waiting, "loss", grip.Loss, "work", ask.Prompt.Work, "outcome", outcome, "why", x.why, "opinion", x.opinion, "status", x.status, "head", x.latency, "expected", x.expected, "events", x.events, "took", end.Sub(now))
 	return res
 }
 
+// judgeEvents is the number of events after which a stream is judged. Waiting
+// for its end would show the slow ones last.
+const judgeEvents = 8
+
 // judge counts the attempt for the roll-out of its version.
-func (c *call) judge(x *attempt, o fleet.Outcome) {
-	var failed bool
-	switch o {
-	case fleet.Good:
-	case fleet.Failed, fleet.Broke:
-		failed = true
-	default:
+func (x *attempt) judge(o fleet.Outcome) {
+	failed := o == fleet.Failed || o == fleet.Broke
+	if failed || o == fleet.Good {
+		x.pace()
+		x.served(x.grip.Version, time.Now())
+	}
+	if failed {
+		x.r.tallies.failed(x.tallyKey())
+	}
+}
+
+func (x *attempt) tallyKey() tallyKey { return tallyKey{x.service, x.route.Name, x.grip.Version} }
+
+// pace counts the attempt, once, and tells whether it is slow.
+func (x *attempt) pace() {
+	if x.judged {
 		return
 	}
-	slow := c.route.Target > 0 && x.latency > time.Duration(slowPart*float64(c.route.Target))
-	c.r.tallies.add(tallyKey{c.service, c.route.Name, x.grip.Version}, failed, slow)
-	if !failed {
-		c.served(x.grip.Version, x.began)
+	x.judged = true
+	base := x.grip.Version == x.r.fleet.Incumbent(x.service)
+	slow := x.r.slow(usualKey{x.route.Name, "head"}, x.latency-x.expected, base)
+	if x.events > 1 {
+		slow = x.r.slow(usualKey{x.route.Name, "event"}, time.Since(x.began.Add(x.latency))/time.Duration(x.events-1), base) || slow
 	}
+	x.r.tallies.answered(x.tallyKey(), slow)
 }
 
 // attempt is one try at one backend server.
@@ -149,9 +162,13 @@
 	model   ident.Model
 	began   time.Time
 	latency time.Duration // to the head of the answer; 0 if none came
-	why     string
-	status  int
-	opinion int
+	// expected is the part of the latency that the prompts explain.
+	expected time.Duration
+	events   int  // passed on
+	judged   bool // counted for the roll-out of its version
+	why      string
+	status   int
+	opinion  int
 }
 
 func (x *attempt) do(ctx context.Context) (result, fleet.Outcome) {
@@ -178,7 +195,7 @@
 		if x.grip.Reason == policy.Prefix {
 			work -= p.Shared
 		}
-		x.r.began(x.service, work, x.latency)
+		x.expected = x.r.began(x.service, work, x.latency)
 	}
 	if l := verdict.Load; l.Known {
 		x.grip.Told(l.Running, l.Waiting, l.Slots, l.Pace, time.Now())
--- a/gate/relay/relay.go
+++ b/gate/relay/relay.go
@@ -55,6 +55,14 @@
 	sessions sessions
 	pace     policy.Pace
 	speeds   map[ident.Service]*policy.Speed
+	usual    map[usualKey]*policy.Typical
+}
+
+// usualKey names a duration of which the usual size is learnt: the time to the
+// head of an answer, relative to what its prompt needs, or between two events.
+type usualKey struct {
+	route ident.Route
+	what  string
 }
 
 // state is the configuration that a request is served by.
@@ -86,8 +94,8 @@
 func New(opts ...Option) *Relay {
 	r := &Relay{
 		begun:   time.Now(),
-		windows: map[ident.Service]*policy.Window{}, speeds: map[ident.Service]*policy.Speed{}, leased: func() bool { return true },
-		sessions: sessions{list: map[ident.Session]seen{}}, metrics: newMetrics(), tallies: newTallies(),
+		windows: map[ident.Service]*policy.Window{}, speeds: map[ident.Service]*policy.Speed{}, usual: map[usualKey]*policy.Typical{}, leased: func() bool { return true },
+		sessions: sessions{list: map[uint64]seen{}}, metrics: newMetrics(), tallies: newTallies(),
 	}
 	for _, o := range opts {
 		o(r)
@@ -143,8 +151,9 @@
 	return 0
 }
 
-// began notes how long a prompt took to its first token.
-func (r *Relay) began(service ident.Service, work float64, took time.Duration) {
+// began notes how long a prompt took to its first token and returns how long
+// its reading was expected to take beyond the part that every answer has.
+func (r *Relay) began(service ident.Service, work float64, took time.Duration) time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	s := r.speeds[service]
@@ -152,7 +161,29 @@
 		s = &policy.Speed{}
 		r.speeds[service] = s
 	}
+	expected := s.Need(work) - s.Need(0)
 	s.Note(took, work)
+	return expected
+}
+
+// slow tells whether a duration is far above the usual one, and learns from it
+// if it is of the version in use.
+func (r *Relay) slow(k usualKey, d time.Duration, learn bool) bool {
+	if d <= 0 {
+		return false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	t := r.usual[k]
+	if t == nil {
+		t = &policy.Typical{}
+		r.usual[k] = t
+	}
+	slow := t.Slow(d)
+	if learn {
+		t.Note(d)
+	}
+	return slow
 }
 
 // streamed notes how long a whole stream took after its head.
@@ -192,7 +223,7 @@
 		case now := <-tick.C:
 			r.fleet.Sweep(now)
 			r.mu.Lock()
-			r.sessions.sweep(now, r.rules.Session)
+			r.sessions.sweep(now, r.keep())
 			r.mu.Unlock()
 		}
 	}
--- a/gate/relay/relay_test.go
+++ b/gate/relay/relay_test.go
@@ -475,6 +475,30 @@
 	}
 }
 
+// A session that another gate serves keeps its version here too.
+func TestLearntSession(t *testing.T) {
+	by := func(version string) runner.Reply { return runner.Events(1, 1, 0, "X-Version: "+version+"\r\n") }
+	r, other := newRig(t, by("v1"), by("v2")), newRig(t, by("v1"))
+	r.fleet.Update(r.list[:1], time.Now())
+	r.send(http.MethodPost, "/stream/x", "first", nil)
+	r.list[1].Version = "v2"
+	r.fleet.Update(r.list, time.Now())
+	for i := range 60 {
+		other.send(http.MethodPost, "/stream/x", fmt.Sprint("a", i), map[string]string{"Session": fmt.Sprint("s", i)})
+	}
+	r.relay.Learn(other.relay.Fresh())
+	if left := other.relay.Fresh(); len(left) != 0 {
+		t.Errorf("got %d sessions a second time", len(left))
+	}
+	r.plan(2, map[ident.Service]conf.Shift{service: {Target: "v2", Duration: 10_000, Stage: conf.Canary}})
+	for i := range 60 {
+		got := r.send(http.MethodPost, "/stream/x", fmt.Sprint("b", i), map[string]string{"Session": fmt.Sprint("s", i)}).header.Get("X-Version")
+		if got != "v1" {
+			t.Errorf("session s%d, which another gate serves, moved to %q", i, got)
+		}
+	}
+}
+
 // Two lengths that differ would let a caller smuggle a second request.
 func TestTwoLengths(t *testing.T) {
 	r := newRig(t, runner.OK("ok"))
--- a/gate/relay/session.go
+++ b/gate/relay/session.go
@@ -7,30 +7,32 @@
 
 	"citronledge.example/core/conf"
 	"citronledge.example/core/ident"
+	"citronledge.example/core/wire"
 )
 
 // mostSessions bounds the sessions that a gate remembers.
 const mostSessions = 20_000
 
-// sessions remembers which version served a session last, so that a roll-out
-// does not move it.
-type sessions struct{ list map[ident.Session]seen }
+// mostFresh bounds the sessions that wait to be told to other gates.
+const mostFresh = 500
 
-type seen struct {
-	version ident.Version
-	at      time.Time
+// sessions remembers which version serves a session, so that a roll-out does
+// not move it. The requests of a session come to several gates.
+type sessions struct {
+	list  map[uint64]seen // by hash of service and session
+	fresh []*wire.Seen    // not yet told to the other gates
 }
 
-func (s *sessions) get(id ident.Session, now time.Time, keep time.Duration) (ident.Version, bool) {
-	x, ok := s.list[id]
-	return x.version, ok && now.Sub(x.at) <= keep
+type seen struct {
+	version uint32 // hash
+	at      time.Time
 }
 
-func (s *sessions) put(id ident.Session, v ident.Version, now time.Time) {
+func (s *sessions) put(id uint64, version uint32, now time.Time) {
 	if _, known := s.list[id]; !known && len(s.list) >= mostSessions {
 		return
 	}
-	s.list[id] = seen{v, now}
+	s.list[id] = seen{version, now}
 }
 
 func (s *sessions) sweep(now time.Time, keep time.Duration) {
@@ -41,6 +43,62 @@
 	}
 }
 
+// Fresh implements share.Sessions.
+func (r *Relay) Fresh() []*wire.Seen {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	list := r.sessions.fresh
+	r.sessions.fresh = nil
+	return list
+}
+
+// Learn implements share.Sessions.
+func (r *Relay) Learn(list []*wire.Seen) {
+	now := time.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, x := range list {
+		r.sessions.put(x.GetSession(), x.GetVersion(), now)
+	}
+}
+
+// session returns the hash of the request's session with its service; 0 if it
+// has none.
+func (c *call) session() uint64 {
+	if c.head.Session == "" {
+		return 0
+	}
+	return xxhash.Sum64String(string(c.service) + " " + string(c.head.Session))
+}
+
+func hashVersion(v ident.Version) uint32 { return uint32(xxhash.Sum64String(string(v))) }
+
+// held returns the version out of some that serves the session.
+func (c *call) held(some ...ident.Version) (ident.Version, bool) {
+	id := c.session()
+	if id == 0 {
+		return "", false
+	}
+	c.r.mu.Lock()
+	x, known := c.r.sessions.list[id]
+	c.r.mu.Unlock()
+	if !known || time.Since(x.at) > c.r.keep() {
+		return "", false
+	}
+	for _, v := range some {
+		if hashVersion(v) == x.version {
+			return v, true
+		}
+	}
+	return "", false
+}
+
+// keepMargin is added to the pause of a session: what other gates serve is
+// known here a little later.
+const keepMargin = time.Second
+
+func (r *Relay) keep() time.Duration { return r.rules.Session + keepMargin }
+
 // version returns which versions of a service may serve the request: the
 // wanted one, and whether others may stand in for it when it has no server.
 func (c *call) version(service ident.Service) (want ident.Version, only bool) {
@@ -56,13 +114,8 @@
 		return incumbent, true
 	case conf.Canary:
 	}
-	if id := c.head.Session; id != "" {
-		c.r.mu.Lock()
-		held, known := c.r.sessions.get(id, c.start, c.r.rules.Session)
-		c.r.mu.Unlock()
-		if known {
-			return held, false
-		}
+	if held, ok := c.held(incumbent, s.Target); ok {
+		return held, false
 	}
 	if share(c.identity()) < c.r.rules.Canary {
 		return s.Target, false
@@ -81,12 +134,16 @@
 // share maps a string evenly to a number from 0 to 1.
 func share(s string) float64 { return float64(xxhash.Sum64String(s)>>11) / (1 << 53) }
 
-// served notes the version that served the request's session.
+// served notes the version that serves the request's session.
 func (c *call) served(v ident.Version, now time.Time) {
-	if c.head.Session == "" {
+	id := c.session()
+	if id == 0 {
 		return
 	}
 	c.r.mu.Lock()
 	defer c.r.mu.Unlock()
-	c.r.sessions.put(c.head.Session, v, now)
+	c.r.sessions.put(id, hashVersion(v), now)
+	if len(c.r.sessions.fresh) < mostFresh {
+		c.r.sessions.fresh = append(c.r.sessions.fresh, &wire.Seen{Session: id, Version: hashVersion(v)})
+	}
 }
--- a/gate/relay/stream.go
+++ b/gate/relay/stream.go
@@ -87,6 +87,10 @@
 	if id := lastID(events); id != "" {
 		x.last = id
 	}
+	x.events += bytes.Count(events, eventEnd)
+	if x.events >= judgeEvents {
+		x.pace()
+	}
 	x.r.metrics.events.Inc()
 	if _, err := x.w.Write(events); err != nil {
 		return err
--- a/gate/relay/tally.go
+++ b/gate/relay/tally.go
@@ -22,23 +22,33 @@
 
 func newTallies() tallies { return tallies{&sync.Mutex{}, map[tallyKey]*wire.Tally{}} }
 
-func (t *tallies) add(k tallyKey, failed, slow bool) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
+func (t *tallies) of(k tallyKey) *wire.Tally {
 	s := t.sums[k]
 	if s == nil {
 		s = &wire.Tally{Model: string(k.service) + " " + string(k.route), Version: string(k.version)}
 		t.sums[k] = s
 	}
+	return s
+}
+
+// answered counts an attempt.
+func (t *tallies) answered(k tallyKey, slow bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.of(k)
 	s.Answers++
-	if failed {
-		s.Failures++
-	}
 	if slow {
 		s.Slow++
 	}
 }
 
+// failed counts the failure of an attempt.
+func (t *tallies) failed(k tallyKey) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.of(k).Failures++
+}
+
 // list returns the sums of services with a running roll-out.
 func (t *tallies) list(shifts map[ident.Service]conf.Shift) []*wire.Tally {
 	t.mu.Lock()
--- a/gate/share/share.go
+++ b/gate/share/share.go
@@ -44,6 +44,14 @@
 	Heard(l *wire.Loads, keep time.Duration)
 }
 
+// Sessions are the sessions that the gates serve.
+type Sessions interface {
+	// Fresh returns the sessions served since the last call.
+	Fresh() []*wire.Seen
+	// Learn takes those of another gate.
+	Learn([]*wire.Seen)
+}
+
 // Exchange sends and takes loads. It is safe for concurrent use.
 type Exchange struct {
 	name   string
@@ -51,7 +59,9 @@
 	listen string
 	keys   *link.Keys
 	source Source
-	run    uint64
+	// sessions may be nil.
+	sessions Sessions
+	run      uint64
 
 	mu     sync.Mutex // guards others
 	others []netip.AddrPort
@@ -59,8 +69,8 @@
 
 // New returns an exchange of a gate in a zone that takes datagrams at listen,
 // HOST:PORT.
-func New(name string, zone ident.Zone, listen string, keys *link.Keys, source Source) *Exchange {
-	return &Exchange{name: name, zone: zone, listen: listen, keys: keys, source: source, run: rand.Uint64()}
+func New(name string, zone ident.Zone, listen string, keys *link.Keys, source Source, sessions Sessions) *Exchange {
+	return &Exchange{name: name, zone: zone, listen: listen, keys: keys, source: source, sessions: sessions, run: rand.Uint64()}
 }
 
 // Address returns the address for the other gates.
@@ -116,6 +126,7 @@
 func (x *Exchange) send(ctx context.Context, conn *net.UDPConn) error {
 	var seq uint64
 	var buf []byte
+	var before []*wire.Seen
 	last := time.Time{}
 	timer := time.NewTimer(leastEvery)
 	defer timer.Stop()
@@ -128,12 +139,17 @@
 		every, others := x.every()
 		timer.Reset(every)
 		shares, changed := x.source.Shares()
-		if !changed && time.Since(last) < KeepEvery || len(others) == 0 {
+		var fresh []*wire.Seen
+		if x.sessions != nil {
+			fresh = x.sessions.Fresh()
+		}
+		if !changed && len(fresh)+len(before) == 0 && time.Since(last) < KeepEvery || len(others) == 0 {
 			continue
 		}
 		last = time.Now()
 		seq++
-		data, err := proto.MarshalOptions{}.MarshalAppend(buf[:0], &wire.Loads{Name: x.name, Zone: string(x.zone), Run: x.run, Seq: seq, Shares: shares})
+		data, err := proto.MarshalOptions{}.MarshalAppend(buf[:0], &wire.Loads{Name: x.name, Zone: string(x.zone), Run: x.run, Seq: seq, Shares: shares, Sessions: append(before, fresh...)})
+		before = fresh
 		if err != nil {
 			klog.ErrorS(err, "Loads not encoded")
 			continue
@@ -170,5 +186,8 @@
 			continue
 		}
 		x.source.Heard(l, keepTimes*KeepEvery)
+		if x.sessions != nil {
+			x.sessions.Learn(l.GetSessions())
+		}
 	}
 }
--- a/gate/share/share_test.go
+++ b/gate/share/share_test.go
@@ -33,6 +33,61 @@
 	return s.heard[name]
 }
 
+// known are the sessions of a gate.
+type known struct {
+	mu   sync.Mutex
+	own  []*wire.Seen
+	list map[uint64]int // how often each was learnt
+}
+
+func (k *known) Fresh() []*wire.Seen {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	own := k.own
+	k.own = nil
+	return own
+}
+
+func (k *known) Learn(l []*wire.Seen) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for _, s := range l {
+		if k.list == nil {
+			k.list = map[uint64]int{}
+		}
+		k.list[s.GetSession()]++
+	}
+}
+
+// Each session is told twice, so that a lost datagram does not hide it.
+func TestSessions(t *testing.T) {
+	keys := link.NewKeys("k", link.Process, []byte("0123456789abcdef"))
+	g := group.New(t.Context())
+	one, two := address(t), address(t)
+	a, b := &known{own: []*wire.Seen{{Session: 5, Version: 1}}}, &known{}
+	start := func(name, addr string, k Sessions, to string) {
+		x := New(name, "zone", addr, keys, &source{heard: map[string]*wire.Loads{}}, k)
+		x.SetOthers([]string{to})
+		g.Go(name, func(ctx context.Context) error { return x.Run(ctx) })
+	}
+	start("b", two, b, one)
+	start("a", one, a, two)
+	told := func() int {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		return b.list[5]
+	}
+	for end := time.Now().Add(5 * time.Second); told() < 2; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("the session was told %d times in 5 s, want 2", told())
+		}
+	}
+	g.Stop()
+	if err := g.Wait(); err != nil {
+		t.Error(err)
+	}
+}
+
 func address(t *testing.T) string {
 	t.Helper()
 	c, err := net.ListenPacket("udp4", "127.0.0.1:0")
@@ -52,7 +107,7 @@
 	one, two := address(t), address(t)
 	a, b := &source{own: []*wire.Share{{Server: 7, Running: 2}}, heard: map[string]*wire.Loads{}}, &source{heard: map[string]*wire.Loads{}}
 	start := func(name, addr string, k *link.Keys, s Source, to string) {
-		x := New(name, "zone", addr, k, s)
+		x := New(name, "zone", addr, k, s, &known{})
 		x.SetOthers([]string{to})
 		g.Go(name, func(ctx context.Context) error { return x.Run(ctx) })
 	}
@@ -81,7 +136,7 @@
 // With many gates each one sends less often, so that the datagrams that a gate
 // gets stay bounded; a leader that does not know the gates yet changes nothing.
 func TestEvery(t *testing.T) {
-	x := New("a", "z", "127.0.0.1:1", nil, nil)
+	x := New("a", "z", "127.0.0.1:1", nil, nil, nil)
 	for name, c := range map[string]struct {
 		others int
 		want   time.Duration
