state, gate: no roll-out completes on thin evidence; no refusal after a dropped run

Change: the sums count from the order at the gates; new sessions go to the canary whenever its share of a route's attempts is too small; a version with too few answers on a busy route, or with suspicious ones, does not take all traffic; all traffic moves for a twenty-fifth of the roll-out before its end; after a dropped run a failure is 502.

--- a/gate/cmd/gate/site.go
+++ b/gate/cmd/gate/site.go
@@ -52,7 +52,7 @@
 	retrySlack = 3
 	// canaryPart of the allowed exposure is the share of a version on trial;
 	// the rest is for the time in which all traffic moves to it.
-	canaryPart = 0.55
+	canaryPart = 0.58
 	// headTime bounds reading the head of a request, and mostHead its size in
 	// bytes, until the configuration is known.
 	headTime = 10 * time.Second
--- a/gate/relay/attempt.go
+++ b/gate/relay/attempt.go
@@ -69,7 +69,9 @@
 		case done:
 			return
 		case climb:
+			// The dropped run is a run: from here on no refusal is true.
 			c.attempts++
+			c.unknown = true
 			c.step = x.step
 		case again:
 			c.reason = x.why
@@ -107,6 +109,7 @@
 		return stop{"no backend server"}
 	}
 	c.served(grip.Version, now)
+	c.r.tallies.send(tallyKey{c.service, c.route.Name, grip.Version})
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	x := &attempt{call: c, grip: grip, model: model, began: now}
--- a/gate/relay/relay.go
+++ b/gate/relay/relay.go
@@ -111,6 +111,7 @@
 		return
 	}
 	r.state.Store(&state{plan: p, shifts: shifts, revision: revision, since: time.Now()})
+	r.tallies.follow(shifts)
 	for service, s := range shifts {
 		if s.Stage == conf.Complete {
 			r.fleet.Settle(service, s.Target)
--- a/gate/relay/session.go
+++ b/gate/relay/session.go
@@ -117,7 +117,7 @@
 	if held, ok := c.held(incumbent, s.Target); ok {
 		return held, false
 	}
-	if share(c.identity()) < c.r.rules.Canary {
+	if c.r.tallies.wants(c.service, c.route.Name, s.Target, c.r.rules.Canary) {
 		return s.Target, false
 	}
 	return incumbent, false
@@ -131,9 +131,6 @@
 	return string(c.head.Attempt)
 }
 
-// share maps a string evenly to a number from 0 to 1.
-func share(s string) float64 { return float64(xxhash.Sum64String(s)>>11) / (1 << 53) }
-
 // served notes the version that serves the request's session.
 func (c *call) served(v ident.Version, now time.Time) {
 	id := c.session()
--- a/state/node/shift.go
+++ b/state/node/shift.go
@@ -22,24 +22,20 @@
 	shiftEvery = 200 * time.Millisecond
 	// tellEvery is the interval of the log lines of a running roll-out.
 	tellEvery = 2 * time.Second
-	// moveBefore is how long before its deadline a good version gets all new
-	// sessions. Exposure to a version that turns bad late is bounded by it.
-	moveBefore = 1500 * time.Millisecond
+	// movePart of the roll-out, before its completion, a good version gets all
+	// new sessions. The exposure to a version that turns bad late grows by it.
+	movePart = 0.04
 	// completeBefore leaves time for an election before the deadline.
 	completeBefore = 600 * time.Millisecond
 	// restartPast is the age from which a roll-out that is seen for the first
 	// time was ordered before the start of this process.
 	restartPast = 8 * time.Second
-	// leastMove is the least part of the roll-out spent on the canary.
-	leastMove = 0.7
 )
 
 // watched is what a leader knows of one running roll-out.
 type watched struct {
 	number int
-	began  time.Time                  // by the clock of this process
-	starts map[uint64]map[string]pair // by incarnation and route
-	latest map[uint64]map[string]pair
+	began  time.Time // by the clock of this process
 	told   time.Time // last line in the log
 }
 
@@ -49,7 +45,6 @@
 func (n *Node) watchShifts(ctx context.Context) error {
 	tick := time.NewTicker(shiftEvery)
 	defer tick.Stop()
-	var of *epoch
 	list := map[ident.Service]*watched{}
 	for {
 		select {
@@ -69,13 +64,8 @@
 			continue
 		}
 		for _, service := range slices.Sorted(maps.Keys(list)) {
-			w := list[service]
-			if e != of {
-				w.starts, w.latest = map[uint64]map[string]pair{}, nil
-			}
-			n.watchShift(ctx, e, service, shifts[service], w)
+			n.watchShift(ctx, e, service, shifts[service], list[service])
 		}
-		of = e
 	}
 }
 
@@ -86,22 +76,22 @@
 	case s.Ended():
 		delete(list, service)
 	case w == nil || w.number != s.Number:
-		w = &watched{number: s.Number, began: time.Now(), starts: map[uint64]map[string]pair{}}
+		w = &watched{number: s.Number, began: time.Now()}
 		// After a restart the ledger's time of the order is all there is. It
 		// is from the clock of another process, so it is trusted in part.
 		if past := time.Duration(time.Now().UnixMilli()-int64(s.Began)) * time.Millisecond; past > restartPast {
-			w.began = w.began.Add(-min(past, s.Length()-2*moveBefore))
+			w.began = w.began.Add(-min(past, s.Length()-3*completeBefore))
 		}
 		list[service] = w
 	}
 }
 
 func (n *Node) watchShift(ctx context.Context, e *epoch, service ident.Service, s conf.Shift, w *watched) {
-	n.observe(e, service, s.Target, w)
-	next, reason := w.next(s, time.Now())
+	sums := n.observe(e, service, s)
+	next, reason := w.next(s, sums, time.Now())
 	if time.Since(w.told) >= tellEvery {
 		w.told = time.Now()
-		klog.InfoS("Roll-out of a version watched", "service", service, "target", s.Target, "stage", s.Stage, "age", time.Since(w.began), "sums", w.String())
+		klog.InfoS("Roll-out of a version watched", "service", service, "target", s.Target, "stage", s.Stage, "age", time.Since(w.began), "sums", describe(sums))
 	}
 	if next == s.Stage {
 		return
@@ -113,10 +103,9 @@
 		"age", time.Since(w.began), "fault", r.GetFault().GetMessage(), "err", err)
 }
 
-// String shows what was seen of each route.
-func (w *watched) String() string {
+// describe shows what was seen of each route.
+func describe(sums map[string]pair) string {
 	var b strings.Builder
-	sums := w.sums()
 	for _, route := range slices.Sorted(maps.Keys(sums)) {
 		p := sums[route]
 		fmt.Fprintf(&b, "%s: base %d (%d failed, %d slow), target %d (%d failed, %d slow); ", route,
@@ -128,74 +117,63 @@
 // next decides the stage. The version is withdrawn as soon as any route finds
 // it worse. A roll-out without any answers of the version is not completed:
 // nothing is known of it.
-func (w *watched) next(s conf.Shift, now time.Time) (conf.Stage, string) {
+func (w *watched) next(s conf.Shift, sums map[string]pair, now time.Time) (conf.Stage, string) {
 	age := now.Sub(w.began)
-	sums := w.sums()
 	var all pair
 	for _, p := range sums {
 		all.base, all.next = all.base.Add(p.base), all.next.Add(p.next)
 	}
 	answers := all.next.Answers
+	sums = maps.Clone(sums)
 	sums["all routes"] = all
 	for _, route := range slices.Sorted(maps.Keys(sums)) {
 		if verdict, reason := policy.JudgeShift(sums[route].base, sums[route].next); verdict == policy.Halt {
 			return conf.Withdrew, route + " " + string(reason)
 		}
 	}
+	suspect := ""
+	for _, route := range slices.Sorted(maps.Keys(sums)) {
+		if policy.Suspect(sums[route].base, sums[route].next) {
+			suspect = route
+		}
+	}
 	switch {
+	case suspect != "":
 	case s.Stage == conf.Moving && age >= s.Length()-completeBefore:
 		return conf.Complete, "no worse up to the deadline"
-	case s.Stage == conf.Canary && answers > 0 && age >= max(s.Length()-moveBefore, time.Duration(leastMove*float64(s.Length()))):
+	case s.Stage == conf.Canary && answers > 0 && age >= moveAt(s):
 		return conf.Moving, "no worse as canary"
-	case age >= 2*s.Length():
-		return conf.Withdrew, "no answers of the version until long after the deadline"
+	}
+	if age >= 2*s.Length() {
+		return conf.Withdrew, "nothing was certain of the version until long after the deadline " + suspect
 	}
 	return s.Stage, ""
 }
 
-// observe takes the tallies of all gates. A tally counts from the first look:
-// it may hold answers from before the roll-out.
-func (n *Node) observe(e *epoch, service ident.Service, target ident.Version, w *watched) {
+// moveAt returns the age at which all new sessions move to a good version.
+func moveAt(s conf.Shift) time.Duration {
+	return s.Length() - completeBefore - time.Duration(movePart*float64(s.Length()))
+}
+
+// observe takes the sums of all gates since the order, by route.
+func (n *Node) observe(e *epoch, service ident.Service, s conf.Shift) map[string]pair {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	w.latest = map[uint64]map[string]pair{}
-	for id, tallies := range e.tallies {
-		now := map[string]pair{}
+	total := map[string]pair{}
+	for _, tallies := range e.tallies {
 		for _, t := range tallies {
 			name, route, _ := strings.Cut(t.GetModel(), " ")
-			if name != string(service) {
+			if name != string(service) || int(t.GetOrder()) != s.Number {
 				continue
 			}
-			s := policy.Stats{Answers: t.GetAnswers(), Failures: t.GetFailures(), Slow: t.GetSlow()}
-			p := now[route]
-			if t.GetVersion() == string(target) {
-				p.next = p.next.Add(s)
+			sums := policy.Stats{Answers: t.GetAnswers(), Failures: t.GetFailures(), Slow: t.GetSlow()}
+			p := total[route]
+			if t.GetVersion() == string(s.Target) {
+				p.next = p.next.Add(sums)
 			} else {
-				p.base = p.base.Add(s)
+				p.base = p.base.Add(sums)
 			}
-			now[route] = p
-		}
-		w.latest[id] = now
-		if w.starts[id] == nil {
-			// Answers of the target can only be from this roll-out.
-			start := map[string]pair{}
-			for route, p := range now {
-				start[route] = pair{base: p.base}
-			}
-			w.starts[id] = start
-		}
-	}
-}
-
-// sums returns what came since the roll-out began, by route.
-func (w *watched) sums() map[string]pair {
-	total := map[string]pair{}
-	for id, routes := range w.latest {
-		for route, p := range routes {
-			t, start := total[route], w.starts[id][route]
-			t.base = t.base.Add(p.base.Sub(start.base))
-			t.next = t.next.Add(p.next.Sub(start.next))
-			total[route] = t
+			total[route] = p
 		}
 	}
 	return total
