--- a/state/node/shift_test.go
+++ b/state/node/shift_test.go
@@ -45,7 +45,7 @@
 			if got := r.stage(); got != conf.Canary {
 				t.Errorf("got %q long before the deadline, want canary", got)
 			}
-			time.Sleep(1700 * time.Millisecond)
+			time.Sleep(1900 * time.Millisecond)
 			if got := r.stage(); got != conf.Moving {
 				t.Errorf("got %q just before the deadline, want moving", got)
 			}
@@ -60,7 +60,7 @@
 // A bad version is withdrawn at the next look, also when it turns bad while all
 // traffic moves to it; sums of an earlier order do not count.
 func TestShiftWithdraws(t *testing.T) {
-	for name, x := range map[string]time.Duration{"at once": time.Second, "late": 10600 * time.Millisecond} {
+	for name, x := range map[string]time.Duration{"at once": time.Second, "late": 10900 * time.Millisecond} {
 		t.Run(name, func(t *testing.T) {
 			bubble(t, func(r *rig) {
 				r.tell(0, 0, 0, 0)
