gate: give up servers that fall silent, where a request may be repeated

Ruled out: a retry after the deadline of the dial, the connection was open. Change: a request that may be repeated waits for the head of its answer five times as long as usual, then another server is asked; the last attempt waits on.

--- a/core/policy/speed.go
+++ b/core/policy/speed.go
@@ -72,6 +72,14 @@
 	}
 }
 
+// Median returns the median, 0 while too little is known.
+func (t *Typical) Median() time.Duration {
+	if t.count < typicalLeast {
+		return 0
+	}
+	return time.Duration(t.median)
+}
+
 // Slow tells whether a duration is far above the median.
 func (t *Typical) Slow(d time.Duration) bool {
 	return t.count >= typicalLeast && float64(d) > slowTimes*t.median
--- a/gate/relay/attempt.go
+++ b/gate/relay/attempt.go
@@ -174,6 +174,38 @@
 	opinion  int
 }
 
+const (
+	// leastPatience is the shortest wait for the head of an answer, and
+	// leastReading that of a stream.
+	leastPatience = 40 * time.Millisecond
+	leastReading  = 700 * time.Millisecond
+	// patienceTimes is how many times the usual wait a silent server gets.
+	patienceTimes = 5
+)
+
+// patience returns how long to wait for the head of an answer before another
+// server is asked; 0 means until the deadline. A server may be gone without a
+// word, and only the silence shows it.
+func (x *attempt) patience() time.Duration {
+	if !x.route.Repeatable() || x.attempts+1 >= x.route.Attempts {
+		return 0
+	}
+	var limit time.Duration
+	if x.route.Repeat == plan.Stream {
+		limit = max(leastReading, patienceTimes*x.r.expect(x.service, x.prompt(x.model).Work+x.grip.Waiting))
+	} else {
+		usual := x.r.median(usualKey{x.route.Name, "head"})
+		if usual == 0 {
+			return 0
+		}
+		limit = max(leastPatience, patienceTimes*usual)
+	}
+	if limit > time.Until(x.deadline)/2 {
+		return 0 // too little would be left for another server
+	}
+	return limit
+}
+
 func (x *attempt) do(ctx context.Context) (result, fleet.Outcome) {
 	q := x.request(x.grip.ID, x.model)
 	x.opinion = -1
@@ -185,8 +217,19 @@
 	if !x.route.Repeatable() {
 		q.Fresh = freshOnce
 	}
-	a, err := x.grip.Conns().Do(ctx, q)
+	waiting, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var timer *time.Timer
+	if limit := x.patience(); limit > 0 {
+		timer = time.AfterFunc(limit, cancel)
+	}
+	a, err := x.grip.Conns().Do(waiting, q)
+	late := timer != nil && !timer.Stop()
 	if err != nil {
+		if late && ctx.Err() == nil {
+			x.why = "no answer for far longer than usual"
+			return again{why: x.why, ran: true}, fleet.Broke
+		}
 		return x.failed(ctx, err)
 	}
 	defer a.Close()
--- a/gate/relay/relay.go
+++ b/gate/relay/relay.go
@@ -143,11 +143,26 @@
 
 // need returns how long a prompt is expected to take to its first token.
 func (r *Relay) need(service ident.Service, work float64) time.Duration {
-	waiting := r.fleet.Waiting(service, time.Now())
+	return r.expect(service, work+r.fleet.Waiting(service, time.Now()))
+}
+
+// expect returns how long a prompt takes to its first token with the given work
+// before and in it; 0 if nothing is known.
+func (r *Relay) expect(service ident.Service, work float64) time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if s := r.speeds[service]; s != nil {
-		return s.Need(work + waiting)
+		return s.Need(work)
+	}
+	return 0
+}
+
+// median returns the usual size of a duration; 0 if it is not known yet.
+func (r *Relay) median(k usualKey) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if t := r.usual[k]; t != nil {
+		return t.Median()
 	}
 	return 0
 }
--- a/gate/relay/relay_test.go
+++ b/gate/relay/relay_test.go
@@ -445,7 +445,7 @@
 			t.Fatalf("got version %q before the order, want v1", got)
 		}
 	}
-	shift := conf.Shift{Target: "v2", Duration: 10_000, Stage: conf.Canary}
+	shift := conf.Shift{Target: "v2", Duration: 10_000, Stage: conf.Canary, Number: 1}
 	r.plan(2, map[ident.Service]conf.Shift{service: shift})
 	count := 0
 	for i := range 40 {
@@ -490,7 +490,7 @@
 	if left := other.relay.Fresh(); len(left) != 0 {
 		t.Errorf("got %d sessions a second time", len(left))
 	}
-	r.plan(2, map[ident.Service]conf.Shift{service: {Target: "v2", Duration: 10_000, Stage: conf.Canary}})
+	r.plan(2, map[ident.Service]conf.Shift{service: {Target: "v2", Duration: 10_000, Stage: conf.Canary, Number: 1}})
 	for i := range 60 {
 		got := r.send(http.MethodPost, "/stream/x", fmt.Sprint("b", i), map[string]string{"Session": fmt.Sprint("s", i)}).header.Get("X-Version")
 		if got != "v1" {
@@ -499,6 +499,27 @@
 	}
 }
 
+// A server that falls silent must not hold a request that may be repeated until
+// its deadline, and one that may not is never sent again.
+func TestSilentServer(t *testing.T) {
+	r := newRig(t, runner.OK("ok"), runner.OK("ok"))
+	for i := range 30 {
+		r.send(http.MethodGet, "/safe/x", fmt.Sprint("a", i), nil)
+	}
+	r.runners[0].SetReply(runner.Silent)
+	for i := range 6 {
+		start := time.Now()
+		if got := r.send(http.MethodGet, "/safe/x", fmt.Sprint("b", i), nil); got.status != 200 || time.Since(start) > time.Second {
+			t.Errorf("got %d after %v beside a silent server, want 200 at once", got.status, time.Since(start))
+		}
+	}
+	r.runners[1].SetReply(runner.Silent)
+	before := r.runs()
+	if got := r.send(http.MethodPost, "/once/x", "c", map[string]string{"Deadline-Ms": "300"}); got.status != 504 || r.runs() != before+1 {
+		t.Errorf("got %d with %d runs of a request that may run once, want 504 and 1", got.status, r.runs()-before)
+	}
+}
+
 // Two lengths that differ would let a caller smuggle a second request.
 func TestTwoLengths(t *testing.T) {
 	r := newRig(t, runner.OK("ok"))
