gate: one gate reads the list of backend servers for all

Ruled out: a longer interval alone, since a server that leaves must be known in 3 s. Change: the gates confirm the list to each other with the loads, by digest and age; a new list travels in two datagrams. The first gate by hash reads each second, each next one only if nothing came for 0.35 s longer; who misses a newer list reads it himself.

--- a/gate/cmd/gate/site.go
+++ b/gate/cmd/gate/site.go
@@ -36,8 +36,12 @@
 	// are broken off.
 	stopMargin = 400 * time.Millisecond
 	// listEvery is the interval between two readings of the list of backend
-	// servers. A server that leaves must be known within a few seconds.
+	// servers by the first gate, and listPause how much longer each next one
+	// waits for it. A server that leaves must be known within a few seconds.
 	listEvery = time.Second
+	listPause = 350 * time.Millisecond
+	// listRetry is the pause after a reading that failed.
+	listRetry = 400 * time.Millisecond
 	// listTime bounds one reading of the list.
 	listTime = 800 * time.Millisecond
 	// peersEvery is the interval at which the addresses of the state processes
@@ -115,7 +119,7 @@
 			RetryRatio: retryPart * bounds.RetryRatio, RetrySlack: min(retrySlack, bounds.RetrySlack), RetryWindow: bounds.RetryWindow,
 		}),
 	)
-	h.share = share.New(s.Name, s.site.Zone, exchange, keys, h.fleet, h.relay)
+	h.share = share.New(s.Name, s.site.Zone, exchange, keys, h.fleet, h.relay, h.fleet)
 	return h.frame.Run(ctx, h)
 }
 
@@ -231,31 +235,36 @@
 	}
 }
 
-// watchList reads the list of backend servers.
+// watchList reads the list of backend servers, unless another gate does.
 func (h *hosted) watchList(ctx context.Context) error {
-	tick := time.NewTicker(listEvery)
-	defer tick.Stop()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
 	lost := false
 	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-timer.C:
+		}
+		if wait := time.Until(h.fleet.Due(h.share.Rank(), listEvery, listPause)); wait > 0 {
+			timer.Reset(min(wait, listPause))
+			continue
+		}
 		list, broken, err := h.list.Read(ctx)
-		switch {
-		case err != nil:
+		if err != nil {
 			if !lost {
 				klog.InfoS("List of backend servers lost; the last one stays", "err", err, "age", time.Since(h.fleet.Read()))
 			}
 			lost = true
-		default:
-			if lost || broken > 0 {
-				klog.InfoS("List of backend servers read", "entries", len(list), "broken", broken)
-			}
-			lost = false
-			h.fleet.Update(listings(list), time.Now())
+			timer.Reset(listRetry)
+			continue
 		}
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-tick.C:
+		if lost || broken > 0 {
+			klog.InfoS("List of backend servers read", "entries", len(list), "broken", broken)
 		}
+		lost = false
+		h.fleet.SetList(listings(list), time.Now())
+		timer.Reset(0)
 	}
 }
 
--- a/gate/fleet/fleet.go
+++ b/gate/fleet/fleet.go
@@ -60,7 +60,7 @@
 	mu       sync.Mutex
 	servers  map[ident.Backend]*Server
 	services map[ident.Service][]*Server
-	read     time.Time // of the last list
+	listed   listed
 	last     map[ident.Service]ident.Version
 	peers    map[string]*peer // other gates, by name
 	paths    map[ident.Zone]*path
@@ -104,7 +104,7 @@
 			s.conns.Close()
 		}
 	}
-	f.servers, f.services, f.read = next, services, now
+	f.servers, f.services = next, services
 }
 
 // Sweep closes idle connections.
@@ -124,7 +124,7 @@
 func (f *Fleet) Read() time.Time {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.read
+	return f.listed.read
 }
 
 // Versions returns the number of usable servers of each version of a service.
--- a/gate/fleet/fleet_test.go
+++ b/gate/fleet/fleet_test.go
@@ -219,3 +219,48 @@
 		t.Errorf("got %q when the last v2 is gone, want v1", got)
 	}
 }
+
+// One gate reads the list for all: the others take it over, keep it as long as
+// it is confirmed, and read it themselves when they miss it or nobody does.
+func TestSharedList(t *testing.T) {
+	now := time.Now()
+	reader, other := New("a"), New("b")
+	reader.SetList(list(3), now)
+	digest, read, told := reader.Listing()
+	if len(told) != 3 {
+		t.Fatalf("got %d entries to tell, want 3", len(told))
+	}
+	other.Adopt(digest, read, told)
+	if got := other.Versions("pool")["v1"]; got != 3 {
+		t.Fatalf("got %d servers, want 3", got)
+	}
+	due := func(rank int) time.Duration {
+		return other.Due(rank, time.Second, 100*time.Millisecond).Sub(now).Round(10 * time.Millisecond)
+	}
+	for rank, want := range []time.Duration{1000, 1100, 1200, 1300, 1300} {
+		if got := due(rank); got != want*time.Millisecond {
+			t.Errorf("rank %d: due after %v, want %d ms", rank, got, want)
+		}
+	}
+	other.Adopt(digest, now.Add(time.Second), nil)
+	if got := due(0); got != 2*time.Second {
+		t.Errorf("due after %v when the list was confirmed after 1 s, want 2 s", got)
+	}
+	// An older reading changes nothing; a newer one of another list is missed.
+	other.Adopt(digest+1, now, nil)
+	other.Adopt(digest+1, now.Add(1500*time.Millisecond), nil)
+	if got := due(0); got > time.Second {
+		t.Errorf("due after %v when another gate has a newer list", got)
+	}
+	// A list that does not match its digest is left out.
+	other.Adopt(digest+2, now.Add(3*time.Second), told[:1])
+	if got := other.Versions("pool")["v1"]; got != 3 {
+		t.Errorf("got %d servers after a spoilt list, want 3", got)
+	}
+	for range tellTimes {
+		_, _, told = reader.Listing()
+	}
+	if len(told) != 0 {
+		t.Error("a list that is not new is told again and again")
+	}
+}
--- a/gate/share/share.go
+++ b/gate/share/share.go
@@ -12,6 +12,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/rotisserie/eris"
 	"google.golang.org/protobuf/proto"
 	"k8s.io/klog/v2"
@@ -44,6 +45,15 @@
 	Heard(l *wire.Loads, keep time.Duration)
 }
 
+// Lists is the list of backend servers, which one gate reads for all.
+type Lists interface {
+	// Listing returns the digest of the list and the time at which it was read,
+	// and the list itself while the others may not have it.
+	Listing() (digest uint64, read time.Time, list []*wire.Listed)
+	// Adopt takes the list of another gate.
+	Adopt(digest uint64, read time.Time, list []*wire.Listed)
+}
+
 // Sessions are the sessions that the gates serve.
 type Sessions interface {
 	// Fresh returns the sessions served since the last call.
@@ -59,8 +69,9 @@
 	listen string
 	keys   *link.Keys
 	source Source
-	// sessions may be nil.
+	// sessions and lists may be nil.
 	sessions Sessions
+	lists    Lists
 	run      uint64
 
 	mu     sync.Mutex // guards others
@@ -69,8 +80,8 @@
 
 // New returns an exchange of a gate in a zone that takes datagrams at listen,
 // HOST:PORT.
-func New(name string, zone ident.Zone, listen string, keys *link.Keys, source Source, sessions Sessions) *Exchange {
-	return &Exchange{name: name, zone: zone, listen: listen, keys: keys, source: source, sessions: sessions, run: rand.Uint64()}
+func New(name string, zone ident.Zone, listen string, keys *link.Keys, source Source, sessions Sessions, lists Lists) *Exchange {
+	return &Exchange{name: name, zone: zone, listen: listen, keys: keys, source: source, sessions: sessions, lists: lists, run: rand.Uint64()}
 }
 
 // Address returns the address for the other gates.
@@ -143,12 +154,17 @@
 		if x.sessions != nil {
 			fresh = x.sessions.Fresh()
 		}
-		if !changed && len(fresh)+len(before) == 0 && time.Since(last) < KeepEvery || len(others) == 0 {
+		l := &wire.Loads{Name: x.name, Zone: string(x.zone), Run: x.run, Shares: shares, Sessions: append(before, fresh...)}
+		if x.lists != nil {
+			l.Digest, l.Age, l.List = x.listing()
+		}
+		if !changed && len(l.GetSessions())+len(l.GetList()) == 0 && time.Since(last) < KeepEvery || len(others) == 0 {
 			continue
 		}
 		last = time.Now()
 		seq++
-		data, err := proto.MarshalOptions{}.MarshalAppend(buf[:0], &wire.Loads{Name: x.name, Zone: string(x.zone), Run: x.run, Seq: seq, Shares: shares, Sessions: append(before, fresh...)})
+		l.Seq = seq
+		data, err := proto.MarshalOptions{}.MarshalAppend(buf[:0], l)
 		before = fresh
 		if err != nil {
 			klog.ErrorS(err, "Loads not encoded")
@@ -162,6 +178,29 @@
 	}
 }
 
+func (x *Exchange) listing() (digest uint64, age uint32, list []*wire.Listed) {
+	digest, read, list := x.lists.Listing()
+	if read.IsZero() {
+		return 0, 0, nil
+	}
+	return digest, uint32(time.Since(read) / time.Millisecond), list
+}
+
+// Rank returns the position of this gate among all that it knows; the first one
+// reads for the others.
+func (x *Exchange) Rank() int {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	rank := 0
+	own := xxhash.Sum64String(x.listen)
+	for _, o := range x.others {
+		if xxhash.Sum64String(o.String()) < own {
+			rank++
+		}
+	}
+	return rank
+}
+
 // keepTimes is how many intervals the loads of a silent gate count.
 const keepTimes = 3
 
@@ -189,5 +228,8 @@
 		if x.sessions != nil {
 			x.sessions.Learn(l.GetSessions())
 		}
+		if x.lists != nil && l.GetDigest() != 0 {
+			x.lists.Adopt(l.GetDigest(), time.Now().Add(-time.Duration(l.GetAge())*time.Millisecond), l.GetList())
+		}
 	}
 }
--- a/gate/share/share_test.go
+++ b/gate/share/share_test.go
@@ -66,7 +66,7 @@
 	one, two := address(t), address(t)
 	a, b := &known{own: []*wire.Seen{{Session: 5, Version: 1}}}, &known{}
 	start := func(name, addr string, k Sessions, to string) {
-		x := New(name, "zone", addr, keys, &source{heard: map[string]*wire.Loads{}}, k)
+		x := New(name, "zone", addr, keys, &source{heard: map[string]*wire.Loads{}}, k, nil)
 		x.SetOthers([]string{to})
 		g.Go(name, func(ctx context.Context) error { return x.Run(ctx) })
 	}
@@ -107,7 +107,7 @@
 	one, two := address(t), address(t)
 	a, b := &source{own: []*wire.Share{{Server: 7, Running: 2}}, heard: map[string]*wire.Loads{}}, &source{heard: map[string]*wire.Loads{}}
 	start := func(name, addr string, k *link.Keys, s Source, to string) {
-		x := New(name, "zone", addr, k, s, &known{})
+		x := New(name, "zone", addr, k, s, &known{}, nil)
 		x.SetOthers([]string{to})
 		g.Go(name, func(ctx context.Context) error { return x.Run(ctx) })
 	}
@@ -136,7 +136,7 @@
 // With many gates each one sends less often, so that the datagrams that a gate
 // gets stay bounded; a leader that does not know the gates yet changes nothing.
 func TestEvery(t *testing.T) {
-	x := New("a", "z", "127.0.0.1:1", nil, nil, nil)
+	x := New("a", "z", "127.0.0.1:1", nil, nil, nil, nil)
 	for name, c := range map[string]struct {
 		others int
 		want   time.Duration
@@ -152,3 +152,17 @@
 		}
 	}
 }
+
+// Exactly one of the gates that know each other is the first.
+func TestRank(t *testing.T) {
+	all := []string{"127.0.0.1:1", "127.0.0.2:1", "127.0.0.3:1", "127.0.0.4:1"}
+	seen := map[int]bool{}
+	for i, own := range all {
+		x := New("g", "z", own, nil, nil, nil, nil)
+		x.SetOthers(append(append([]string(nil), all[:i]...), all[i+1:]...))
+		seen[x.Rank()] = true
+	}
+	if len(seen) != len(all) || !seen[0] {
+		t.Errorf("got ranks %v of %d gates, want each once", seen, len(all))
+	}
+}
