--- a/ctl/admin/command.go
+++ b/ctl/admin/command.go
@@ -146,7 +146,7 @@
 	}
 	root.FlagSet.SetOutput(s.errs)
 	root.Subcommands = append(s.folderCommands(), s.showCommands()...)
-	root.Subcommands = append(root.Subcommands, s.rolloutCommand(), s.withdrawCommand(), s.restoreCommand(), s.settleCommand(), s.keyCommand())
+	root.Subcommands = append(root.Subcommands, s.rolloutCommand(), s.withdrawCommand(), s.restoreCommand(), s.settleCommand(), s.keyCommand(), s.followCommand())
 	return root
 }
 
--- a/gate/relay/call.go
+++ b/gate/relay/call.go
@@ -184,12 +184,15 @@
 	}
 	took := time.Since(c.start)
 	c.r.metrics.ended(kind, how, took)
-	revision := ident.Revision(0)
+	revision, limit := ident.Revision(0), time.Duration(0)
+	if !c.deadline.IsZero() {
+		limit = c.deadline.Sub(c.start)
+	}
 	if c.state != nil {
 		revision = c.state.revision
 	}
 	klog.InfoS("Request", "id", c.head.Attempt, "end", how, "status", status, "why", c.reason, "kind", kind, "route", route, "hint", c.head.Hint, "revision", revision,
-		"tries", c.tries, "runs", c.attempts, "event", c.last, "took", took, "deadline", c.deadline.Sub(c.start))
+		"tries", c.tries, "runs", c.attempts, "event", c.last, "took", took, "limit", limit)
 }
 
 // finish answers when no further attempt is made.
