test: the cause of three failed requests from the log alone; a planned stop on real processes

TestCauseFromLog and TestPlannedStop run the state process and the gate as the platform does, with stand-ins of its list and of a backend server.

--- /dev/null
+++ b/demo/launch/site_test.go
@@ -0,0 +1,235 @@
+package launch
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"citronledge.example/stub/runner"
+)
+
+// hosted is a gate and a state process as the users' platform runs them, with
+// stand-ins of its list and of one backend server.
+type hosted struct {
+	t       *testing.T
+	dir, ip string
+	port    int // for callers; the next ones are for readiness, operators and our own connections
+	runner  *runner.Runner
+	procs   map[string]*exec.Cmd
+}
+
+const siteConfig = `{"version":3,"routes":[
+ {"name":"once","host":"h.example","path-prefix":"/once/","type":"unsafe","timeout-ms":2000,"service":"pool","max-attempts":1},
+ {"name":"stream","host":"h.example","path-prefix":"/stream/","type":"streaming","timeout-ms":9000,"target-latency-ms":1000,"service":"pool","max-attempts":1}],
+ "services":[{"name":"pool","health-path":"/healthz","max-connections":100}],
+ "limits":{"max-body-bytes":65536,"idle-timeout-ms":15000},"tenants":[{"name":"acme","api-keys":["site-key"]}]}`
+
+func newHosted(t *testing.T) *hosted {
+	h := &hosted{t: t, dir: t.TempDir(), ip: "127.0.79.1", port: 30000 + rand.IntN(10000), procs: map[string]*exec.Cmd{}}
+	var err error
+	if h.runner, err = runner.Start(runner.OK("fine")); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(h.runner.Close)
+	list := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		fmt.Fprintf(w, `{"instances":[{"id":"i-1","service":"pool","address":%q,"zone":"a","version":"v1","slots":4,"state":"ready","cold-remaining-ms":0}],"next":null}`, h.runner.Addr())
+	}))
+	t.Cleanup(list.Close)
+	node, err := json.Marshal(map[string]any{
+		"node-name": "edge-1", "ip": h.ip, "zone": "a", "bootstrap": true, "data-dir": filepath.Join(h.dir, "data"),
+		"listen":              map[string]string{"frontend": h.addr(0), "readiness": h.addr(1), "control-plane": h.addr(2)},
+		"internal-port-range": []int{h.port + 3, h.port + 9}, "seed-nodes": []string{h.addr(2)},
+		"limits": map[string]int{"memory-mb": 134}, "fault-tolerance": map[string]int{"machines": 1},
+		"bounds":    map[string]any{"grace-period-s": 8, "retry-budget-ratio": 0.9, "retry-window-s": 10, "budget-slack": 64, "canary-share": 0.15, "session-s": 5},
+		"cloud-api": map[string]any{"address": strings.TrimPrefix(list.URL, "http://"), "rate-per-s": 10},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	h.write("node.json", string(node))
+	h.write("keys.yaml", "keys:\n- {name: k, role: process, secret: MDEyMzQ1Njc4OWFiY2RlZg==}\n")
+	t.Cleanup(func() {
+		for _, p := range h.procs {
+			_ = p.Process.Kill()
+			_ = p.Wait()
+		}
+		if t.Failed() {
+			t.Logf("log of the gate:\n%s", strings.Join(h.log("gate"), "\n"))
+		}
+	})
+	h.start("state")
+	h.start("gate")
+	h.until("the configuration is acknowledged", func() bool {
+		resp, err := http.Post("http://"+h.addr(2)+"/api/configuration/replace", "application/json", strings.NewReader(siteConfig))
+		return err == nil && resp.Body.Close() == nil && resp.StatusCode == http.StatusOK
+	})
+	h.until("the gate is ready", h.ready)
+	return h
+}
+
+func (h *hosted) addr(n int) string { return fmt.Sprintf("%s:%d", h.ip, h.port+n) }
+
+func (h *hosted) write(name, text string) {
+	if err := os.WriteFile(filepath.Join(h.dir, name), []byte(text), 0o600); err != nil {
+		h.t.Fatal(err)
+	}
+}
+
+func (h *hosted) start(program string) {
+	h.t.Helper()
+	log, err := os.Create(filepath.Join(h.dir, program+".log"))
+	if err != nil {
+		h.t.Fatal(err)
+	}
+	defer func() { _ = log.Close() }()
+	cmd := exec.Command(filepath.Join(bin, program), "--platform", "--keys", filepath.Join(h.dir, "keys.yaml"), "--admin", "127.0.0.1:0")
+	cmd.Env = append(os.Environ(), "CITRONLEDGE_NODE_FILE="+filepath.Join(h.dir, "node.json"))
+	cmd.Stdout, cmd.Stderr = log, log
+	if err := cmd.Start(); err != nil {
+		h.t.Fatal(err)
+	}
+	h.procs[program] = cmd
+}
+
+func (h *hosted) until(what string, f func() bool) {
+	h.t.Helper()
+	for end := time.Now().Add(30 * time.Second); !f(); time.Sleep(20 * time.Millisecond) {
+		if time.Now().After(end) {
+			h.t.Fatalf("not in 30 s: %s", what)
+		}
+	}
+}
+
+func (h *hosted) ready() bool {
+	resp, err := http.Get("http://" + h.addr(1) + "/api/readyz")
+	return err == nil && resp.Body.Close() == nil && resp.StatusCode == http.StatusOK
+}
+
+func (h *hosted) log(program string) []string {
+	text, err := os.ReadFile(filepath.Join(h.dir, program+".log"))
+	if err != nil {
+		return []string{err.Error()}
+	}
+	return strings.Split(string(text), "\n")
+}
+
+// open sends a request on a connection of its own and reads the head of the answer.
+func (h *hosted) open(path, id, more string) (*http.Response, net.Conn) {
+	h.t.Helper()
+	c, err := net.Dial("tcp", h.addr(0))
+	if err != nil {
+		h.t.Fatal(err)
+	}
+	h.t.Cleanup(func() { _ = c.Close() })
+	_, _ = fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: %s\r\nKey: site-key\r\nDeadline-Ms: 5000\r\nContent-Length: 0\r\n%s\r\n", path, id, more)
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		h.t.Fatal(err)
+	}
+	return resp, c
+}
+
+// lines waits until the log of the gate tells the end of a request, and returns
+// what it says of its id.
+func (h *hosted) lines(id string) string {
+	h.t.Helper()
+	var found []string
+	h.until("the end of "+id+" is in the log", func() bool {
+		found = nil
+		for _, line := range h.log("gate") {
+			if strings.Contains(line, `id="`+id+`"`) {
+				found = append(found, line)
+			}
+		}
+		return strings.Contains(strings.Join(found, ""), `"Request"`)
+	})
+	return strings.Join(found, "\n")
+}
+
+// The on-call engineers have only the log: for each kind of failed request its
+// lines must name the cause.
+func TestCauseFromLog(t *testing.T) {
+	h := newHosted(t)
+	for name, x := range map[string]struct {
+		path   string
+		reply  runner.Reply
+		status int
+		whole  bool
+		want   []string
+	}{
+		"refusal": {"/once/x", runner.Full, 503, true, []string{`outcome="declined"`, `end="refused"`, `runs=0`, `backend="i-1"`}},
+		"unknown": {
+			"/once/x", runner.Cut(func(*runner.Request) string { return "" }), 502, true,
+			[]string{`outcome="broke"`, `sent without an answer`, `end="failed"`, `runs=1`, `backend="i-1"`},
+		},
+		"midway": {"/stream/x", runner.Cut(func(r *runner.Request) string {
+			return runner.Head(200, r, "Transfer-Encoding: chunked\r\n\r\n") + runner.Chunk(runner.Event(1)+runner.Event(2))
+		}), 200, false, []string{`outcome="broke"`, `broke off`, `end="broken off"`, `event="2"`, `backend="i-1"`}},
+	} {
+		h.runner.SetReply(x.reply)
+		resp, _ := h.open(x.path, name, "")
+		_, err := io.ReadAll(resp.Body)
+		if resp.StatusCode != x.status || (err == nil) != x.whole {
+			t.Errorf("%s: got %d (%v), want %d", name, resp.StatusCode, err, x.status)
+		}
+		lines := h.lines(name)
+		for _, want := range x.want {
+			if !strings.Contains(lines, want) {
+				t.Errorf("%s: the log does not tell %q:\n%s", name, want, lines)
+			}
+		}
+		if strings.Contains(lines, "site-key") {
+			t.Errorf("%s: the log holds a key", name)
+		}
+		h.until("the server is in use again", func() bool {
+			h.runner.SetReply(runner.OK("fine"))
+			resp, _ := h.open("/once/x", "probe", "")
+			return resp.StatusCode == 200
+		})
+	}
+}
+
+// A planned stop must turn readiness off at once, keep serving until the load
+// balancer has seen it, let a stream end whole, and exit in time. A SIGHUP before
+// must change nothing.
+func TestPlannedStop(t *testing.T) {
+	h := newHosted(t)
+	gate := h.procs["gate"]
+	h.runner.SetReply(runner.Events(1, 40, 50*time.Millisecond, ""))
+	if err := gate.Process.Signal(syscall.SIGHUP); err != nil {
+		t.Fatal(err)
+	}
+	long, _ := h.open("/stream/x", "long", "")
+	start := time.Now()
+	if err := gate.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	h.until("readiness is off", func() bool { return !h.ready() })
+	h.runner.SetReply(runner.OK("fine"))
+	if resp, _ := h.open("/once/x", "during", ""); resp.StatusCode != 200 || !resp.Close {
+		t.Errorf("got %d, close %v, from a gate that stops, want 200 that closes", resp.StatusCode, resp.Close)
+	}
+	body, err := io.ReadAll(long.Body)
+	if err != nil || strings.Count(string(body), "id:") != 40 {
+		t.Errorf("got %d events (%v) of a stream during a planned stop, want 40", strings.Count(string(body), "id:"), err)
+	}
+	if err := gate.Wait(); err != nil {
+		t.Errorf("got %v from a planned stop that cut nothing", err)
+	}
+	delete(h.procs, "gate")
+	if took := time.Since(start); took > 8*time.Second {
+		t.Errorf("the stop took %v, want less than the 8 s until SIGKILL", took)
+	}
+}
