state: roll-outs complete in time for the operator, also after a restart

Ruled out: a suspicion against the version (sums in the log show none). Change: completion 1.5 s before the deadline; a fresh process counts from the ledger's time of the order.

--- a/state/node/shift.go
+++ b/state/node/shift.go
@@ -25,11 +25,12 @@
 	// movePart of the roll-out, before its completion, a good version gets all
 	// new sessions. The exposure to a version that turns bad late grows by it.
 	movePart = 0.04
-	// completeBefore leaves time for an election before the deadline.
-	completeBefore = 600 * time.Millisecond
-	// restartPast is the age from which a roll-out that is seen for the first
-	// time was ordered before the start of this process.
-	restartPast = 8 * time.Second
+	// completeBefore leaves time before the deadline for an election, and for
+	// the operator to ask.
+	completeBefore = 1500 * time.Millisecond
+	// freshTime is how long after its start a process may still catch up with
+	// orders from before.
+	freshTime = 4 * time.Second
 )
 
 // watched is what a leader knows of one running roll-out.
@@ -45,7 +46,7 @@
 func (n *Node) watchShifts(ctx context.Context) error {
 	tick := time.NewTicker(shiftEvery)
 	defer tick.Stop()
-	list := map[ident.Service]*watched{}
+	list, start := map[ident.Service]*watched{}, time.Now()
 	for {
 		select {
 		case <-ctx.Done():
@@ -54,7 +55,7 @@
 		}
 		shifts := n.ledger.Shifts()
 		for service, s := range shifts {
-			n.note(service, s, list)
+			n.note(service, s, list, time.Since(start) < freshTime)
 		}
 		if len(list) == 0 || !n.cons.Lease() {
 			continue
@@ -69,18 +70,20 @@
 	}
 }
 
-// note keeps the list of running roll-outs.
-func (n *Node) note(service ident.Service, s conf.Shift, list map[ident.Service]*watched) {
+// note keeps the list of running roll-outs. A fresh process learns of them from
+// its log, some time after they were ordered.
+func (n *Node) note(service ident.Service, s conf.Shift, list map[ident.Service]*watched, fresh bool) {
 	w := list[service]
 	switch {
 	case s.Ended():
 		delete(list, service)
 	case w == nil || w.number != s.Number:
 		w = &watched{number: s.Number, began: time.Now()}
-		// After a restart the ledger's time of the order is all there is. It
-		// is from the clock of another process, so it is trusted in part.
-		if past := time.Duration(time.Now().UnixMilli()-int64(s.Began)) * time.Millisecond; past > restartPast {
-			w.began = w.began.Add(-min(past, s.Length()-3*completeBefore))
+		if fresh {
+			// The ledger's time of the order is all there is. It is from the
+			// clock of another process, which may differ.
+			past := time.Duration(time.Now().UnixMilli()-int64(s.Began)) * time.Millisecond
+			w.began = w.began.Add(-max(0, min(past, s.Length()-2*completeBefore)))
 		}
 		list[service] = w
 	}
