core, gate: one type for the list, one limit of silence; leases end during suspensions

Cause: read-through. The list of backend servers had two types and a copy between them, the control function for silent connections stood twice, fields that nothing decides by were kept; a lease held in the monotonic clock looked fresh after a VM was suspended (strict deployments refuse by it). Change: as said; the time of suspensions, boot time less monotonic time, is added to the age of a lease.

--- a/core/client/client.go
+++ b/core/client/client.go
@@ -122,7 +122,11 @@
 
 	leaseMu sync.Mutex
 	until   time.Time
-	heard   time.Time // last grant by the leader
+	// before is the time of suspensions up to the renewal that until counts
+	// from.
+	before    time.Duration
+	suspended func() time.Duration
+	heard     time.Time // last grant by the leader
 
 	watchMu sync.Mutex
 	watch   chan struct{} // closed at the next change of the view
@@ -138,7 +142,7 @@
 
 // New returns a client. It connects when it is first used.
 func New(opts ...Option) (*Client, error) {
-	c := &Client{watch: make(chan struct{}), sublets: noSublets{}, pause: mostPause}
+	c := &Client{watch: make(chan struct{}), sublets: noSublets{}, pause: mostPause, suspended: suspended}
 	c.dial = func(ctx context.Context, addr string) (*link.Session, error) { return link.Dial(ctx, addr, c.link) }
 	c.tallies = func() []*wire.Tally { return nil }
 	c.last = func(ident.Incarnation) ident.Sequence { return 0 }
--- a/core/client/lease.go
+++ b/core/client/lease.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+	"golang.org/x/sys/unix"
 	"k8s.io/klog/v2"
 
 	"citronledge.example/core/conf"
@@ -39,8 +40,23 @@
 	return c.until
 }
 
-// Valid tells whether the lease holds at a time.
-func (c *Client) Valid(now time.Time) bool { return now.Before(c.Lease()) }
+// Valid tells whether the lease holds at a time. The monotonic clock stands
+// still while a VM is suspended, so the time of suspensions is added.
+func (c *Client) Valid(now time.Time) bool {
+	c.leaseMu.Lock()
+	defer c.leaseMu.Unlock()
+	return now.Add(c.suspended() - c.before).Before(c.until)
+}
+
+// suspended returns how long the VM has been suspended since its boot; 0 if that
+// cannot be told.
+func suspended() time.Duration {
+	var boot, steady unix.Timespec
+	if unix.ClockGettime(unix.CLOCK_BOOTTIME, &boot) != nil || unix.ClockGettime(unix.CLOCK_MONOTONIC, &steady) != nil {
+		return 0
+	}
+	return time.Duration(boot.Nano() - steady.Nano())
+}
 
 // Hold enrolls this process and keeps its lease until ctx ends; then it gives
 // the lease back and retires the incarnation. It returns nil after a stop.
@@ -116,7 +132,7 @@
 		c.leave(s, "")
 		return false, err
 	}
-	h := &holder{c: c, st: st, sent: map[uint64]time.Time{}, late: time.NewTimer(time.Hour)}
+	h := &holder{c: c, st: st, sent: map[uint64]sending{}, late: time.NewTimer(time.Hour)}
 	defer h.late.Stop()
 	defer func() { _ = st.Close() }()
 	g := group.New(context.WithoutCancel(ctx))
@@ -152,12 +168,19 @@
 	}
 }
 
+// sending is when a renewal was sent, and how long the VM had been suspended by
+// then.
+type sending struct {
+	at        time.Time
+	suspended time.Duration
+}
+
 // holder is the state of one control stream. One goroutine uses it.
 type holder struct {
 	c      *Client
 	st     *link.Stream
 	seq    uint64
-	sent   map[uint64]time.Time // renewals without an answer
+	sent   map[uint64]sending // renewals without an answer
 	heard  time.Time
 	leader string
 	good   bool
@@ -230,7 +253,7 @@
 	acked, applied := h.look()
 	h.acked = acked
 	now := time.Now()
-	h.sent[h.seq] = now
+	h.sent[h.seq] = sending{now, h.c.suspended()}
 	_ = h.st.SetDeadline(now.Add(silentAfter)) // a stalled write must not hold up the loop
 	r := &wire.Renew{
 		Seq: h.seq, Name: h.c.link.Name, Zone: string(h.c.zone), Incarnation: h.c.incarnation.Load(),
@@ -281,7 +304,7 @@
 	}
 	if g.GetTtl() > 0 {
 		h.good = true
-		h.c.extend(sent.Add(min(time.Duration(g.GetTtl())*time.Millisecond, ident.LeaseTime)))
+		h.c.extend(sent, min(time.Duration(g.GetTtl())*time.Millisecond, ident.LeaseTime))
 	}
 	return nil
 }
@@ -310,12 +333,12 @@
 	}
 }
 
-func (c *Client) extend(until time.Time) {
+func (c *Client) extend(sent sending, ttl time.Duration) {
 	c.leaseMu.Lock()
 	defer c.leaseMu.Unlock()
 	c.heard = time.Now()
-	if until.After(c.until) {
-		c.until = until
+	if until := sent.at.Add(ttl); until.After(c.until) {
+		c.until, c.before = until, sent.suspended
 	}
 }
 
--- a/core/link/link.go
+++ b/core/link/link.go
@@ -69,7 +69,7 @@
 
 // Dial connects to an address and authenticates both ends.
 func Dial(ctx context.Context, addr string, cfg Config) (*Session, error) {
-	d := net.Dialer{Timeout: dialTime, Control: limitSilence}
+	d := net.Dialer{Timeout: dialTime, Control: LimitSilence(silentTime)}
 	conn, err := d.DialContext(ctx, "tcp", addr)
 	if err != nil {
 		return nil, eris.Wrapf(err, "cannot connect to %s", addr)
@@ -77,14 +77,17 @@
 	return Client(conn, cfg)
 }
 
-// limitSilence makes the kernel reset a connection whose bytes are not
-// acknowledged for silentTime: one end of it may be gone without a word.
-func limitSilence(_, _ string, c syscall.RawConn) error {
-	var failed error
-	err := c.Control(func(fd uintptr) {
-		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(silentTime/time.Millisecond))
-	})
-	return errors.Join(err, failed)
+// LimitSilence returns a control function for net.Dialer. The kernel then resets
+// a connection whose bytes are not acknowledged for d: its other end may be gone
+// without a word.
+func LimitSilence(d time.Duration) func(network, address string, c syscall.RawConn) error {
+	return func(_, _ string, c syscall.RawConn) error {
+		var failed error
+		err := c.Control(func(fd uintptr) {
+			failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(d/time.Millisecond))
+		})
+		return errors.Join(err, failed)
+	}
 }
 
 // Client authenticates the dialling end over conn, which it owns from then on.
--- a/gate/cmd/gate/site.go
+++ b/gate/cmd/gate/site.go
@@ -263,22 +263,11 @@
 			klog.InfoS("List of backend servers read", "entries", len(list), "broken", broken)
 		}
 		lost = false
-		h.fleet.SetList(listings(list), time.Now())
+		h.fleet.SetList(list, time.Now())
 		timer.Reset(0)
 	}
 }
 
-func listings(list []platform.Listed) []fleet.Listing {
-	out := make([]fleet.Listing, 0, len(list))
-	for _, l := range list {
-		out = append(out, fleet.Listing{
-			ID: l.ID, Service: l.Service, Address: l.Address, Zone: l.Zone, Version: l.Version,
-			Slots: l.Slots, Leaving: l.Leaving, Cold: l.Cold,
-		})
-	}
-	return out
-}
-
 // watchPeers learns the addresses of the state processes.
 func (h *hosted) watchPeers(ctx context.Context) error {
 	tick := time.NewTicker(peersEvery)
--- a/gate/conn/conn.go
+++ b/gate/conn/conn.go
@@ -17,6 +17,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"citronledge.example/core/link"
 )
 
 const (
@@ -81,10 +83,7 @@
 // Unwrap returns the cause.
 func (e Broken) Unwrap() error { return e.Cause }
 
-var (
-	errForeign = errors.New("the connection carries answers to other requests")
-	errEarly   = errors.New("the answer came before the request was read")
-)
+var errForeign = errors.New("the connection carries answers to other requests")
 
 // Pool keeps idle connections to one backend server.
 type Pool struct {
@@ -92,12 +91,12 @@
 	dial func(ctx context.Context, addr string) (net.Conn, error)
 
 	mu     sync.Mutex
-	idle   []*link
+	idle   []*socket
 	closed bool
 }
 
-// link is one connection.
-type link struct {
+// socket is one connection.
+type socket struct {
 	net.Conn
 	r     *bufio.Reader
 	since time.Time // when it became idle
@@ -123,18 +122,10 @@
 }
 
 func dial(ctx context.Context, addr string) (net.Conn, error) {
-	d := net.Dialer{Timeout: DialTime, Control: limitSilence, KeepAlive: -1}
+	d := net.Dialer{Timeout: DialTime, Control: link.LimitSilence(silentTime), KeepAlive: -1}
 	return d.DialContext(ctx, "tcp", addr)
 }
 
-func limitSilence(_, _ string, c syscall.RawConn) error {
-	var failed error
-	err := c.Control(func(fd uintptr) {
-		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(silentTime/time.Millisecond))
-	})
-	return errors.Join(err, failed)
-}
-
 // Close closes the idle connections; those in use are closed after use.
 func (p *Pool) Close() {
 	p.mu.Lock()
@@ -163,7 +154,7 @@
 }
 
 // take returns the connection that was used last, if it is still sound.
-func (p *Pool) take(fresh time.Duration) *link {
+func (p *Pool) take(fresh time.Duration) *socket {
 	now := time.Now()
 	for {
 		p.mu.Lock()
@@ -186,7 +177,7 @@
 
 // quiet tells whether nothing has arrived on an idle connection: neither its
 // end nor bytes that belong to no request.
-func (l *link) quiet() bool {
+func (l *socket) quiet() bool {
 	if l.r.Buffered() > 0 {
 		return false
 	}
@@ -207,7 +198,7 @@
 	return err == nil && quiet
 }
 
-func (p *Pool) put(l *link, keep time.Duration) {
+func (p *Pool) put(l *socket, keep time.Duration) {
 	l.since = time.Now()
 	l.until = l.since.Add(keep)
 	p.mu.Lock()
@@ -229,7 +220,7 @@
 		if err != nil {
 			return nil, NotSent{err}
 		}
-		l = &link{Conn: c, r: bufio.NewReaderSize(c, bufferSize)}
+		l = &socket{Conn: c, r: bufio.NewReaderSize(c, bufferSize)}
 	}
 	a := &Answer{pool: p, link: l, Reused: reused}
 	a.stop = context.AfterFunc(ctx, func() { _ = l.Close() })
@@ -251,7 +242,7 @@
 	Reused bool
 
 	pool  *Pool
-	link  *link
+	link  *socket
 	resp  *http.Response
 	stop  func() bool
 	wrote chan error // result of a write in the background
@@ -360,20 +351,6 @@
 	a.pool.put(l, keep)
 }
 
-// Early reports an answer that came before the request was written.
-func (a *Answer) Early() error {
-	if a.wrote == nil {
-		return nil
-	}
-	select {
-	case err := <-a.wrote:
-		a.wrote <- err
-		return err
-	default:
-		return errEarly
-	}
-}
-
 // keep returns how long the connection may stay idle.
 func (a *Answer) keep() time.Duration {
 	if a.Length < 0 && len(a.resp.TransferEncoding) == 0 {
--- a/gate/fleet/fleet.go
+++ b/gate/fleet/fleet.go
@@ -11,28 +11,16 @@
 
 	"citronledge.example/core/ident"
 	"citronledge.example/gate/conn"
+	"citronledge.example/platform"
 )
 
-// Listing is one backend server as the platform lists it.
-type Listing struct {
-	ID      ident.Backend
-	Service ident.Service
-	Address string
-	Zone    ident.Zone
-	Version ident.Version
-	Slots   int
-	Leaving bool
-	Cold    time.Duration
-}
-
 // Server is a backend server. Its listing does not change but for Leaving; the
 // rest is guarded by Fleet.mu.
 type Server struct {
-	Listing
+	platform.Listed
 	conns *conn.Pool
 	hash  uint64 // of ID
 
-	seen     time.Time // first listed
 	inflight int       // own attempts
 	reading  float64   // work of own prompts without an answer yet
 	touched  time.Time // last change of the two
@@ -50,7 +38,6 @@
 	running int // with those that wait
 	own     int // own attempts at that time
 	slots   int
-	pace    float64
 }
 
 // Fleet is safe for concurrent use.
@@ -78,7 +65,7 @@
 }
 
 // Update replaces the list. A server that is gone from it takes nothing new.
-func (f *Fleet) Update(list []Listing, now time.Time) {
+func (f *Fleet) Update(list []platform.Listed, now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	next := make(map[ident.Backend]*Server, len(list))
@@ -89,12 +76,12 @@
 		}
 		s := f.servers[l.ID]
 		if s == nil || s.Address != l.Address || s.Service != l.Service || s.Version != l.Version {
-			s = &Server{Listing: l, conns: conn.New(l.Address), hash: xxhash.Sum64String(string(l.ID)), seen: now}
+			s = &Server{Listed: l, conns: conn.New(l.Address), hash: xxhash.Sum64String(string(l.ID))}
 			klog.InfoS("Backend server listed", "backend", l.ID, "service", l.Service, "addr", l.Address, "zone", l.Zone, "version", l.Version, "leaving", l.Leaving)
 		} else if s.Leaving != l.Leaving {
 			klog.InfoS("Backend server changed", "backend", l.ID, "leaving", l.Leaving)
 		}
-		s.Leaving, s.Cold, s.Slots = l.Leaving, l.Cold, l.Slots
+		s.Leaving, s.Slots = l.Leaving, l.Slots
 		next[l.ID] = s
 		services[l.Service] = append(services[l.Service], s)
 	}
--- a/gate/fleet/fleet_test.go
+++ b/gate/fleet/fleet_test.go
@@ -8,6 +8,7 @@
 	"citronledge.example/core/ident"
 	"citronledge.example/core/policy"
 	"citronledge.example/core/wire"
+	"citronledge.example/platform"
 )
 
 func newFleet(n int) *Fleet {
@@ -16,10 +17,10 @@
 	return f
 }
 
-func list(n int) []Listing {
-	var l []Listing
+func list(n int) []platform.Listed {
+	var l []platform.Listed
 	for i := range n {
-		l = append(l, Listing{
+		l = append(l, platform.Listed{
 			ID: ident.Backend(fmt.Sprintf("s%d", i)), Service: "pool", Address: fmt.Sprintf("127.0.0.1:%d", 20000+i),
 			Zone: ident.Zone([]string{"a", "b", "c"}[i%3]), Version: "v1", Slots: 8,
 		})
@@ -42,8 +43,8 @@
 			t.Errorf("key %d: got %s and %s at two gates", key, a.ID, b.ID)
 		}
 		count[a.ID]++
-		a.Release(Good, 0, now)
-		b.Release(Good, 0, now)
+		a.Release(Good, now)
+		b.Release(Good, now)
 	}
 	for id, n := range count {
 		if n > 30 {
@@ -129,7 +130,7 @@
 	f := newFleet(1)
 	now := time.Now()
 	ask := Ask{Service: "pool"}
-	f.Pick(ask, now).Release(Unreached, 0, now)
+	f.Pick(ask, now).Release(Unreached, now)
 	s := f.servers["s0"]
 	if !s.health.out(now) {
 		t.Fatal("a server that cannot be reached is in use")
@@ -137,14 +138,14 @@
 	if got := f.Pick(ask, now); got == nil || got.Reason != policy.Floor {
 		t.Fatalf("got %v, want the only server in spite of all", got)
 	} else {
-		got.Release(Neutral, 0, now)
+		got.Release(Neutral, now)
 	}
 	now = now.Add(firstOut + time.Millisecond)
 	g := f.Pick(ask, now)
 	if !s.health.out(now) {
 		t.Error("more than one attempt tests a server")
 	}
-	g.Release(Good, time.Millisecond, now)
+	g.Release(Good, now)
 	if s.health.out(now) || s.health.probing(now) {
 		t.Error("a server that serves again is not in use")
 	}
@@ -159,7 +160,7 @@
 		if i%7 == 0 {
 			o = Failed
 		}
-		f.Pick(Ask{Service: "pool"}, now).Release(o, time.Millisecond, now)
+		f.Pick(Ask{Service: "pool"}, now).Release(o, now)
 		if f.servers["s0"].health.out(now) {
 			t.Fatalf("out after %d attempts with one of 7 failed", i+1)
 		}
--- a/gate/fleet/health.go
+++ b/gate/fleet/health.go
@@ -18,8 +18,6 @@
 	// mostOut while it goes on to fail.
 	firstOut = 700 * time.Millisecond
 	mostOut  = 6 * time.Second
-	// latencyWeight is that of a new latency in the mean.
-	latencyWeight = 0.2
 )
 
 // health is what was seen of a server's answers.
@@ -28,7 +26,6 @@
 	good, bad float64   // outcomes, fading with time
 	goods     uint32    // own good and bad outcomes
 	bads      uint32
-	latency   time.Duration
 	until     time.Time     // out until then
 	pause     time.Duration // of the last time out
 	trying    bool          // one attempt tests whether it is back
@@ -48,7 +45,7 @@
 // probing tells whether the next attempt is the test after a time out.
 func (h *health) probing(now time.Time) bool { return h.pause > 0 && !h.out(now) }
 
-func (h *health) probe(time.Time) { h.trying = true }
+func (h *health) probe() { h.trying = true }
 
 // failing returns the recent share of failures.
 func (h *health) failing(now time.Time) float64 {
@@ -56,7 +53,7 @@
 	return h.bad / (h.good + h.bad + leastSeen)
 }
 
-func (h *health) note(s *Server, o Outcome, latency time.Duration, now time.Time) {
+func (h *health) note(s *Server, o Outcome, now time.Time) {
 	h.fade(now)
 	tried := h.trying
 	h.trying = false
@@ -64,12 +61,6 @@
 	case Good:
 		h.good++
 		h.goods++
-		if latency > 0 {
-			if h.latency == 0 {
-				h.latency = latency
-			}
-			h.latency += time.Duration(latencyWeight * float64(latency-h.latency))
-		}
 		if h.pause > 0 && tried {
 			klog.InfoS("Backend server back in use", "backend", s.ID, "after", h.pause)
 			h.pause, h.bad = 0, 0
--- a/gate/fleet/list.go
+++ b/gate/fleet/list.go
@@ -11,6 +11,7 @@
 
 	"citronledge.example/core/ident"
 	"citronledge.example/core/wire"
+	"citronledge.example/platform"
 )
 
 const (
@@ -25,14 +26,14 @@
 // listed is the state of the list of backend servers. Fleet.mu guards it.
 type listed struct {
 	digest uint64
-	list   []Listing
+	list   []platform.Listed
 	read   time.Time // when this list was last seen to hold
 	tell   int       // datagrams that still carry it
 	missed time.Time // since when another gate holds a newer one; zero if none does
 }
 
 // SetList takes a list that this gate has read.
-func (f *Fleet) SetList(list []Listing, now time.Time) {
+func (f *Fleet) SetList(list []platform.Listed, now time.Time) {
 	digest := digestOf(list)
 	f.mu.Lock()
 	changed := digest != f.listed.digest
@@ -69,7 +70,7 @@
 		for _, x := range l.list {
 			list = append(list, &wire.Listed{
 				Id: string(x.ID), Service: string(x.Service), Address: x.Address, Zone: string(x.Zone), Version: string(x.Version),
-				Slots: uint32(x.Slots), Leaving: x.Leaving, Cold: uint32(x.Cold / time.Millisecond),
+				Slots: uint32(x.Slots), Leaving: x.Leaving,
 			})
 		}
 	}
@@ -95,11 +96,11 @@
 		f.mu.Unlock()
 		return
 	}
-	list := make([]Listing, 0, len(told))
+	list := make([]platform.Listed, 0, len(told))
 	for _, x := range told {
-		list = append(list, Listing{
+		list = append(list, platform.Listed{
 			ID: ident.Backend(x.GetId()), Service: ident.Service(x.GetService()), Address: x.GetAddress(), Zone: ident.Zone(x.GetZone()),
-			Version: ident.Version(x.GetVersion()), Slots: int(x.GetSlots()), Leaving: x.GetLeaving(), Cold: time.Duration(x.GetCold()) * time.Millisecond,
+			Version: ident.Version(x.GetVersion()), Slots: int(x.GetSlots()), Leaving: x.GetLeaving(),
 		})
 	}
 	if digestOf(list) != digest {
@@ -112,11 +113,10 @@
 	f.Update(list, read)
 }
 
-// digestOf returns a digest of a list, whatever its order. The time for which a
-// server is still slow runs down with each reading and is left out.
-func digestOf(list []Listing) uint64 {
+// digestOf returns a digest of a list, whatever its order.
+func digestOf(list []platform.Listed) uint64 {
 	sorted := slices.Clone(list)
-	slices.SortFunc(sorted, func(a, b Listing) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	slices.SortFunc(sorted, func(a, b platform.Listed) int { return strings.Compare(string(a.ID), string(b.ID)) })
 	h := xxhash.New()
 	for _, l := range sorted {
 		put(h, string(l.ID), string(l.Service), l.Address, string(l.Zone), string(l.Version))
--- a/gate/fleet/pick.go
+++ b/gate/fleet/pick.go
@@ -57,7 +57,7 @@
 	s.reading += ask.Prompt.Work
 	s.touched, f.changed = now, true
 	if s.health.probing(now) {
-		s.health.probe(now)
+		s.health.probe()
 	}
 	return &Grip{Server: s, fleet: f, start: now, Reason: reason, work: ask.Prompt.Work, Load: seats[i].Load, Waiting: seats[i].Waiting, Loss: seats[i].Loss}
 }
@@ -152,14 +152,14 @@
 	Moved
 )
 
-// Release ends the hold. Latency is the time to the head of the answer.
-func (g *Grip) Release(o Outcome, latency time.Duration, now time.Time) {
+// Release ends the hold.
+func (g *Grip) Release(o Outcome, now time.Time) {
 	g.fleet.mu.Lock()
 	defer g.fleet.mu.Unlock()
 	g.inflight--
 	g.read()
 	g.touched, g.fleet.changed = now, true
-	g.health.note(g.Server, o, latency, now)
+	g.health.note(g.Server, o, now)
 }
 
 // read takes the prompt off the work that waits. The caller holds the lock.
@@ -177,8 +177,8 @@
 }
 
 // Told notes the load that the server reported in an answer's head.
-func (g *Grip) Told(running, waiting, slots int, pace float64, now time.Time) {
+func (g *Grip) Told(running, waiting, slots int, now time.Time) {
 	g.fleet.mu.Lock()
 	defer g.fleet.mu.Unlock()
-	g.load = report{at: now, running: running + waiting, own: g.inflight, slots: slots, pace: pace}
+	g.load = report{at: now, running: running + waiting, own: g.inflight, slots: slots}
 }
--- a/gate/relay/attempt.go
+++ b/gate/relay/attempt.go
@@ -115,7 +115,7 @@
 	x := &attempt{call: c, grip: grip, model: model, began: now}
 	res, outcome := x.do(ctx)
 	end := time.Now()
-	grip.Release(outcome, x.latency, end)
+	grip.Release(outcome, end)
 	x.judge(outcome)
 	c.r.metrics.attempts.WithLabelValues(c.route.Repeat.String(), outcome.String()).Inc()
 	if outcome != fleet.Good && outcome != fleet.Neutral {
@@ -244,7 +244,7 @@
 		x.expected = x.r.began(x.service, work, x.latency)
 	}
 	if l := verdict.Load; l.Known {
-		x.grip.Told(l.Running, l.Waiting, l.Slots, l.Pace, time.Now())
+		x.grip.Told(l.Running, l.Waiting, l.Slots, time.Now())
 	}
 	switch {
 	case verdict.Elsewhere:
--- a/gate/relay/relay_test.go
+++ b/gate/relay/relay_test.go
@@ -17,6 +17,7 @@
 	"citronledge.example/core/plan"
 	"citronledge.example/gate/fleet"
 	"citronledge.example/gate/relay"
+	"citronledge.example/platform"
 	"citronledge.example/stub/runner"
 )
 
@@ -26,7 +27,7 @@
 	relay   *relay.Relay
 	fleet   *fleet.Fleet
 	runners []*runner.Runner
-	list    []fleet.Listing
+	list    []platform.Listed
 	url     string
 }
 
@@ -44,7 +45,7 @@
 		}
 		t.Cleanup(x.Close)
 		r.runners = append(r.runners, x)
-		r.list = append(r.list, fleet.Listing{
+		r.list = append(r.list, platform.Listed{
 			ID: ident.Backend(fmt.Sprintf("s%d", i)), Service: service, Address: x.Addr(), Zone: "a", Version: "v1", Slots: 8,
 		})
 	}
