gate: no answer is dropped without a budget for the larger model

The budget for repeats was asked after the answer of the small model had been dropped; without budget the request ended with 502. Ruled out: nothing, the test shows it. Change: the budget is asked first; without it the answer at hand is kept. TestClimbWithoutBudget: 502 before, the small model's whole answer after.

--- a/gate/relay/attempt.go
+++ b/gate/relay/attempt.go
@@ -44,7 +44,8 @@
 		// ran is set if the backend server may have run the attempt.
 		ran bool
 	}
-	// climb: the answer was dropped for that of a larger model.
+	// climb: the answer was dropped for that of a larger model, whose run the
+	// budget for repeats has paid.
 	climb struct{ step int }
 	// stop: no further attempt.
 	stop struct{ why string }
@@ -58,13 +59,15 @@
 // run makes attempts until the request is answered or no more are allowed.
 func (c *call) run(ctx context.Context) {
 	c.last = ""
+	paid := true // by the budget for repeats; the first attempt is no repeat
 	for {
-		if c.tries > 0 && !c.r.spend(c.service, time.Now()) {
+		if !paid && !c.r.spend(c.service, time.Now()) {
 			c.reason += "; no retry budget"
 			c.finish(ctx)
 			return
 		}
 		c.tries++
+		paid = false
 		switch x := c.attempt(ctx).(type) {
 		case done:
 			return
@@ -72,7 +75,7 @@
 			// The dropped run is a run: from here on no refusal is true.
 			c.attempts++
 			c.unknown = true
-			c.step = x.step
+			c.step, paid = x.step, true
 		case again:
 			c.reason = x.why
 			if x.ran {
@@ -272,7 +275,10 @@
 		}.Next()
 		x.why = string(reason)
 		if next != x.step {
-			return climb{next}, fleet.Good
+			if x.r.spend(x.service, time.Now()) {
+				return climb{next}, fleet.Good
+			}
+			x.why = "kept: no budget for a larger model"
 		}
 	}
 	if x.route.Repeat == plan.Stream {
--- a/gate/relay/relay_test.go
+++ b/gate/relay/relay_test.go
@@ -333,6 +333,24 @@
 	}
 }
 
+// Without a budget for repeats the answer at hand is kept: dropping it would
+// lose the request.
+func TestClimbWithoutBudget(t *testing.T) {
+	r := newRig(t, func(c net.Conn, q *runner.Request) bool {
+		return runner.Events(1, 2, 0, "Confidence: 10\r\nX-Model: "+q.Header.Get("Model")+"\r\n")(c, q)
+	})
+	lean := relay.New(relay.WithFleet(r.fleet), relay.WithRules(relay.Rules{RetryWindow: 10 * time.Second}))
+	r.relay = lean
+	r.plan(1, nil)
+	srv := httptest.NewServer(lean)
+	defer srv.Close()
+	r.url = srv.URL
+	got := r.send(http.MethodPost, "/sized/x", "1", map[string]string{"Model": "*", "Token-Usage": "100,10"})
+	if got.status != 200 || got.header.Get("X-Model") != "small" || got.body != events(1, 2) {
+		t.Errorf("got %d from model %q with %q, want the small model's whole answer", got.status, got.header.Get("X-Model"), got.body)
+	}
+}
+
 // A caller that leaves must not keep a backend server at work.
 func TestCallerLeaves(t *testing.T) {
 	r := newRig(t, runner.Silent)
