--- a/gate/fleet/fleet.go
+++ b/gate/fleet/fleet.go
@@ -65,7 +65,7 @@
 }
 
 // Update replaces the list. A server that is gone from it takes nothing new.
-func (f *Fleet) Update(list []platform.Listed, now time.Time) {
+func (f *Fleet) Update(list []platform.Listed) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	next := make(map[ident.Backend]*Server, len(list))
--- a/gate/fleet/fleet_test.go
+++ b/gate/fleet/fleet_test.go
@@ -13,7 +13,7 @@
 
 func newFleet(n int) *Fleet {
 	f := New("a")
-	f.Update(list(n), time.Now())
+	f.Update(list(n))
 	return f
 }
 
@@ -175,19 +175,19 @@
 	now := time.Now()
 	l := list(2)
 	l[0].Leaving = true
-	f.Update(l, now)
+	f.Update(l)
 	for range 4 {
 		if got := f.Pick(Ask{Service: "pool"}, now); got.ID != "s1" {
 			t.Errorf("got %s, which leaves", got.ID)
 		}
 	}
-	f.Update(l[:1], now)
+	f.Update(l[:1])
 	if got := f.Pick(Ask{Service: "pool"}, now); got != nil {
 		t.Errorf("got %s, which leaves", got.ID)
 	}
 	old := f.servers["s0"]
 	l[0].Address, l[0].Leaving = "127.0.0.1:30000", false
-	f.Update(l[:1], now)
+	f.Update(l[:1])
 	if f.servers["s0"] == old {
 		t.Error("a server at another address kept its connections")
 	}
@@ -199,7 +199,6 @@
 // A version that appears without an order must not take traffic.
 func TestIncumbent(t *testing.T) {
 	f := newFleet(2)
-	now := time.Now()
 	if got := f.Incumbent("pool"); got != "v1" {
 		t.Fatalf("got %q, want v1", got)
 	}
@@ -207,7 +206,7 @@
 	for i := 1; i < 8; i++ {
 		l[i].Version = "v2"
 	}
-	f.Update(l, now)
+	f.Update(l)
 	if got := f.Incumbent("pool"); got != "v1" {
 		t.Errorf("got %q while v1 has a server, want v1", got)
 	}
@@ -215,7 +214,7 @@
 	if got := f.Incumbent("pool"); got != "v2" {
 		t.Errorf("got %q after the roll-out, want v2", got)
 	}
-	f.Update(list(1), now)
+	f.Update(list(1))
 	if got := f.Incumbent("pool"); got != "v1" {
 		t.Errorf("got %q when the last v2 is gone, want v1", got)
 	}
--- a/gate/fleet/list.go
+++ b/gate/fleet/list.go
@@ -43,7 +43,7 @@
 	}
 	f.mu.Unlock()
 	if changed {
-		f.Update(list, now)
+		f.Update(list)
 	}
 }
 
@@ -110,7 +110,7 @@
 	}
 	l.digest, l.list, l.read, l.missed, l.tell = digest, list, read, time.Time{}, 0
 	f.mu.Unlock()
-	f.Update(list, read)
+	f.Update(list)
 }
 
 // digestOf returns a digest of a list, whatever its order.
--- a/gate/relay/relay_test.go
+++ b/gate/relay/relay_test.go
@@ -49,7 +49,7 @@
 			ID: ident.Backend(fmt.Sprintf("s%d", i)), Service: service, Address: x.Addr(), Zone: "a", Version: "v1", Slots: 8,
 		})
 	}
-	r.fleet.Update(r.list, time.Now())
+	r.fleet.Update(r.list)
 	r.relay = relay.New(relay.WithFleet(r.fleet), relay.WithRules(relay.Rules{
 		Canary: 0.1, Session: 5 * time.Second, RetryRatio: 1, RetrySlack: 20, RetryWindow: 10 * time.Second,
 	}))
@@ -453,12 +453,12 @@
 	version := func(session, id string) string {
 		return r.send(http.MethodPost, "/stream/x", id, map[string]string{"Session": session}).header.Get("X-Version")
 	}
-	r.fleet.Update(r.list[:1], time.Now())
+	r.fleet.Update(r.list[:1])
 	for i := range 40 {
 		version(fmt.Sprint("old", i), fmt.Sprint("a", i))
 	}
 	r.list[1].Version = "v2"
-	r.fleet.Update(r.list, time.Now())
+	r.fleet.Update(r.list)
 	for i := range 40 {
 		if got := version(fmt.Sprint("fresh", i), fmt.Sprint("b", i)); got != "v1" {
 			t.Fatalf("got version %q before the order, want v1", got)
@@ -498,10 +498,10 @@
 func TestLearntSession(t *testing.T) {
 	by := func(version string) runner.Reply { return runner.Events(1, 1, 0, "X-Version: "+version+"\r\n") }
 	r, other := newRig(t, by("v1"), by("v2")), newRig(t, by("v1"))
-	r.fleet.Update(r.list[:1], time.Now())
+	r.fleet.Update(r.list[:1])
 	r.send(http.MethodPost, "/stream/x", "first", nil)
 	r.list[1].Version = "v2"
-	r.fleet.Update(r.list, time.Now())
+	r.fleet.Update(r.list)
 	for i := range 60 {
 		other.send(http.MethodPost, "/stream/x", fmt.Sprint("a", i), map[string]string{"Session": fmt.Sprint("s", i)})
 	}
