gate: gates that missed a new list no longer confirm the old one to each other

A confirmation looks as much later than the reading as its datagram takes, so two gates with the old list kept it fresh for each other and forgot that a newer one exists. Ruled out: a list that is not read, the first gate read it each second. Change: readings less than 0.4 s apart are the same; a confirmation from before the newest known list proves nothing. TestMutualConfirmation fails without it (due after 2.0 s instead of 1 s).

--- a/gate/fleet/fleet_test.go
+++ b/gate/fleet/fleet_test.go
@@ -264,3 +264,23 @@
 		t.Error("a list that is not new is told again and again")
 	}
 }
+
+// Gates that missed a new list must not keep the old one fresh by confirming it
+// to each other: a server that leaves would go on to get requests.
+func TestMutualConfirmation(t *testing.T) {
+	now := time.Now()
+	a := New("a")
+	a.SetList(list(3), now)
+	digest, _, _ := a.Listing()
+	a.Adopt(digest+1, now.Add(time.Second), nil) // a new list, whose datagrams were lost
+	for i := range 2000 {                        // the other gate has the old list too; each datagram takes a moment
+		a.Adopt(digest, now.Add(time.Duration(i)*time.Millisecond/2), nil)
+	}
+	if due := a.Due(0, time.Second, 100*time.Millisecond); due.Sub(now) > time.Second {
+		t.Errorf("the list is due %v after its reading, want at most 1 s", due.Sub(now))
+	}
+	a.Adopt(digest, now.Add(2*time.Second), nil) // a true reading of the old list, later than the new one
+	if due := a.Due(0, time.Second, 100*time.Millisecond); due.Sub(now) != 3*time.Second {
+		t.Errorf("the list is due %v after its reading, want 3 s after a later confirmation", due.Sub(now))
+	}
+}
--- a/gate/fleet/list.go
+++ b/gate/fleet/list.go
@@ -18,6 +18,10 @@
 	// tellTimes is how often a new list is sent to the other gates: a datagram
 	// may be lost.
 	tellTimes = 2
+	// sameReading is the least difference between two readings. The way of a
+	// datagram makes a reading look later; without a bound, gates that missed a
+	// new list would confirm the old one to each other for ever.
+	sameReading = 400 * time.Millisecond
 	// missTime is how long a gate waits for a list that another one has before
 	// it reads the list itself.
 	missTime = 300 * time.Millisecond
@@ -30,6 +34,7 @@
 	read   time.Time // when this list was last seen to hold
 	tell   int       // datagrams that still carry it
 	missed time.Time // since when another gate holds a newer one; zero if none does
+	newer  time.Time // when the newest list that another gate told of was read
 }
 
 // SetList takes a list that this gate has read.
@@ -37,7 +42,7 @@
 	digest := digestOf(list)
 	f.mu.Lock()
 	changed := digest != f.listed.digest
-	f.listed.read, f.listed.missed = now, time.Time{}
+	f.listed.read, f.listed.missed, f.listed.newer = now, time.Time{}, now
 	if changed {
 		f.listed.digest, f.listed.list, f.listed.tell = digest, list, tellTimes
 	}
@@ -82,14 +87,18 @@
 	f.mu.Lock()
 	l := &f.listed
 	switch {
-	case !read.After(l.read):
+	case !read.After(l.read.Add(sameReading)):
 		f.mu.Unlock()
 		return
 	case digest == l.digest:
-		l.read, l.missed = read, time.Time{}
+		// A confirmation from before a newer list proves nothing.
+		if !l.newer.After(read) {
+			l.read, l.missed = read, time.Time{}
+		}
 		f.mu.Unlock()
 		return
 	case len(told) == 0:
+		l.newer = later(l.newer, read)
 		if l.missed.IsZero() {
 			l.missed = time.Now()
 		}
@@ -108,11 +117,18 @@
 		klog.InfoS("List of another gate does not match its digest; left out", "entries", len(list))
 		return
 	}
-	l.digest, l.list, l.read, l.missed, l.tell = digest, list, read, time.Time{}, 0
+	l.digest, l.list, l.read, l.missed, l.newer, l.tell = digest, list, read, time.Time{}, read, 0
 	f.mu.Unlock()
 	f.Update(list)
 }
 
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
 // digestOf returns a digest of a list, whatever its order.
 func digestOf(list []platform.Listed) uint64 {
 	sorted := slices.Clone(list)
