state: five voters where two losses must be borne; processes without a disk redirect to the leader

Ruled out: more voters on other VMs than those that serve control; a VM runs two roles. Change: two state processes a zone. On sites with one disk a zone the second one has none: it stores nothing and answers operators, gates and joining processes with the leader's address (state/redir).

--- a/state/cmd/state/main.go
+++ b/state/cmd/state/main.go
@@ -29,6 +29,9 @@
 	if s.hosted {
 		defer logs.Start(os.Stdout)()
 		debug.SetMemoryLimit(int64(memoryPart * float64(s.site.Memory)))
+		if s.data == "" {
+			return s.redirect(ctx)
+		}
 	}
 	p, err := newProcess(s)
 	if err != nil {
@@ -48,6 +51,7 @@
 	node      *node.Node
 	ln        net.Listener
 	link      link.Config
+	announced time.Time // last time; used by seek only
 }
 
 func newProcess(set *settings) (*process, error) {
@@ -112,7 +116,7 @@
 	g.Go("consensus", p.raft.Run)
 	g.Go("node", func(ctx context.Context) error { return p.node.Run(ctx, p.ln) })
 	if p.set.hosted {
-		g.Go("operators", p.operators)
+		g.Go("operators", func(ctx context.Context) error { return p.set.site.operators(ctx, p.node) })
 		g.Go("seat", func(ctx context.Context) error { return p.seek(ctx, p.link) })
 	}
 	g.Go("readiness", func(ctx context.Context) error {
--- a/state/cmd/state/site.go
+++ b/state/cmd/state/site.go
@@ -33,6 +33,10 @@
 	stopPart = 0.85
 	// operatorTime bounds reading one call of the operator.
 	operatorTime = 10 * time.Second
+	// announceEvery is the interval at which a seed without a disk is told of
+	// the members, and announceTime bounds one attempt.
+	announceEvery = time.Second
+	announceTime  = 300 * time.Millisecond
 )
 
 // siteTimings allow for VMs with a part of a core: a follower that waits for
@@ -51,8 +55,8 @@
 	if err != nil {
 		return err
 	}
-	if n.Data == "" || n.Operators == "" {
-		return eris.New("the platform gives this process no disk or no address for operators; run state on VMs with a disk, serving control")
+	if n.Operators == "" {
+		return eris.New("the platform gives this process no address for operators; let state serve control")
 	}
 	s.site = &site{Node: n}
 	s.Zone, s.data, s.Grace, s.Deadline = string(n.Zone), n.Data, 0, time.Duration(stopPart*float64(n.Bounds.Stop))
@@ -60,6 +64,10 @@
 	if _, port, err := net.SplitHostPort(s.Admin); err == nil {
 		s.Admin = net.JoinHostPort(n.IP, port)
 	}
+	if n.Data == "" {
+		s.Name = s.listen
+		return nil
+	}
 	return s.seat()
 }
 
@@ -106,7 +114,7 @@
 // seek asks for a seat in the cluster for as long as this process knows no
 // leader or is no voter.
 func (p *process) seek(ctx context.Context, cfg link.Config) error {
-	addrs := p.others(p.set.site.Seeds)
+	addrs := p.set.others()
 	if len(addrs) == 0 {
 		return nil // a cluster of one
 	}
@@ -129,6 +137,7 @@
 				klog.InfoS("Voter of the state cluster", "member", p.set.Name)
 			}
 			joined = true
+			p.announce(ctx, cfg)
 			continue
 		}
 		joined = false
@@ -139,12 +148,8 @@
 		cancel()
 		if err != nil {
 			klog.InfoS("No seat in the state cluster yet; looking for others in the settings file", "member", p.set.Name, "err", err)
-			if n, err := platform.ReadNode(); err != nil {
-				klog.ErrorS(err, "Settings file not read; the last settings stay")
-			} else {
-				for _, addr := range p.others(n.Seeds) {
-					c.Learn(addr)
-				}
+			for _, addr := range p.set.others() {
+				c.Learn(addr)
 			}
 			continue
 		}
@@ -154,12 +159,60 @@
 	}
 }
 
+// announce tells the seeds that are no members, since they have no disk, that
+// there is a member here. After a restart of all processes they may be all that
+// the others are given to find the cluster.
+func (p *process) announce(ctx context.Context, cfg link.Config) {
+	if time.Since(p.announced) < announceEvery {
+		return
+	}
+	p.announced = time.Now()
+	members := map[string]bool{}
+	for _, m := range p.raft.Status().Members {
+		members[m.Addr] = true
+	}
+	for _, addr := range p.set.others() {
+		if members[addr] {
+			continue
+		}
+		if err := tell(ctx, addr, cfg, &wire.Join{Name: p.set.Name, Addr: p.set.listen, Disk: p.store.Disk()}); err != nil {
+			klog.InfoS("Seed without a disk does not answer", "addr", addr, "err", err)
+		}
+	}
+}
+
+// tell sends an announcement to one process.
+func tell(ctx context.Context, addr string, cfg link.Config, j *wire.Join) error {
+	ctx, cancel := context.WithTimeout(ctx, announceTime)
+	defer cancel()
+	s, err := link.Dial(ctx, addr, cfg)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = s.Close() }()
+	st, err := s.Open(wire.Kind_QUERY)
+	if err != nil {
+		return err
+	}
+	_ = st.SetDeadline(time.Now().Add(announceTime))
+	if err := st.Send(&wire.Query{Kind: &wire.Query_Join{Join: j}}); err != nil {
+		return err
+	}
+	return st.Recv(&wire.Answer{})
+}
+
 // others returns the addresses of the state processes on the seeds but for this
-// one.
-func (p *process) others(seeds []string) []string {
+// one, from the settings file as it is now.
+func (s *settings) others() []string {
+	seeds := s.site.Seeds
+	if n, err := platform.ReadNode(); err != nil {
+		klog.ErrorS(err, "Settings file not read; the last settings stay")
+	} else {
+		seeds = n.Seeds
+	}
 	var addrs []string
 	for _, seed := range seeds {
-		if addr := p.set.site.internal(seed); addr != p.set.listen {
+		if addr := s.site.internal(seed); addr != s.listen {
 			addrs = append(addrs, addr)
 		}
 	}
@@ -180,13 +233,22 @@
 	return false
 }
 
+// orders are what an operator asks of a state process; node.Node and
+// redir.Redirector take them.
+type orders interface {
+	Replace(ctx context.Context, version uint64, body []byte) error
+	Document(ctx context.Context) (conf.Document, error)
+	Order(ctx context.Context, service ident.Service, target ident.Version, length time.Duration) error
+	Shift(ctx context.Context, service ident.Service) (conf.Shift, bool, error)
+}
+
 // operators serves the operator's calls.
-func (p *process) operators(ctx context.Context) error {
-	ln, err := net.Listen("tcp", p.set.site.Operators)
+func (n *site) operators(ctx context.Context, o orders) error {
+	ln, err := net.Listen("tcp", n.Operators)
 	if err != nil {
 		return eris.Wrap(err, "cannot listen for operators")
 	}
-	srv := &http.Server{Handler: platform.NewOperatorAPI(operator{p}), ReadTimeout: operatorTime, WriteTimeout: operatorTime}
+	srv := &http.Server{Handler: platform.NewOperatorAPI(operator{o, n.OperatorPort}), ReadTimeout: operatorTime, WriteTimeout: operatorTime}
 	stop := context.AfterFunc(ctx, func() { _ = srv.Close() })
 	defer stop()
 	if err := srv.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
@@ -195,29 +257,32 @@
 	return nil
 }
 
-// operator implements platform.Operator on the node.
-type operator struct{ p *process }
+// operator implements platform.Operator.
+type operator struct {
+	to   orders
+	port int // of the operators' interface, the same on all VMs
+}
 
 func (o operator) Replace(ctx context.Context, version uint64, body []byte) error {
-	err := o.p.node.Replace(ctx, version, body)
+	err := o.to.Replace(ctx, version, body)
 	klog.InfoS("Configuration sent", "version", version, "bytes", len(body), "err", err)
 	return o.translate(err)
 }
 
 func (o operator) Document(ctx context.Context) (conf.Document, error) {
-	d, err := o.p.node.Document(ctx)
+	d, err := o.to.Document(ctx)
 	klog.InfoS("Configuration read", "version", d.Version, "err", err)
 	return d, o.translate(err)
 }
 
 func (o operator) Order(ctx context.Context, service ident.Service, target ident.Version, length time.Duration) error {
-	err := o.p.node.Order(ctx, service, target, length)
+	err := o.to.Order(ctx, service, target, length)
 	klog.InfoS("Roll-out ordered", "service", service, "target", target, "length", length, "err", err)
 	return o.translate(err)
 }
 
 func (o operator) Shift(ctx context.Context, service ident.Service) (conf.Shift, bool, error) {
-	s, known, err := o.p.node.Shift(ctx, service)
+	s, known, err := o.to.Shift(ctx, service)
 	return s, known, o.translate(err)
 }
 
@@ -232,7 +297,7 @@
 	case errors.As(err, &not) && not.Leader.Addr != "":
 		host, _, e := net.SplitHostPort(not.Leader.Addr)
 		if e == nil {
-			return platform.Elsewhere{Address: net.JoinHostPort(host, strconv.Itoa(o.p.set.site.OperatorPort))}
+			return platform.Elsewhere{Address: net.JoinHostPort(host, strconv.Itoa(o.port))}
 		}
 	case errors.As(err, &f):
 		return f
--- a/state/cmd/state/site_test.go
+++ b/state/cmd/state/site_test.go
@@ -11,6 +11,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"syscall"
 	"testing"
@@ -25,6 +26,8 @@
 	port  int // of the processes' own connections; that for operators is next
 	procs map[string]*exec.Cmd
 	seeds []string
+	// diskless are the addresses of processes that get no data folder.
+	diskless []string
 }
 
 const patience = 20 * time.Second // bounds each wait on the processes
@@ -75,6 +78,9 @@
 		"internal-port-range": []int{h.port, h.port}, "seed-nodes": seeds, "bootstrap": found, "data-dir": h.data(ip),
 		"limits": map[string]int{"memory-mb": 134}, "fault-tolerance": map[string]int{"machines": 1}, "bounds": map[string]any{"grace-period-s": 8},
 	}
+	if slices.Contains(h.diskless, ip) {
+		delete(node, "data-dir")
+	}
 	text, err := json.Marshal(node)
 	if err != nil {
 		h.t.Fatal(err)
@@ -243,3 +249,35 @@
 		}
 	}
 }
+
+// A state process without a disk must not end or hold up its callers: operators
+// and joining processes that know no other address reach the leader through it,
+// also after the first leader is gone and after a restart of all.
+func TestHostedWithoutDisk(t *testing.T) {
+	a, b, c, d, e := "127.0.79.1", "127.0.79.2", "127.0.79.3", "127.0.79.4", "127.0.79.5"
+	h := newHosts(t, a, b, c, d, e)
+	h.seeds, h.diskless = []string{a, b, c}, []string{d}
+	for _, ip := range []string{a, b, c, d} {
+		h.start(ip, true)
+	}
+	h.replace(d, 4)
+	h.reads(d, 4)
+	h.kill(a) // gone for good
+	h.replace(d, 5)
+
+	h.seeds = []string{d}
+	h.start(e, false)
+	h.seated(e)
+	h.reads(e, 5)
+	h.kill(b)
+	h.replace(d, 6)
+
+	for _, ip := range []string{c, d, e} { // all that is left, at once
+		h.kill(ip)
+	}
+	for _, ip := range []string{c, d, e} {
+		h.start(ip, false)
+	}
+	h.reads(d, 6)
+	h.replace(d, 7)
+}
--- a/state/node/node.go
+++ b/state/node/node.go
@@ -120,58 +120,12 @@
 	case n.roster != nil:
 		g.Go("repair", n.repair)
 	}
-	g.Go("accept", func(ctx context.Context) error {
-		stop := context.AfterFunc(ctx, func() { _ = ln.Close() })
-		defer stop()
-		return n.accept(ctx, ln)
-	})
+	g.Go("accept", func(ctx context.Context) error { return link.Accept(ctx, ln, n.link, n.stream) })
 	return g.Wait()
 }
 
-// accept runs sessions until ctx ends. They are not tasks of the group, which
-// takes no more tasks once somebody waits for it.
-func (n *Node) accept(ctx context.Context, ln net.Listener) error {
-	var wg sync.WaitGroup
-	defer wg.Wait()
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	for {
-		conn, err := ln.Accept()
-		if err != nil {
-			if ctx.Err() != nil {
-				return nil
-			}
-			return eris.Wrap(err, "cannot accept connections")
-		}
-		wg.Go(func() { n.Serve(ctx, conn) })
-	}
-}
-
 // Serve runs one session over an accepted connection until it ends.
-func (n *Node) Serve(ctx context.Context, conn net.Conn) {
-	s, err := link.Server(conn, n.link)
-	if err != nil {
-		klog.V(1).InfoS("Session refused", "from", conn.RemoteAddr(), "err", err)
-		return
-	}
-	stop := context.AfterFunc(ctx, func() { _ = s.Close() })
-	defer stop()
-	var wg sync.WaitGroup
-	defer wg.Wait()
-	defer func() { _ = s.Close() }()
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	for {
-		st, err := s.Accept()
-		if err != nil {
-			return
-		}
-		wg.Go(func() {
-			defer func() { _ = st.Close() }()
-			n.stream(ctx, st)
-		})
-	}
-}
+func (n *Node) Serve(ctx context.Context, conn net.Conn) { link.Serve(ctx, conn, n.link, n.stream) }
 
 func (n *Node) stream(ctx context.Context, st *link.Stream) {
 	switch st.Kind() {
--- a/state/node/query.go
+++ b/state/node/query.go
@@ -42,6 +42,9 @@
 // can answer. It reads no older state than was acknowledged before.
 func (n *Node) query(ctx context.Context, q *wire.Query) (*wire.Answer, error) {
 	if s := q.GetStatus(); s != nil {
+		if s.GetLead() && !n.cons.Lease() {
+			return nil, n.notLeader()
+		}
 		return &wire.Answer{Status: n.Status()}, nil
 	}
 	if j := q.GetJoin(); j != nil {
