soak: a fault soak on real processes; a reload cannot kill a process that stops

The soak starts three state processes and three gates as the platform does, each behind proxies that delay, hold back in one or both directions, refuse and reset, with backend servers, list, callers and operators as stand-ins. TestHangupDuringStop fails without the change.

--- a/core/server/server.go
+++ b/core/server/server.go
@@ -105,9 +105,10 @@
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
 	defer signal.Stop(signals)
+	// The handler stays until the process ends: without one the signal would
+	// kill it in the last moments of a planned stop.
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
-	defer signal.Stop(hangups)
 
 	admin, err := s.admin()
 	if err != nil {
--- /dev/null
+++ b/soak/backend.go
@@ -0,0 +1,233 @@
+package soak
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"citronledge.example/stub/runner"
+)
+
+const (
+	streamEvents = 12
+	eventPause   = 25 * time.Millisecond
+	workTime     = 4 * time.Millisecond
+)
+
+// manner is how a backend server answers.
+type manner int
+
+const (
+	sound manner = iota
+	failing
+	slow
+	full
+	cutting    // breaks off in the middle of an answer
+	answerless // runs a request and closes without an answer
+	manners
+)
+
+// backends are the stand-ins of backend servers, behind proxies, and the
+// platform's list of them.
+type backends struct {
+	book *book
+	list net.Listener
+	srv  *http.Server
+
+	mu      sync.Mutex
+	servers []*backend
+	broken  bool // the list answers with a failure
+	next    int
+}
+
+type backend struct {
+	id     string
+	runner *runner.Runner
+	proxy  *proxy
+
+	mu      sync.Mutex
+	manner  manner
+	leaving time.Time // since when the list shows it; zero while it stays
+	gone    bool      // not in the list
+}
+
+func (b *backend) set(m manner) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.manner = m
+}
+
+// leftBy is how long after the list shows that a server leaves it may still get
+// requests.
+const leftBy = 3 * time.Second
+
+func newBackends(b *book) (*backends, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	s := &backends{book: b, list: ln}
+	s.srv = &http.Server{Handler: http.HandlerFunc(s.answerList), ReadHeaderTimeout: time.Second}
+	go func() { _ = s.srv.Serve(ln) }() // ends with close
+	return s, nil
+}
+
+func (s *backends) close() {
+	_ = s.srv.Close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, b := range s.servers {
+		b.runner.Close()
+		b.proxy.close()
+	}
+}
+
+// add starts a server and lists it.
+func (s *backends) add() error {
+	r, err := runner.Start(runner.Silent)
+	if err != nil {
+		return err
+	}
+	p, err := newProxy("127.0.0.1:0", r.Addr())
+	if err != nil {
+		r.Close()
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.next++
+	b := &backend{id: fmt.Sprintf("i-%d", s.next), runner: r, proxy: p}
+	r.SetReply(func(c net.Conn, q *runner.Request) bool { return s.reply(b, c, q) })
+	s.servers = append(s.servers, b)
+	return nil
+}
+
+// all returns the listed servers that stay.
+func (s *backends) all() []*backend {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var list []*backend
+	for _, b := range s.servers {
+		b.mu.Lock()
+		if b.leaving.IsZero() {
+			list = append(list, b)
+		}
+		b.mu.Unlock()
+	}
+	return list
+}
+
+// leave shows the server as leaving, and takes it off the list later.
+func (b *backend) leave(after time.Duration) {
+	b.mu.Lock()
+	b.leaving = time.Now()
+	b.mu.Unlock()
+	time.AfterFunc(after, func() {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		b.gone = true
+	})
+}
+
+func (s *backends) setBroken(broken bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.broken = broken
+}
+
+func (s *backends) answerList(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.broken {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	type entry map[string]any
+	list := []entry{}
+	for _, b := range s.servers {
+		b.mu.Lock()
+		state := "ready"
+		if !b.leaving.IsZero() {
+			state = "draining"
+		}
+		if !b.gone {
+			list = append(list, entry{
+				"id": b.id, "service": "pool", "address": b.proxy.ln.Addr().String(), "zone": "a", "version": "v1",
+				"slots": 16, "state": state, "cold-remaining-ms": 0,
+			})
+		}
+		b.mu.Unlock()
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(map[string]any{"instances": list, "next": nil}) // the reader may be gone
+}
+
+// wantBody is the answer to a request that is no stream.
+func wantBody(path, id string, content []byte) string {
+	sum := sha256.Sum256(content)
+	return fmt.Sprintf("%s %s %s", path, id, hex.EncodeToString(sum[:8]))
+}
+
+// wantEvent is one event of the answer to a stream.
+func wantEvent(id string, n int) string { return fmt.Sprintf("id: %d\ndata: %s %d\n\n", n, id, n) }
+
+func (s *backends) reply(b *backend, c net.Conn, q *runner.Request) bool {
+	b.mu.Lock()
+	m, leaving := b.manner, b.leaving
+	b.mu.Unlock()
+	late := !leaving.IsZero() && time.Since(leaving) > leftBy
+	if m == full {
+		return runner.Full(c, q)
+	}
+	path, id := q.URL.Path, q.Attempt()
+	s.book.ran(id, path, b.id, late)
+	time.Sleep(workTime)
+	switch m {
+	case failing:
+		return runner.Status(http.StatusInternalServerError, "failed "+id)(c, q)
+	case slow:
+		time.Sleep(20 * workTime)
+	case answerless:
+		return false
+	}
+	if strings.HasPrefix(path, "/stream/") {
+		return stream(m, c, q)
+	}
+	body := wantBody(path, id, q.Content)
+	if m == cutting {
+		_, _ = io.WriteString(c, runner.Head(http.StatusOK, q, fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body), body[:len(body)/2])))
+		return false
+	}
+	return runner.OK(body)(c, q)
+}
+
+// stream answers with the events after the last one that the caller has.
+func stream(m manner, c net.Conn, q *runner.Request) bool {
+	first := 1
+	if n, err := strconv.Atoi(q.Header.Get("Last-Event-Id")); err == nil {
+		first = n + 1
+	}
+	if _, err := io.WriteString(c, runner.Head(http.StatusOK, q, "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")); err != nil {
+		return false
+	}
+	for n := first; n <= streamEvents; n++ {
+		time.Sleep(eventPause)
+		event := wantEvent(q.Attempt(), n)
+		if m == cutting && n == streamEvents/2 {
+			event = event[:len(event)/2]
+		}
+		if _, err := io.WriteString(c, runner.Chunk(event)); err != nil || m == cutting && n == streamEvents/2 {
+			return false
+		}
+	}
+	_, err := io.WriteString(c, "0\r\n\r\n")
+	return err == nil
+}
--- /dev/null
+++ b/soak/proc.go
@@ -0,0 +1,126 @@
+package soak
+
+import (
+	"encoding/json"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"k8s.io/klog/v2"
+)
+
+// program is one process of the system under test, which may be started many
+// times.
+type program struct {
+	name, path, dir string
+	node            map[string]any // the platform's settings file
+	args            []string
+
+	mu     sync.Mutex
+	cmd    *exec.Cmd // nil while it is down
+	ended  chan struct{}
+	starts int
+}
+
+// start runs the process with its settings file as it is now.
+func (p *program) start() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd != nil {
+		return nil
+	}
+	text, err := json.Marshal(p.node)
+	if err != nil {
+		return eris.Wrap(err, "cannot encode settings")
+	}
+	file := filepath.Join(p.dir, p.name+".json")
+	if err := os.WriteFile(file, text, 0o600); err != nil {
+		return eris.Wrap(err, "cannot write settings")
+	}
+	log, err := os.OpenFile(p.logFile(), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return eris.Wrap(err, "cannot open the log")
+	}
+	defer func() { _ = log.Close() }()
+	cmd := exec.Command(p.path, append([]string{"--platform", "--admin", "127.0.0.1:0"}, p.args...)...)
+	cmd.Env = append(os.Environ(), "CITRONLEDGE_NODE_FILE="+file)
+	cmd.Stdout, cmd.Stderr = log, log
+	if err := cmd.Start(); err != nil {
+		return eris.Wrap(err, "cannot start "+p.name)
+	}
+	p.cmd, p.ended = cmd, make(chan struct{})
+	p.starts++
+	go func(ended chan struct{}) {
+		_ = cmd.Wait() // its state tells how it ended
+		close(ended)
+	}(p.ended)
+	return nil
+}
+
+func (p *program) logFile() string { return filepath.Join(p.dir, p.name+".log") }
+
+// boot numbers the starts of the process.
+func (p *program) boot() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.starts
+}
+
+// signal sends a signal if the process runs.
+func (p *program) signal(s os.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd == nil {
+		return
+	}
+	if err := p.cmd.Process.Signal(s); err != nil {
+		klog.V(1).InfoS("Signal not sent", "process", p.name, "signal", s, "err", err)
+	}
+}
+
+// kill ends the process at once.
+func (p *program) kill() {
+	p.signal(syscall.SIGKILL)
+	_, _ = p.await(time.Minute)
+}
+
+// await returns the exit code of a process that was told to end; ok is false if
+// it still runs after limit.
+func (p *program) await(limit time.Duration) (code int, ok bool) {
+	p.mu.Lock()
+	cmd, ended := p.cmd, p.ended
+	p.mu.Unlock()
+	if cmd == nil {
+		return 0, true
+	}
+	select {
+	case <-ended:
+	case <-time.After(limit):
+		return 0, false
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd == cmd {
+		p.cmd = nil
+	}
+	return cmd.ProcessState.ExitCode(), true
+}
+
+// crashed tells whether the process has ended without being told to.
+func (p *program) crashed() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd == nil {
+		return false
+	}
+	select {
+	case <-p.ended:
+		return p.cmd.ProcessState.ExitCode() >= 0 // -1: ended by a signal
+	default:
+		return false
+	}
+}
--- a/state/cmd/state/diskless.go
+++ b/state/cmd/state/diskless.go
@@ -41,7 +41,7 @@
 	if addrs := s.others(); len(addrs) > 0 {
 		return addrs
 	}
-	return []string{s.listen}
+	return []string{s.reach}
 }
 
 // Run implements server.Part.
--- a/state/cmd/state/settings.go
+++ b/state/cmd/state/settings.go
@@ -21,7 +21,10 @@
 
 	list   string // peers as given
 	hosted bool
-	site   *site // set on the users' platform
+	// advertise is the address at which the others reach this process on the
+	// users' platform, if it is not listen; reach is the one that counts.
+	advertise, reach string
+	site             *site // set on the users' platform
 }
 
 // Register implements server.Program.
@@ -31,6 +34,7 @@
 	fs.StringVar(&s.data, "data", "", "data folder of this process, on a disk")
 	fs.StringVar(&s.list, "peers", "", "all state processes with this one: NAME=HOST:PORT,...")
 	fs.StringVar(&s.members, "members", "", "URL of the platform's list of members; empty for none")
+	fs.StringVar(&s.advertise, "advertise", "", "with --platform: address at which the other processes reach this one, if it differs from the platform's, as behind a port mapping")
 	fs.BoolVar(&s.hosted, "platform", false, "take name, zone, addresses, data folder and peers from the users' platform")
 	fs.BoolVar(&s.join, "join", false, "join an existing cluster with an empty data folder; never form a new one")
 }
@@ -41,12 +45,15 @@
 		if err := s.apply(); err != nil {
 			return err
 		}
-		return s.Settings.Validate()
+		return errors.Join(s.Settings.Validate(), server.CheckAddr("advertise", s.reach))
 	}
 	errs := []error{s.Settings.Validate(), server.CheckAddr("listen", s.listen)}
 	if s.data == "" {
 		errs = append(errs, errors.New("--data is empty; set a folder on a disk"))
 	}
+	if s.advertise != "" {
+		errs = append(errs, errors.New("--advertise holds with --platform only; set the address in --peers"))
+	}
 	if u, err := url.Parse(s.members); s.members != "" && (err != nil || u.Host == "") {
 		errs = append(errs, fmt.Errorf("--members: %q is not a URL; use http://HOST:PORT/PATH", s.members))
 	}
@@ -80,7 +87,7 @@
 // address returns the address at which the others reach this process.
 func (s *settings) address() string {
 	if s.hosted {
-		return s.listen
+		return s.reach
 	}
 	for _, p := range s.peers {
 		if p.Name == s.Name {
--- a/state/cmd/state/site.go
+++ b/state/cmd/state/site.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"crypto/rand"
 	"errors"
@@ -44,10 +45,7 @@
 var siteTimings = raft.Timings{Heartbeat: 75 * time.Millisecond, Election: 400 * time.Millisecond}
 
 // site is the place of this process on the users' platform.
-type site struct {
-	platform.Node
-	self raft.Member
-}
+type site struct{ platform.Node }
 
 // apply takes the settings that the platform gives.
 func (s *settings) apply() error {
@@ -61,11 +59,12 @@
 	s.site = &site{Node: n}
 	s.Zone, s.data, s.Grace, s.Deadline = string(n.Zone), n.Data, 0, time.Duration(stopPart*float64(n.Bounds.Stop))
 	s.listen = s.site.internal(n.IP)
+	s.reach = cmp.Or(s.advertise, s.listen)
 	if _, port, err := net.SplitHostPort(s.Admin); err == nil {
 		s.Admin = net.JoinHostPort(n.IP, port)
 	}
 	if n.Data == "" {
-		s.Name = s.listen
+		s.Name = s.reach
 		return nil
 	}
 	return s.seat()
@@ -89,22 +88,21 @@
 	switch {
 	case s.Name != "":
 	case s.site.Found:
-		s.Name = s.listen
+		s.Name = s.reach
 	default:
-		s.Name = s.listen + "/" + rand.Text()[:8]
+		s.Name = s.reach + "/" + rand.Text()[:8]
 	}
 	s.join = true
-	if s.Name == s.listen {
+	if s.Name == s.reach {
 		for _, seed := range s.site.Seeds {
 			addr := s.site.internal(seed)
 			s.peers = append(s.peers, raft.Member{Name: addr, Addr: addr, Voter: true})
-			s.join = s.join && addr != s.listen
+			s.join = s.join && addr != s.reach
 		}
 	}
 	if s.join {
 		s.peers = nil // the cluster is founded without this process
 	}
-	s.site.self = raft.Member{Name: s.Name, Addr: s.listen}
 	return nil
 }
 
@@ -143,7 +141,7 @@
 		joined = false
 		ask, cancel := context.WithTimeout(ctx, 2*time.Second)
 		a, err := c.Query(ask, &wire.Query{Kind: &wire.Query_Join{Join: &wire.Join{
-			Name: p.set.Name, Addr: p.set.listen, Disk: p.store.Disk(),
+			Name: p.set.Name, Addr: p.set.reach, Disk: p.store.Disk(),
 		}}})
 		cancel()
 		if err != nil {
@@ -175,7 +173,7 @@
 		if members[addr] {
 			continue
 		}
-		if err := tell(ctx, addr, cfg, &wire.Join{Name: p.set.Name, Addr: p.set.listen, Disk: p.store.Disk()}); err != nil {
+		if err := tell(ctx, addr, cfg, &wire.Join{Name: p.set.Name, Addr: p.set.reach, Disk: p.store.Disk()}); err != nil {
 			klog.InfoS("Seed without a disk does not answer", "addr", addr, "err", err)
 		}
 	}
@@ -212,7 +210,7 @@
 	}
 	var addrs []string
 	for _, seed := range seeds {
-		if addr := s.site.internal(seed); addr != s.listen {
+		if addr := s.site.internal(seed); addr != s.reach {
 			addrs = append(addrs, addr)
 		}
 	}
--- a/state/cmd/state/site_test.go
+++ b/state/cmd/state/site_test.go
@@ -281,3 +281,36 @@
 	h.reads(d, 6)
 	h.replace(d, 7)
 }
+
+// A SIGHUP at any moment after the start, also during a planned stop, must not
+// end the process.
+func TestHangupDuringStop(t *testing.T) {
+	a := "127.0.80.1"
+	h := newHosts(t, a)
+	for range 5 {
+		h.start(a, true)
+		h.until("operators are answered", func() string {
+			if status, text := h.call(a, http.MethodGet, "/api/configuration/read", ""); status == 0 {
+				return text
+			}
+			return ""
+		})
+		cmd := h.procs[a]
+		ended := make(chan error, 1)
+		go func() { ended <- cmd.Wait() }()
+		_ = cmd.Process.Signal(syscall.SIGTERM)
+		var err error
+		for running := true; running; {
+			select {
+			case err = <-ended:
+				running = false
+			default:
+				_ = cmd.Process.Signal(syscall.SIGHUP) // fails when the process has ended
+			}
+		}
+		delete(h.procs, a)
+		if err != nil {
+			t.Fatalf("got %v from a planned stop with reloads, want no error", err)
+		}
+	}
+}
