policy: the time to the first token is learnt for each model

Ruled out: harder questions in large prompts; first opinions are alike in all sizes. Change: a slope for each model, learnt; the costs count only until a model was seen.

--- a/core/plan/plan.go
+++ b/core/plan/plan.go
@@ -103,15 +103,15 @@
 	Costs map[ident.Model]float64
 }
 
-// Least returns the lowest cost of a model, 0 if none is known.
-func (e *Engine) Least() float64 {
-	least := 0.0
-	for _, cost := range e.Costs {
-		if least == 0 || cost < least {
-			least = cost
+// Least returns the model with the lowest cost, and the cost; 0 if none is
+// known.
+func (e *Engine) Least() (model ident.Model, cost float64) {
+	for m, c := range e.Costs {
+		if cost == 0 || c < cost || c == cost && m < model {
+			model, cost = m, c
 		}
 	}
-	return least
+	return model, cost
 }
 
 // Customer holds the keys of a tenant.
--- a/core/policy/seat.go
+++ b/core/policy/seat.go
@@ -1,5 +1,7 @@
 package policy
 
+import "citronledge.example/core/ident"
+
 // Seat is a backend server as a gate that reaches it directly sees it.
 type Seat struct {
 	// Local is set if it is in the gate's own availability zone.
@@ -23,6 +25,10 @@
 
 // Prompt is the work that an attempt brings, in tokens of the smallest model.
 type Prompt struct {
+	// Model is the one that reads it, Least the smallest one of the service;
+	// Factor is the expected ratio of their times for a token.
+	Model, Least ident.Model
+	Factor       float64
 	// Work is that of the whole prompt, Shared that of the part that the
 	// preferred server is expected to hold; 0 without affinity.
 	Work, Shared float64
@@ -89,6 +95,18 @@
 	return -1, None
 }
 
+// Tokens returns the size of the whole prompt, or that of what is left of it if
+// the shared part is held.
+func (p Prompt) Tokens(held bool) float64 {
+	if p.Factor == 0 {
+		return 0
+	}
+	if held {
+		return (p.Work - p.Shared) / p.Factor
+	}
+	return p.Work / p.Factor
+}
+
 // cost compares servers without regard to the attempt.
 func (s *Seat) cost() float64 {
 	cost := s.Waiting + fullCost*s.Load + failCost*s.Failing
--- a/core/policy/speed.go
+++ b/core/policy/speed.go
@@ -1,43 +1,87 @@
 package policy
 
-import "time"
+import (
+	"time"
 
-// Speed learns how long the first token of an answer takes: a part that every
-// answer has, and a part for each token of the prompts to be read.
-type Speed struct {
-	base        float64 // ms
-	time, work  float64 // excess ms and the tokens they were spent on, fading
-	known, seen bool
+	"citronledge.example/core/ident"
+)
+
+// Speeds learns how long the first token of an answer of one service takes: a
+// part that every answer has, and a part for each token of the prompts that are
+// read before it, which depends on the model.
+type Speeds struct {
+	base   float64 // ms
+	seen   bool    // an attempt that shows the base
+	models map[ident.Model]*slope
 }
 
+// slope is the time for a token of the prompt: fading sums of both.
+type slope struct{ time, tokens float64 } // ms
+
 const (
 	// speedWeight is the weight of an attempt in the means.
 	speedWeight = 0.02
-	// lightWork is the work up to which an attempt shows the base, in tokens.
+	// lightWork is the work up to which an attempt shows the base, in tokens
+	// of the smallest model.
 	lightWork = 1500
 )
 
-// Note counts an attempt with the work that was read until its first token.
-func (s *Speed) Note(latency time.Duration, work float64) {
+// perToken returns the time for a token of the prompt, in ms; 0 if nothing is
+// known. That of a model not seen yet follows from the smallest one's.
+func (s *Speeds) perToken(p Prompt) float64 {
+	if m := s.models[p.Model]; m != nil {
+		return m.time / m.tokens
+	}
+	if m := s.models[p.Least]; m != nil {
+		return p.Factor * m.time / m.tokens
+	}
+	return 0
+}
+
+// wait returns the time for work of others that is read first, in ms.
+func (s *Speeds) wait(p Prompt, work float64) float64 {
+	if s.models[p.Least] != nil || p.Factor == 0 {
+		return work * s.perToken(Prompt{Model: p.Least, Least: p.Least, Factor: 1})
+	}
+	return work * s.perToken(p) / p.Factor
+}
+
+// Note counts an attempt. Of the prompt the tokens were read, and before it
+// other prompts, whose work is in tokens of the smallest model.
+func (s *Speeds) Note(latency time.Duration, p Prompt, tokens, before float64) {
 	ms := float64(latency) / float64(time.Millisecond)
-	if work <= lightWork {
+	if tokens*p.Factor+before <= lightWork {
 		if !s.seen {
 			s.base, s.seen = ms, true
 		}
 		s.base += speedWeight * (min(ms, 2*s.base) - s.base)
 		return
 	}
-	s.time += speedWeight * (max(0, ms-s.base) - s.time)
-	s.work += speedWeight * (work - s.work)
-	s.known = true
+	if tokens <= 0 {
+		return
+	}
+	if s.models == nil {
+		s.models = map[ident.Model]*slope{}
+	}
+	excess := max(0, ms-s.base-s.wait(p, before))
+	m := s.models[p.Model]
+	if m == nil {
+		s.models[p.Model] = &slope{excess, tokens}
+		return
+	}
+	m.time += speedWeight * (excess - m.time)
+	m.tokens += speedWeight * (tokens - m.tokens)
 }
 
-// Need returns the expected time to the first token; 0 if nothing is known.
-func (s *Speed) Need(work float64) time.Duration {
-	if !s.known || s.work <= 0 {
+// Need returns the expected time to the first token, for tokens of the prompt
+// and other prompts before it; 0 if nothing is known. The part that every
+// answer has is that for no tokens and nothing before.
+func (s *Speeds) Need(p Prompt, tokens, before float64) time.Duration {
+	slope := s.perToken(p)
+	if slope == 0 {
 		return 0
 	}
-	return time.Duration((s.base + work*s.time/s.work) * float64(time.Millisecond))
+	return time.Duration((s.base + tokens*slope + s.wait(p, before)) * float64(time.Millisecond))
 }
 
 // Typical learns the median of a duration, to tell which ones are slow.
--- a/gate/relay/call.go
+++ b/gate/relay/call.go
@@ -241,10 +241,6 @@
 // of their times.
 const slower = 0.7
 
-// longer is the number of tokens at which reading a prompt takes twice as long
-// for each token as at first, since each token attends to all before it.
-const longer = 60_000
-
 // prompt estimates the work of reading the prompt, in tokens of the smallest
 // model.
 func (c *call) prompt(model ident.Model) (p policy.Prompt) {
@@ -252,15 +248,15 @@
 	if c.head.Input == 0 || engine == nil {
 		return p
 	}
-	factor := 1.0
-	if least := engine.Least(); model != "" && least > 0 && engine.Costs[model] > 0 {
-		factor = math.Pow(engine.Costs[model]/least, slower)
+	least, cost := engine.Least()
+	p.Model, p.Least, p.Factor = model, least, 1
+	if cost > 0 && engine.Costs[model] > 0 {
+		p.Factor = math.Pow(engine.Costs[model]/cost, slower)
 	}
-	factor *= 1 + float64(c.head.Input)/longer
-	p.Work = float64(c.head.Input) * factor
+	p.Work = float64(c.head.Input) * p.Factor
 	if n := len(c.head.Parts); c.route.Affinity && n >= 2 {
 		for _, part := range c.head.Parts[:n-1] {
-			p.Shared += float64(part.Tokens) * factor
+			p.Shared += float64(part.Tokens) * p.Factor
 		}
 		p.Shared = min(p.Shared, p.Work)
 	}
