policy: attempts held up by something else count less in the time for a token

Change: an attempt counts at most twice what was expected; the first ones are averaged. TestSpeeds guards the bound.

--- a/core/policy/site_test.go
+++ b/core/policy/site_test.go
@@ -144,6 +144,16 @@
 	}
 	check("model seen", large, 20_000, 0, 650*time.Millisecond)
 	check("smallest model as before", small, 10_000, 0, 150*time.Millisecond)
+	for i := range 200 {
+		d := 150 * time.Millisecond
+		if i%10 == 0 {
+			d = 2 * time.Second // held up by something else
+		}
+		s.Note(d, small, 10_000, 0)
+	}
+	if got := s.Need(small, 10_000, 0); got > 180*time.Millisecond {
+		t.Errorf("got %v with one attempt in ten held up, want little more than 150 ms", got)
+	}
 }
 
 // Slow durations are those far above the median, also when a few are huge.
--- a/core/policy/speed.go
+++ b/core/policy/speed.go
@@ -15,8 +15,11 @@
 	models map[ident.Model]*slope
 }
 
-// slope is the time for a token of the prompt: fading sums of both.
-type slope struct{ time, tokens float64 } // ms
+// slope is the time for a token of the prompt: fading means of both.
+type slope struct {
+	time, tokens float64 // ms
+	count        float64 // of attempts
+}
 
 const (
 	// speedWeight is the weight of an attempt in the means.
@@ -24,6 +27,9 @@
 	// lightWork is the work up to which an attempt shows the base, in tokens
 	// of the smallest model.
 	lightWork = 1500
+	// mostExcess bounds what an attempt counts, in times of what was expected.
+	// A few attempts wait long for other reasons than their prompts.
+	mostExcess = 2
 )
 
 // perToken returns the time for a token of the prompt, in ms; 0 if nothing is
@@ -66,11 +72,14 @@
 	excess := max(0, ms-s.base-s.wait(p, before))
 	m := s.models[p.Model]
 	if m == nil {
-		s.models[p.Model] = &slope{excess, tokens}
+		s.models[p.Model] = &slope{excess, tokens, 1}
 		return
 	}
-	m.time += speedWeight * (excess - m.time)
-	m.tokens += speedWeight * (tokens - m.tokens)
+	excess = min(excess, mostExcess*tokens*m.time/m.tokens)
+	m.count++
+	weight := max(speedWeight, 1/m.count)
+	m.time += weight * (excess - m.time)
+	m.tokens += weight * (tokens - m.tokens)
 }
 
 // Need returns the expected time to the first token, for tokens of the prompt
