--- a/gate/relay/attempt.go
+++ b/gate/relay/attempt.go
@@ -125,7 +125,7 @@
 		c.avoid = append(c.avoid, grip.ID)
 	}
 	klog.InfoS("Attempt", "id", c.head.Attempt, "try", c.tries, "backend", grip.ID, "version", grip.Version, "session", c.head.Session, "model", model, "input", c.head.Input, "output", c.head.Output, "chosen", grip.Reason,
-		"load", grip.Load, "waiting", grip.Waiting, "loss", grip.Loss, "work", ask.Prompt.Work, "outcome", outcome, "why", x.why, "opinion", x.opinion, "status", x.status, "head", x.latency, "expected", x.expected, "events", x.events, "took", end.Sub(now))
+		"load", grip.Load, "waiting", grip.Waiting, "loss", grip.Loss, "work", ask.Prompt.Work, "outcome", outcome, "why", x.why, "opinion", x.opinion, "status", x.status, "head", x.latency, "expected", x.expected, "events", x.events, "pause", x.pause, "took", end.Sub(now))
 	return res
 }
 
@@ -170,11 +170,13 @@
 	latency time.Duration // to the head of the answer; 0 if none came
 	// expected is the part of the latency that the prompts explain.
 	expected time.Duration
-	events   int  // passed on
-	judged   bool // counted for the roll-out of its version
-	why      string
-	status   int
-	opinion  int
+	events   int // passed on
+	// pause is the longest one between two parts of a stream.
+	pause   time.Duration
+	judged  bool // counted for the roll-out of its version
+	why     string
+	status  int
+	opinion int
 }
 
 const (
--- a/gate/relay/stream.go
+++ b/gate/relay/stream.go
@@ -37,6 +37,7 @@
 	_ = control.SetWriteDeadline(x.deadline.Add(writeMargin))
 	defer func() { _ = control.SetWriteDeadline(time.Time{}) }()
 	buf := make([]byte, 0, readSize)
+	last := time.Now()
 	for {
 		if len(buf) == cap(buf) {
 			if len(buf) >= mostEvent {
@@ -46,6 +47,8 @@
 			buf = append(buf, 0)[:len(buf)]
 		}
 		n, err := a.Read(buf[len(buf):cap(buf)])
+		now := time.Now()
+		x.pause, last = max(x.pause, now.Sub(last)), now
 		buf = buf[:len(buf)+n]
 		whole := bytes.LastIndex(buf, eventEnd)
 		if whole >= 0 {
