policy: long prompts go to servers with few running streams

Ruled out: a smaller model for those prompts (lost); more runners with fewer streams by the load alone, whose weight is 200 tokens a stream. Change: above 100,000 tokens of work, 0.9 s of reading, the running streams count 600,000 tokens for a full batch. TestSeats fails without it ('long read, few streams').

--- a/core/policy/seat.go
+++ b/core/policy/seat.go
@@ -50,6 +50,11 @@
 	failCost = 200_000
 	// overCost is that of a server without a free slot.
 	overCost = 1_000_000
+	// stallWork is the work from which reading a prompt holds up the streams at
+	// its server for longer than they may pause, and stallCost what a full batch
+	// of them costs.
+	stallWork = 100_000
+	stallCost = 600_000
 	// sureLoad is the load from which no slot may be free: reports are late.
 	sureLoad = 0.95
 )
@@ -74,9 +79,13 @@
 			if s.Out != out {
 				continue
 			}
-			cost := s.cost()
+			cost, work := s.cost(), p.Work
 			if i == top {
 				cost -= p.Shared
+				work -= p.Shared
+			}
+			if work+s.Waiting > stallWork && work > 0 {
+				cost += stallCost * s.Load
 			}
 			if best < 0 || cost < least || cost == least && s.Rank > list[best].Rank {
 				best, least = i, cost
--- a/core/policy/site_test.go
+++ b/core/policy/site_test.go
@@ -43,19 +43,22 @@
 		want   int
 		reason Reason
 	}{
-		"none":                    {nil, Prompt{}, -1, None},
-		"less load":               {[]Seat{{Load: 0.4, Local: true}, {Load: 0.1, Local: true}}, Prompt{}, 1, Least},
-		"near before far":         {[]Seat{{}, {Local: true}}, Prompt{}, 1, Least},
-		"far before loaded":       {[]Seat{{}, {Local: true, Load: 0.3}}, Prompt{}, 0, Least},
-		"tie":                     {[]Seat{{Rank: 1}, {Rank: 2}}, Prompt{}, 1, Least},
-		"prefix":                  {[]Seat{{Rank: 1}, {Rank: 2, Waiting: 5_000}}, prompt, 1, Prefix},
-		"prefix behind a prompt":  {[]Seat{{Rank: 1}, {Rank: 2, Waiting: 50_000}}, prompt, 0, Least},
-		"prefix is out":           {[]Seat{{Rank: 1}, {Rank: 2, Out: true}}, prompt, 0, Prefix},
-		"all are out":             {[]Seat{{Out: true, Load: 0.5}, {Out: true}}, Prompt{}, 1, Floor},
-		"failing":                 {[]Seat{{Failing: 0.3}, {Load: 0.9}}, Prompt{}, 1, Least},
-		"full":                    {[]Seat{{Load: 1}, {Waiting: 500_000, Load: 0.5}}, Prompt{}, 1, Least},
-		"path that loses packets": {[]Seat{{Loss: 0.03}, {Local: true, Load: 0.8}}, Prompt{}, 1, Least},
-		"path with a stray loss":  {[]Seat{{Loss: 0.003}, {Local: true, Load: 0.8}}, Prompt{}, 0, Least},
+		"none":                     {nil, Prompt{}, -1, None},
+		"less load":                {[]Seat{{Load: 0.4, Local: true}, {Load: 0.1, Local: true}}, Prompt{}, 1, Least},
+		"near before far":          {[]Seat{{}, {Local: true}}, Prompt{}, 1, Least},
+		"far before loaded":        {[]Seat{{}, {Local: true, Load: 0.3}}, Prompt{}, 0, Least},
+		"tie":                      {[]Seat{{Rank: 1}, {Rank: 2}}, Prompt{}, 1, Least},
+		"prefix":                   {[]Seat{{Rank: 1}, {Rank: 2, Waiting: 5_000}}, prompt, 1, Prefix},
+		"prefix behind a prompt":   {[]Seat{{Rank: 1}, {Rank: 2, Waiting: 50_000}}, prompt, 0, Least},
+		"prefix is out":            {[]Seat{{Rank: 1}, {Rank: 2, Out: true}}, prompt, 0, Prefix},
+		"all are out":              {[]Seat{{Out: true, Load: 0.5}, {Out: true}}, Prompt{}, 1, Floor},
+		"failing":                  {[]Seat{{Failing: 0.3}, {Load: 0.9}}, Prompt{}, 1, Least},
+		"full":                     {[]Seat{{Load: 1}, {Waiting: 500_000, Load: 0.5}}, Prompt{}, 1, Least},
+		"long read, few streams":   {[]Seat{{Load: 0.2}, {Load: 0.05, Waiting: 20_000}}, Prompt{Work: 150_000}, 1, Least},
+		"short read, many streams": {[]Seat{{Load: 0.2}, {Load: 0.05, Waiting: 20_000}}, Prompt{Work: 50_000}, 0, Least},
+		"long read, held in part":  {[]Seat{{Load: 0.2, Rank: 1}, {Load: 0.05}}, Prompt{Work: 150_000, Shared: 60_000}, 0, Prefix},
+		"path that loses packets":  {[]Seat{{Loss: 0.03}, {Local: true, Load: 0.8}}, Prompt{}, 1, Least},
+		"path with a stray loss":   {[]Seat{{Loss: 0.003}, {Local: true, Load: 0.8}}, Prompt{}, 0, Least},
 	} {
 		t.Run(name, func(t *testing.T) {
 			if got, reason := Seats(x.list, x.prompt); got != x.want || reason != x.reason {
