--- /dev/null
+++ b/gate/relay/bench_test.go
@@ -0,0 +1,52 @@
+package relay_test
+
+import (
+	"io"
+	"net/http"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"k8s.io/klog/v2"
+
+	"citronledge.example/core/logs"
+	"citronledge.example/stub/runner"
+)
+
+// A request and its stream of 20 events with caller and backend server in the
+// same process, with log lines and without any: the difference is what logging
+// costs.
+func BenchmarkLogging(b *testing.B) {
+	for name, on := range map[string]bool{"on": true, "off": false} {
+		b.Run(name, func(b *testing.B) {
+			r := newRig(b, runner.Events(1, 20, 0, ""))
+			if on {
+				w := logs.New(io.Discard)
+				klog.LogToStderr(false)
+				klog.SetOutput(w)
+				defer w.Close()
+			} else {
+				klog.SetLogger(logr.Discard())
+				defer klog.ClearLogger()
+			}
+			before := used(b)
+			b.ResetTimer()
+			for range b.N {
+				if got := r.send(http.MethodPost, "/stream/x", "b", map[string]string{"Token-Usage": "10,10"}); got.status != 200 {
+					b.Fatalf("got %d", got.status)
+				}
+			}
+			b.ReportMetric(float64((used(b)-before).Microseconds())/float64(b.N), "cpu-us/op")
+		})
+	}
+}
+
+// used returns the processor time of this process.
+func used(b *testing.B) time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		b.Fatal(err)
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
--- a/soak/backend.go
+++ b/soak/backend.go
@@ -44,8 +44,13 @@
 
 	mu      sync.Mutex
 	servers []*backend
-	broken  bool // the list answers with a failure
 	next    int
+	// failed is how long the list has answered with failures before since,
+	// which is the start of the failure that goes on, or zero.
+	failed time.Duration
+	since  time.Time
+	// resumed is when a gate went on last after a pause.
+	resumed time.Time
 }
 
 type backend struct {
@@ -55,8 +60,9 @@
 
 	mu      sync.Mutex
 	manner  manner
-	leaving time.Time // since when the list shows it; zero while it stays
-	gone    bool      // not in the list
+	leaving time.Time     // since when the list shows it; zero while it stays
+	before  time.Duration // for which the list had failed by then
+	gone    bool          // not in the list
 }
 
 func (b *backend) set(m manner) {
@@ -65,9 +71,13 @@
 	b.manner = m
 }
 
-// leftBy is how long after the list shows that a server leaves it may still get
-// requests.
-const leftBy = 3 * time.Second
+const (
+	// leftBy is how long a server may still get requests after the list shows
+	// that it leaves. The time does not run while the list fails.
+	leftBy = 3 * time.Second
+	// contactTime is how long nothing is expected of a gate that was paused.
+	contactTime = 3 * time.Second
+)
 
 func newBackends(b *book) (*backends, error) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
@@ -126,9 +136,10 @@
 }
 
 // leave shows the server as leaving, and takes it off the list later.
-func (b *backend) leave(after time.Duration) {
+func (s *backends) leave(b *backend, after time.Duration) {
+	failed := s.failing()
 	b.mu.Lock()
-	b.leaving = time.Now()
+	b.leaving, b.before = time.Now(), failed
 	b.mu.Unlock()
 	time.AfterFunc(after, func() {
 		b.mu.Lock()
@@ -137,16 +148,51 @@
 	})
 }
 
+// failing returns how long the list has failed in this run.
+func (s *backends) failing() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.since.IsZero() {
+		return s.failed
+	}
+	return s.failed + time.Since(s.since)
+}
+
+// setBroken makes the list fail.
 func (s *backends) setBroken(broken bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.broken = broken
+	switch {
+	case broken && s.since.IsZero():
+		s.since = time.Now()
+	case !broken && !s.since.IsZero():
+		s.failed += time.Since(s.since)
+		s.since = time.Time{}
+	}
+}
+
+// resume notes that a gate goes on after a pause.
+func (s *backends) resume() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.resumed = time.Now()
+}
+
+// overdue tells whether a server should get no requests any more.
+func (s *backends) overdue(b *backend) bool {
+	failed := s.failing()
+	b.mu.Lock()
+	leaving, before := b.leaving, b.before
+	b.mu.Unlock()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !leaving.IsZero() && time.Since(leaving)-(failed-before) > leftBy && time.Since(s.resumed) > contactTime
 }
 
 func (s *backends) answerList(w http.ResponseWriter, _ *http.Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.broken {
+	if !s.since.IsZero() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
@@ -181,14 +227,13 @@
 
 func (s *backends) reply(b *backend, c net.Conn, q *runner.Request) bool {
 	b.mu.Lock()
-	m, leaving := b.manner, b.leaving
+	m := b.manner
 	b.mu.Unlock()
-	late := !leaving.IsZero() && time.Since(leaving) > leftBy
 	if m == full {
 		return runner.Full(c, q)
 	}
 	path, id := q.URL.Path, q.Attempt()
-	s.book.ran(id, path, b.id, late)
+	s.book.ran(id, path, b.id, s.overdue(b))
 	time.Sleep(workTime)
 	switch m {
 	case failing:
--- a/soak/fault.go
+++ b/soak/fault.go
@@ -48,6 +48,7 @@
 			m := s.one(s.site.all(), r)
 			m.signal(syscall.SIGSTOP)
 			sleep(ctx, length(r))
+			s.site.backends.resume()
 			m.signal(syscall.SIGCONT)
 		}},
 		{"wipe state", s.wipe},
@@ -211,7 +212,7 @@
 	}
 	sleep(ctx, time.Second) // the gates learn of the new one
 	if len(s.site.backends.all()) > servers {
-		old.leave(listedFor)
+		s.site.backends.leave(old, listedFor)
 	}
 }
 
