logs: lines that arrive after a pause no longer overwrite those being written

Ruled out: the signal handling; the race detector names logs.Writer in each of the ten reports read from the files listed first. Change: the buffers are exchanged only when there are lines. TestLinesAfterPause fails without it (data race) and passes with it; TestHangupDuringStop passes 6 of 6.

--- a/core/logs/logs.go
+++ b/core/logs/logs.go
@@ -68,9 +68,7 @@
 	for range w.wake {
 		for {
 			w.mu.Lock()
-			data := w.waiting
-			w.waiting = spare[:0]
-			if len(data) == 0 {
+			if len(w.waiting) == 0 {
 				w.writing = false
 				stopped := w.stopped
 				w.mu.Unlock()
@@ -79,6 +77,9 @@
 				}
 				break
 			}
+			// Lines go on arriving while data is written, in the other buffer.
+			data := w.waiting
+			w.waiting = spare[:0]
 			w.mu.Unlock()
 			// A log that cannot be written has nowhere to be reported.
 			_, _ = w.out.Write(data)
