--- a/soak/backend.go
+++ b/soak/backend.go
@@ -38,9 +38,9 @@
 // backends are the stand-ins of backend servers, behind proxies, and the
 // platform's list of them.
 type backends struct {
-	book *book
-	list net.Listener
-	srv  *http.Server
+	recorder *recorder
+	list     net.Listener
+	srv      *http.Server
 
 	mu      sync.Mutex
 	servers []*backend
@@ -79,12 +79,12 @@
 	contactTime = 3 * time.Second
 )
 
-func newBackends(b *book) (*backends, error) {
+func newBackends(b *recorder) (*backends, error) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	s := &backends{book: b, list: ln}
+	s := &backends{recorder: b, list: ln}
 	s.srv = &http.Server{Handler: http.HandlerFunc(s.answerList), ReadHeaderTimeout: time.Second}
 	go func() { _ = s.srv.Serve(ln) }() // ends with close
 	return s, nil
@@ -233,7 +233,7 @@
 		return runner.Full(c, q)
 	}
 	path, id := q.URL.Path, q.Attempt()
-	s.book.ran(id, path, b.id, s.overdue(b))
+	s.recorder.ran(id, path, b.id, s.overdue(b))
 	time.Sleep(workTime)
 	switch m {
 	case failing:
--- a/soak/fault.go
+++ b/soak/fault.go
@@ -81,7 +81,7 @@
 			for ctx.Err() == nil {
 				e := list[r.IntN(len(list))]
 				klog.V(1).InfoS("Event", "name", e.name)
-				s.book.count(e.name)
+				s.recorder.count(e.name)
 				e.run(ctx, r)
 				sleep(ctx, time.Duration(r.Int64N(int64(longestGap))))
 			}
@@ -111,9 +111,9 @@
 	calm = calm && phase(s.phase.Load()) == planned
 	switch {
 	case !ok && calm:
-		s.book.find("%s runs %v after SIGTERM", m.name, stopTime+stopSlack)
+		s.recorder.find("%s runs %v after SIGTERM", m.name, stopTime+stopSlack)
 	case code != 0 && calm:
-		s.book.find("%s ended with code %d after SIGTERM", m.name, code)
+		s.recorder.find("%s ended with code %d after SIGTERM", m.name, code)
 	}
 	m.kill()
 	s.restart(ctx, r, m)
@@ -123,7 +123,7 @@
 func (s *soak) restart(ctx context.Context, r *rand.Rand, m *member) {
 	sleep(ctx, time.Duration(r.IntN(600))*time.Millisecond)
 	if err := m.start(); err != nil {
-		s.book.find("%s does not start: %v", m.name, err)
+		s.recorder.find("%s does not start: %v", m.name, err)
 	}
 }
 
--- a/soak/load.go
+++ b/soak/load.go
@@ -99,11 +99,11 @@
 // caller sends requests one after the other and keeps its connection for as
 // long as the gate does.
 type caller struct {
-	book  *book
-	phase *atomic.Int32
-	rand  *rand.Rand
-	name  string
-	sent  int
+	recorder *recorder
+	phase    *atomic.Int32
+	rand     *rand.Rand
+	name     string
+	sent     int
 
 	conn net.Conn
 	in   *bufio.Reader
@@ -183,7 +183,7 @@
 
 func (c *caller) id() string {
 	c.sent++
-	c.book.count("requests")
+	c.recorder.count("requests")
 	return fmt.Sprintf("%s-%d", c.name, c.sent)
 }
 
@@ -202,39 +202,39 @@
 	case a.status == http.StatusOK:
 		return c.success(path, id, content, gate, calm, a)
 	case signed:
-		c.book.count("failed by its server")
+		c.recorder.count("failed by its server")
 		if a.err == nil && (a.status != http.StatusInternalServerError || a.body != "failed "+id) {
-			c.book.find("%s: got %d %q with a server's signature, which no server has sent", id, a.status, a.body)
+			c.recorder.find("%s: got %d %q with a server's signature, which no server has sent", id, a.status, a.body)
 		}
 	case a.status == http.StatusServiceUnavailable || a.status == http.StatusTooManyRequests:
-		c.book.refused(id, path, fmt.Sprintf("%d by %s", a.status, gate))
+		c.recorder.refused(id, path, fmt.Sprintf("%d by %s", a.status, gate))
 		if a.header.Get("Retry-After") == "" && a.header.Get("Retry-After-Ms") == "" {
-			c.book.count("refused without a time to come back")
+			c.recorder.count("refused without a time to come back")
 		}
 	case a.status == http.StatusBadGateway || a.status == http.StatusGatewayTimeout:
-		c.book.count("failed")
+		c.recorder.count("failed")
 		if calm {
-			c.book.find("%s %s: %d by %s while only planned events go on: %s", id, path, a.status, gate, strings.TrimSpace(a.body))
+			c.recorder.find("%s %s: %d by %s while only planned events go on: %s", id, path, a.status, gate, strings.TrimSpace(a.body))
 		}
 	default:
-		c.book.find("%s %s: %d by %s for a proper request: %s", id, path, a.status, gate, strings.TrimSpace(a.body))
+		c.recorder.find("%s %s: %d by %s for a proper request: %s", id, path, a.status, gate, strings.TrimSpace(a.body))
 	}
 	return false
 }
 
 // unanswered judges a connection that ended without an answer.
 func (c *caller) unanswered(path, id, gate string, calm bool, a answer) {
-	c.book.count("closed without an answer")
+	c.recorder.count("closed without an answer")
 	if !calm {
 		return
 	}
-	switch runs := c.book.ranAt(id); {
+	switch runs := c.recorder.ranAt(id); {
 	case errors.Is(a.err, os.ErrDeadlineExceeded):
-		c.book.find("%s %s: no answer by %s in %v while only planned events go on", id, path, gate, a.took)
+		c.recorder.find("%s %s: no answer by %s in %v while only planned events go on", id, path, gate, a.took)
 	case runs > 0:
-		c.book.find("%s %s: %s closed the connection of a request that has run, %v after it was sent", id, path, gate, a.took)
+		c.recorder.find("%s %s: %s closed the connection of a request that has run, %v after it was sent", id, path, gate, a.took)
 	case a.took > crossing:
-		c.book.find("%s %s: %s closed the connection %v after it had the whole request", id, path, gate, a.took)
+		c.recorder.find("%s %s: %s closed the connection %v after it had the whole request", id, path, gate, a.took)
 	}
 }
 
@@ -252,18 +252,18 @@
 	}
 	switch {
 	case a.header.Get("Server-Signature") != "sig-"+id || a.header.Get("Attempt-Id") != id:
-		c.book.find("%s: a success by %s without its server's signature: %v", id, gate, a.header)
+		c.recorder.find("%s: a success by %s without its server's signature: %v", id, gate, a.header)
 	case a.err == nil && a.body == want:
-		c.book.count("served")
+		c.recorder.count("served")
 		return true
 	case a.err == nil:
-		c.book.find("%s: got the whole answer %q by %s, want %q", id, a.body, gate, want)
+		c.recorder.find("%s: got the whole answer %q by %s, want %q", id, a.body, gate, want)
 	case !strings.HasPrefix(want, a.body):
-		c.book.find("%s: got %q before %s broke off, want a start of %q", id, a.body, gate, want)
+		c.recorder.find("%s: got %q before %s broke off, want a start of %q", id, a.body, gate, want)
 	default:
-		c.book.count("broken off")
+		c.recorder.count("broken off")
 		if calm {
-			c.book.find("%s %s: %s broke off an answer while only planned events go on: %v", id, path, gate, a.err)
+			c.recorder.find("%s %s: %s broke off an answer while only planned events go on: %v", id, path, gate, a.err)
 		}
 	}
 	return false
@@ -276,16 +276,16 @@
 // tells whether it was served.
 func (c *caller) marker(version int) bool {
 	id, gate := c.id(), c.gate
-	before := c.book.newest(gate)
+	before := c.recorder.newest(gate)
 	path := markerPath(version)
 	a := c.exchange(path, id, "")
 	if !a.head || a.err != nil || a.status != http.StatusOK {
 		return false
 	}
 	if a.body != wantBody(path, id, nil) {
-		c.book.find("%s: got %q by %s, want %q", id, a.body, gate, wantBody(path, id, nil))
+		c.recorder.find("%s: got %q by %s, want %q", id, a.body, gate, wantBody(path, id, nil))
 	}
-	c.book.worked(gate, version, before)
+	c.recorder.worked(gate, version, before)
 	return true
 }
 
@@ -293,7 +293,7 @@
 func (s *soak) runCallers(ctx context.Context, lb *balancer) {
 	var wait sync.WaitGroup
 	for i := range callers {
-		c := &caller{book: s.book, phase: &s.phase, rand: s.source(100 + uint64(i)), name: fmt.Sprintf("c%d", i)}
+		c := &caller{recorder: s.recorder, phase: &s.phase, rand: s.source(100 + uint64(i)), name: fmt.Sprintf("c%d", i)}
 		wait.Go(func() { c.run(ctx, lb, s.operator.newest) })
 	}
 	wait.Wait()
--- a/soak/operator.go
+++ b/soak/operator.go
@@ -21,9 +21,9 @@
 
 // operator sends configurations and reads them back.
 type operator struct {
-	book   *book
-	states []*member
-	client *http.Client
+	recorder *recorder
+	states   []*member
+	client   *http.Client
 
 	mu    sync.Mutex
 	sent  int // highest version
@@ -31,9 +31,9 @@
 	texts map[int]string
 }
 
-func newOperator(b *book, states []*member) *operator {
+func newOperator(b *recorder, states []*member) *operator {
 	return &operator{
-		book: b, states: states, texts: map[int]string{},
+		recorder: b, states: states, texts: map[int]string{},
 		client: &http.Client{Timeout: operatorTime, Transport: &http.Transport{DisableKeepAlives: true}},
 	}
 }
@@ -100,7 +100,7 @@
 		o.acked = max(o.acked, version)
 		return true
 	case status >= 400 && status < 500:
-		o.book.find("version %d was refused with %d: %s", version, status, answer)
+		o.recorder.find("version %d was refused with %d: %s", version, status, answer)
 	}
 	return false
 }
@@ -128,7 +128,7 @@
 		version, text := o.next(1 + r.IntN(3))
 		for range 1 + r.IntN(tries) {
 			if o.send(m, version, text) {
-				o.book.count("configurations acknowledged")
+				o.recorder.count("configurations acknowledged")
 				break
 			}
 			m = o.states[r.IntN(len(o.states))]
@@ -150,7 +150,7 @@
 		broken = strings.Replace(text, `"service":"pool"`, `"service":"none"`, 1)
 	}
 	if status, _ := o.call(m, http.MethodPost, replacePath, broken); status == http.StatusOK {
-		o.book.find("an invalid configuration was acknowledged as version %d by %s", version, m.name)
+		o.recorder.find("an invalid configuration was acknowledged as version %d by %s", version, m.name)
 	}
 }
 
@@ -164,17 +164,17 @@
 	}
 	var head struct{ Version int }
 	if err := json.Unmarshal([]byte(text), &head); err != nil {
-		o.book.find("%s answers with a configuration that cannot be read: %v", m.name, err)
+		o.recorder.find("%s answers with a configuration that cannot be read: %v", m.name, err)
 		return 0
 	}
 	if head.Version < floor {
-		o.book.find("%s answers with version %d after version %d was acknowledged", m.name, head.Version, floor)
+		o.recorder.find("%s answers with version %d after version %d was acknowledged", m.name, head.Version, floor)
 	}
 	o.mu.Lock()
 	want := o.texts[head.Version]
 	o.mu.Unlock()
 	if head.Version > 0 && !same(text, want) {
-		o.book.find("%s answers with other content for version %d than was sent: %s", m.name, head.Version, text)
+		o.recorder.find("%s answers with other content for version %d than was sent: %s", m.name, head.Version, text)
 	}
 	return head.Version
 }
--- a/soak/book.go
+++ b/soak/recorder.go
@@ -7,9 +7,9 @@
 	"time"
 )
 
-// book records what callers and backend servers have seen and finds what
+// recorder records what callers and backend servers have seen and finds what
 // breaks a promise.
-type book struct {
+type recorder struct {
 	mu     sync.Mutex
 	runs   map[string][]run // by request id
 	denied map[string]string
@@ -27,27 +27,27 @@
 // mostFindings bounds what is kept of a run that goes wrong.
 const mostFindings = 40
 
-func newBook() *book {
-	return &book{
+func newRecorder() *recorder {
+	return &recorder{
 		runs: map[string][]run{}, denied: map[string]string{}, counts: map[string]int{},
 		served: map[string]int{}, start: time.Now(),
 	}
 }
 
 // find notes a broken promise.
-func (b *book) find(format string, args ...any) {
+func (b *recorder) find(format string, args ...any) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.findLocked(format, args...)
 }
 
-func (b *book) findLocked(format string, args ...any) {
+func (b *recorder) findLocked(format string, args ...any) {
 	if len(b.found) < mostFindings {
 		b.found = append(b.found, fmt.Sprintf("%7.3f s  ", time.Since(b.start).Seconds())+fmt.Sprintf(format, args...))
 	}
 }
 
-func (b *book) count(what string) {
+func (b *recorder) count(what string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.counts[what]++
@@ -57,7 +57,7 @@
 func once(path string) bool { return strings.HasPrefix(path, "/once/") }
 
 // ran notes that a backend server has begun to work on a request.
-func (b *book) ran(id, path, backend string, late bool) {
+func (b *recorder) ran(id, path, backend string, late bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.counts["runs"]++
@@ -77,14 +77,14 @@
 }
 
 // ranAt returns how often a request has run.
-func (b *book) ranAt(id string) int {
+func (b *recorder) ranAt(id string) int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return len(b.runs[id])
 }
 
 // refused notes an answer that says that a request has not run.
-func (b *book) refused(id, path, how string) {
+func (b *recorder) refused(id, path, how string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.counts["refused"]++
@@ -97,7 +97,7 @@
 // worked notes that a gate has served a request by a configuration that only
 // one version allows. sent is the highest version seen at that gate when the
 // request was sent.
-func (b *book) worked(gate string, version, sent int) {
+func (b *recorder) worked(gate string, version, sent int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if version < sent {
@@ -106,7 +106,7 @@
 	b.served[gate] = max(b.served[gate], version)
 }
 
-func (b *book) newest(gate string) int {
+func (b *recorder) newest(gate string) int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return b.served[gate]
@@ -123,7 +123,7 @@
 	Dir string
 }
 
-func (b *book) report() Report {
+func (b *recorder) report() Report {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return Report{Findings: b.found, Counts: b.counts}
--- a/soak/site.go
+++ b/soak/site.go
@@ -55,7 +55,7 @@
 }
 
 // newSite starts everything but the processes. bin holds the programs.
-func newSite(bin, dir string, b *book) (*site, error) {
+func newSite(bin, dir string, b *recorder) (*site, error) {
 	s := &site{dir: dir}
 	if err := os.WriteFile(filepath.Join(dir, "keys.yaml"), []byte(keys), 0o600); err != nil {
 		return nil, err
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -41,7 +41,7 @@
 // soak is one run.
 type soak struct {
 	Config
-	book     *book
+	recorder *recorder
 	site     *site
 	operator *operator
 	phase    atomic.Int32
@@ -54,13 +54,13 @@
 // Run plays one seed. Its error says that the run could not be made; broken
 // promises are in the report.
 func Run(ctx context.Context, cfg Config) (Report, error) {
-	s := &soak{Config: cfg, book: newBook()}
+	s := &soak{Config: cfg, recorder: newRecorder()}
 	var err error
-	if s.site, err = newSite(cfg.Bin, cfg.Dir, s.book); err != nil {
+	if s.site, err = newSite(cfg.Bin, cfg.Dir, s.recorder); err != nil {
 		return Report{}, eris.Wrap(err, "cannot set up the site")
 	}
 	defer s.site.close()
-	s.operator = newOperator(s.book, s.site.states)
+	s.operator = newOperator(s.recorder, s.site.states)
 	if err := s.site.start(); err != nil {
 		return Report{}, err
 	}
@@ -76,7 +76,7 @@
 	}
 	s.work(ctx, lb)
 	s.settle()
-	r := s.book.report()
+	r := s.recorder.report()
 	r.Seed, r.Dir = cfg.Seed, cfg.Dir
 	return r, nil
 }
@@ -111,7 +111,7 @@
 			if boot := m.boot(); m.crashed() && m.busy.TryLock() {
 				if m.crashed() && seen[m.name] != boot {
 					seen[m.name] = boot
-					s.book.find("%s has ended by itself; see %s", m.name, m.logFile())
+					s.recorder.find("%s has ended by itself; see %s", m.name, m.logFile())
 				}
 				m.busy.Unlock()
 			}
@@ -130,7 +130,7 @@
 			m.operators.set(impairment{})
 		}
 		if err := m.start(); err != nil {
-			s.book.find("%s does not start: %v", m.name, err)
+			s.recorder.find("%s does not start: %v", m.name, err)
 		}
 	}
 	for _, b := range s.site.backends.all() {
@@ -143,30 +143,30 @@
 // settle checks that the system recovers and has lost nothing.
 func (s *soak) settle() {
 	if missing := s.recovered(recoverTime); missing != "" {
-		s.book.find("not recovered %v after the last fault: %s", recoverTime, missing)
+		s.recorder.find("not recovered %v after the last fault: %s", recoverTime, missing)
 	}
 	floor := s.operator.floor()
 	version, ok := s.operator.replace(ackTime)
 	if !ok {
-		s.book.find("no configuration acknowledged %v after the recovery", ackTime)
+		s.recorder.find("no configuration acknowledged %v after the recovery", ackTime)
 		return
 	}
 	if version < floor {
-		s.book.find("version %d acknowledged after version %d", version, floor)
+		s.recorder.find("version %d acknowledged after version %d", version, floor)
 	}
 	for _, g := range s.site.gates {
 		if !within(applyTime, func() bool { return s.probe(g, func(c *caller) bool { return c.marker(version) }) }) {
-			s.book.find("%s does not serve by version %d %v after it was acknowledged", g.name, version, applyTime)
+			s.recorder.find("%s does not serve by version %d %v after it was acknowledged", g.name, version, applyTime)
 		}
 	}
 	for _, m := range s.site.states {
 		if got := s.operator.read(m); got != version {
-			s.book.find("%s answers with version %d at the end, want %d", m.name, got, version)
+			s.recorder.find("%s answers with version %d at the end, want %d", m.name, got, version)
 		}
 	}
-	counts := s.book.report().Counts
+	counts := s.recorder.report().Counts
 	if most := float64(counts["requests"])*(1+retryRatio) + retrySlack; float64(counts["runs"]) > most {
-		s.book.find("%d runs for %d requests; the budget for repeats allows %.0f", counts["runs"], counts["requests"], most)
+		s.recorder.find("%d runs for %d requests; the budget for repeats allows %.0f", counts["runs"], counts["requests"], most)
 	}
 }
 
@@ -183,7 +183,7 @@
 
 // probe connects to a gate and calls f.
 func (s *soak) probe(g *member, f func(*caller) bool) bool {
-	c := &caller{book: s.book, phase: &s.phase, name: fmt.Sprintf("p%d", time.Now().UnixNano())}
+	c := &caller{recorder: s.recorder, phase: &s.phase, name: fmt.Sprintf("p%d", time.Now().UnixNano())}
 	defer c.close()
 	return c.connect(g) && f(c)
 }
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -54,21 +54,21 @@
 }
 
 // The checks themselves: each of these must be found.
-func TestBook(t *testing.T) {
-	for name, f := range map[string]func(b *book){
-		"run twice":          func(b *book) { b.ran("a", "/once/x", "i-1", false); b.ran("a", "/once/x", "i-2", false) },
-		"refused after run":  func(b *book) { b.ran("a", "/once/x", "i-1", false); b.refused("a", "/once/x", "503") },
-		"run after refusal":  func(b *book) { b.refused("a", "/once/x", "503"); b.ran("a", "/once/x", "i-1", false) },
-		"unasked":            func(b *book) { b.ran("", "/safe/x", "i-1", false) },
-		"server leaves":      func(b *book) { b.ran("a", "/safe/x", "i-1", true) },
-		"older in one start": func(b *book) { b.worked("gate-1#1", 5, 0); b.worked("gate-1#1", 4, b.newest("gate-1#1")) },
+func TestRecorder(t *testing.T) {
+	for name, f := range map[string]func(b *recorder){
+		"run twice":          func(b *recorder) { b.ran("a", "/once/x", "i-1", false); b.ran("a", "/once/x", "i-2", false) },
+		"refused after run":  func(b *recorder) { b.ran("a", "/once/x", "i-1", false); b.refused("a", "/once/x", "503") },
+		"run after refusal":  func(b *recorder) { b.refused("a", "/once/x", "503"); b.ran("a", "/once/x", "i-1", false) },
+		"unasked":            func(b *recorder) { b.ran("", "/safe/x", "i-1", false) },
+		"server leaves":      func(b *recorder) { b.ran("a", "/safe/x", "i-1", true) },
+		"older in one start": func(b *recorder) { b.worked("gate-1#1", 5, 0); b.worked("gate-1#1", 4, b.newest("gate-1#1")) },
 	} {
-		b := newBook()
+		b := newRecorder()
 		if f(b); len(b.report().Findings) != 1 {
 			t.Errorf("%s: got findings %q, want one", name, b.report().Findings)
 		}
 	}
-	b := newBook()
+	b := newRecorder()
 	b.ran("a", "/safe/x", "i-1", false)
 	b.ran("a", "/safe/x", "i-2", false) // may be repeated
 	b.refused("b", "/once/x", "503")
--- a/state/redir/redir.go
+++ b/state/redir/redir.go
@@ -130,7 +130,7 @@
 	return raft.NotLeader{Leader: r.Leader()}
 }
 
-// Replace implements the administration of the cluster, as all that follow.
+// Replace always returns raft.NotLeader, as do the other orders.
 func (r *Redirector) Replace(ctx context.Context, _ uint64, _ []byte) error { return r.elsewhere(ctx) }
 
 // Order always returns raft.NotLeader.
