logs: the test of lines after a pause runs on a fake clock

Cause: read-through; its sleeps were of real time, and only the race detector made it fail. Ruled out: sleeping for less, the outcome would still hang on the machine. Change: a synctest bubble; the number stands in the second half of a line, which is written late.

--- a/core/logs/logs_test.go
+++ b/core/logs/logs_test.go
@@ -6,6 +6,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 )
 
@@ -74,14 +75,9 @@
 }
 
 // slowOut takes a part of each write, waits, and takes the rest.
-type slowOut struct {
-	mu   sync.Mutex
-	text strings.Builder
-}
+type slowOut struct{ text strings.Builder }
 
 func (o *slowOut) Write(p []byte) (int, error) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
 	o.text.Write(p[:len(p)/2])
 	time.Sleep(20 * time.Millisecond)
 	o.text.Write(p[len(p)/2:])
@@ -91,22 +87,22 @@
 // Lines that arrive while earlier ones are written, after a time without any,
 // must not overwrite them.
 func TestLinesAfterPause(t *testing.T) {
-	out := &slowOut{}
-	w := New(out)
-	var want strings.Builder
-	for burst := range 4 {
-		for i := range 20 {
-			line := fmt.Sprintf("burst %d line %d of some length\n", burst, i)
-			want.WriteString(line)
-			_, _ = io.WriteString(w, line)
-			time.Sleep(time.Millisecond)
+	synctest.Test(t, func(t *testing.T) {
+		out := &slowOut{}
+		w := New(out)
+		var want strings.Builder
+		for burst := range 4 {
+			for i := range 20 {
+				line := fmt.Sprintf("line of burst %d with the number %d\n", burst, i)
+				want.WriteString(line)
+				_, _ = io.WriteString(w, line)
+				time.Sleep(time.Millisecond)
+			}
+			time.Sleep(300 * time.Millisecond) // the writer runs out of lines
 		}
-		time.Sleep(300 * time.Millisecond) // the writer runs out of lines
-	}
-	w.Close()
-	out.mu.Lock()
-	defer out.mu.Unlock()
-	if got := out.text.String(); got != want.String() {
-		t.Errorf("got %q, want %q", got, want.String())
-	}
+		w.Close()
+		if got := out.text.String(); got != want.String() {
+			t.Errorf("got %q, want %q", got, want.String())
+		}
+	})
 }
