stub, soak: what callers, operators and the platform send has one stand-in

Cause: read-through; the soak spelled out headers, paths, settings and the list of the platform in five files. Change: stub/users writes and reads them, in types whose fields say what they hold; the soak uses the project's words. No check changes.

--- a/soak/backend.go
+++ b/soak/backend.go
@@ -3,17 +3,16 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
-	"strconv"
 	"strings"
 	"sync"
 	"time"
 
 	"citronledge.example/stub/runner"
+	"citronledge.example/stub/users"
 )
 
 const (
@@ -196,24 +195,16 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	type entry map[string]any
-	list := []entry{}
+	var list []users.Entry
 	for _, b := range s.servers {
 		b.mu.Lock()
-		state := "ready"
-		if !b.leaving.IsZero() {
-			state = "draining"
-		}
 		if !b.gone {
-			list = append(list, entry{
-				"id": b.id, "service": "pool", "address": b.proxy.ln.Addr().String(), "zone": "a", "version": "v1",
-				"slots": 16, "state": state, "cold-remaining-ms": 0,
-			})
+			list = append(list, users.Entry{ID: b.id, Service: service, Address: b.proxy.ln.Addr().String(), Leaving: !b.leaving.IsZero()})
 		}
 		b.mu.Unlock()
 	}
 	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(map[string]any{"instances": list, "next": nil}) // the reader may be gone
+	_ = users.WriteList(w, list) // the reader may be gone
 }
 
 // wantBody is the answer to a request that is no stream.
@@ -256,14 +247,10 @@
 
 // stream answers with the events after the last one that the caller has.
 func stream(m manner, c net.Conn, q *runner.Request) bool {
-	first := 1
-	if n, err := strconv.Atoi(q.Header.Get("Last-Event-Id")); err == nil {
-		first = n + 1
-	}
 	if _, err := io.WriteString(c, runner.Head(http.StatusOK, q, "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")); err != nil {
 		return false
 	}
-	for n := first; n <= streamEvents; n++ {
+	for n := q.After() + 1; n <= streamEvents; n++ {
 		time.Sleep(eventPause)
 		event := wantEvent(q.Attempt(), n)
 		if m == cutting && n == streamEvents/2 {
--- a/soak/load.go
+++ b/soak/load.go
@@ -14,6 +14,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"citronledge.example/stub/users"
 )
 
 const (
@@ -47,9 +49,8 @@
 }
 
 const (
-	askReady  = 250 * time.Millisecond
-	outAfter  = 2
-	readyPath = "/api/readyz"
+	askReady = 250 * time.Millisecond
+	outAfter = 2
 )
 
 func newBalancer(gates []*member) *balancer {
@@ -64,7 +65,7 @@
 	client := &http.Client{Timeout: askReady, Transport: &http.Transport{DisableKeepAlives: true}}
 	for ctx.Err() == nil {
 		for i, g := range b.gates {
-			resp, err := client.Get("http://" + at(g.ip, readyPort) + readyPath)
+			resp, err := client.Get("http://" + at(g.ip, readyPort) + users.ReadyPath)
 			if err == nil {
 				_ = resp.Body.Close()
 			}
@@ -151,7 +152,7 @@
 // answer is what came for a request.
 type answer struct {
 	status int
-	header http.Header
+	said   users.Answer
 	body   string
 	err    error // of the head or the body
 	head   bool  // the head has come
@@ -163,8 +164,8 @@
 	start := time.Now()
 	_ = c.conn.SetDeadline(start.Add(callerPatience))
 	a := answer{}
-	_, a.err = fmt.Fprintf(c.conn, "POST %s HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: %s\r\nKey: soak-key\r\nDeadline-Ms: %d\r\nToken-Usage: 10,%d\r\nContent-Length: %d\r\n\r\n%s",
-		path, id, callerDeadline.Milliseconds(), streamEvents, len(content), content)
+	q := users.Request{Path: path, Host: host, ID: id, Key: key, Content: content, Deadline: callerDeadline, Output: streamEvents}
+	_, a.err = q.WriteTo(c.conn)
 	var resp *http.Response
 	if a.err == nil {
 		resp, a.err = http.ReadResponse(c.in, nil)
@@ -172,7 +173,7 @@
 	if a.err == nil {
 		var body []byte
 		body, a.err = io.ReadAll(resp.Body)
-		a.status, a.header, a.body, a.head = resp.StatusCode, resp.Header, string(body), true
+		a.status, a.said, a.body, a.head = resp.StatusCode, users.ParseAnswer(resp.Header), string(body), true
 	}
 	a.took = time.Since(start)
 	if a.err != nil || resp.Close {
@@ -195,20 +196,19 @@
 	calm := phase(c.phase.Load()) == planned
 	a := c.exchange(path, id, content)
 	calm = calm && phase(c.phase.Load()) == planned
-	signed := a.header.Get("Server-Signature") != ""
 	switch {
 	case !a.head:
 		c.unanswered(path, id, gate, calm, a)
 	case a.status == http.StatusOK:
 		return c.success(path, id, content, gate, calm, a)
-	case signed:
+	case a.said.Signature != "":
 		c.recorder.count("failed by its server")
 		if a.err == nil && (a.status != http.StatusInternalServerError || a.body != "failed "+id) {
 			c.recorder.find("%s: got %d %q with a server's signature, which no server has sent", id, a.status, a.body)
 		}
 	case a.status == http.StatusServiceUnavailable || a.status == http.StatusTooManyRequests:
 		c.recorder.refused(id, path, fmt.Sprintf("%d by %s", a.status, gate))
-		if a.header.Get("Retry-After") == "" && a.header.Get("Retry-After-Ms") == "" {
+		if !a.said.ComeBack {
 			c.recorder.count("refused without a time to come back")
 		}
 	case a.status == http.StatusBadGateway || a.status == http.StatusGatewayTimeout:
@@ -251,8 +251,8 @@
 		want = wantBody(path, id, []byte(content))
 	}
 	switch {
-	case a.header.Get("Server-Signature") != "sig-"+id || a.header.Get("Attempt-Id") != id:
-		c.recorder.find("%s: a success by %s without its server's signature: %v", id, gate, a.header)
+	case a.said.Signature != "sig-"+id || a.said.ID != id:
+		c.recorder.find("%s: a success by %s without its server's signature: %+v", id, gate, a.said)
 	case a.err == nil && a.body == want:
 		c.recorder.count("served")
 		return true
--- a/soak/operator.go
+++ b/soak/operator.go
@@ -11,12 +11,17 @@
 	"strings"
 	"sync"
 	"time"
+
+	"citronledge.example/stub/users"
 )
 
+const operatorTime = 1500 * time.Millisecond // of one call
+
+// The callers' host, their key and the one service of all configurations.
 const (
-	operatorTime = 1500 * time.Millisecond // of one call
-	replacePath  = "/api/configuration/replace"
-	readPath     = "/api/configuration/read"
+	host    = "h.example"
+	key     = "soak-key"
+	service = "pool"
 )
 
 // operator sends configurations and reads them back.
@@ -41,13 +46,11 @@
 // document is a configuration that allows the usual requests and those of its
 // own marker.
 func document(version int) string {
-	route := func(name, prefix, kind string, more string) string {
-		return fmt.Sprintf(`{"name":%q,"host":"h.example","path-prefix":%q,"type":%q,"timeout-ms":4000,"target-latency-ms":1000,"service":"pool","max-attempts":3%s}`, name, prefix, kind, more)
+	route := func(name, path string, kind users.Kind) users.Route {
+		return users.Route{Name: name, Host: host, Path: path, Kind: kind, Timeout: 4 * time.Second, Service: service, Attempts: 3}
 	}
-	return fmt.Sprintf(`{"version":%d,"routes":[%s,%s,%s,%s],"services":[{"name":"pool","health-path":"/healthz","max-connections":100}],`+
-		`"limits":{"max-body-bytes":65536,"idle-timeout-ms":15000},"tenants":[{"name":"acme","api-keys":["soak-key"]}]}`,
-		version, route("once", "/once/", "unsafe", ""), route("safe", "/safe/", "safe", ""),
-		route("stream", "/stream/", "streaming", `,"stream-resume":true`), route("marker", fmt.Sprintf("/m%d/", version), "safe", ""))
+	return users.Document(version, key, service, route("once", "/once/", users.Once), route("safe", "/safe/", users.Safe),
+		route("stream", "/stream/", users.Stream), route("marker", fmt.Sprintf("/m%d/", version), users.Safe))
 }
 
 func (o *operator) newest() int {
@@ -92,7 +95,7 @@
 // send sends a version to one state process and tells whether it was
 // acknowledged.
 func (o *operator) send(m *member, version int, text string) bool {
-	status, answer := o.call(m, http.MethodPost, replacePath, text)
+	status, answer := o.call(m, http.MethodPost, users.ReplacePath, text)
 	switch {
 	case status == http.StatusOK:
 		o.mu.Lock()
@@ -149,7 +152,7 @@
 	if r.IntN(2) == 0 {
 		broken = strings.Replace(text, `"service":"pool"`, `"service":"none"`, 1)
 	}
-	if status, _ := o.call(m, http.MethodPost, replacePath, broken); status == http.StatusOK {
+	if status, _ := o.call(m, http.MethodPost, users.ReplacePath, broken); status == http.StatusOK {
 		o.recorder.find("an invalid configuration was acknowledged as version %d by %s", version, m.name)
 	}
 }
@@ -158,25 +161,25 @@
 // 0 without an answer. It may be no older than what was acknowledged before.
 func (o *operator) read(m *member) int {
 	floor := o.floor()
-	status, text := o.call(m, http.MethodGet, readPath, "")
+	status, text := o.call(m, http.MethodGet, users.ReadPath, "")
 	if status != http.StatusOK {
 		return 0
 	}
-	var head struct{ Version int }
-	if err := json.Unmarshal([]byte(text), &head); err != nil {
+	version, err := users.Version(text)
+	if err != nil {
 		o.recorder.find("%s answers with a configuration that cannot be read: %v", m.name, err)
 		return 0
 	}
-	if head.Version < floor {
-		o.recorder.find("%s answers with version %d after version %d was acknowledged", m.name, head.Version, floor)
+	if version < floor {
+		o.recorder.find("%s answers with version %d after version %d was acknowledged", m.name, version, floor)
 	}
 	o.mu.Lock()
-	want := o.texts[head.Version]
+	want := o.texts[version]
 	o.mu.Unlock()
-	if head.Version > 0 && !same(text, want) {
-		o.recorder.find("%s answers with other content for version %d than was sent: %s", m.name, head.Version, text)
+	if version > 0 && !same(text, want) {
+		o.recorder.find("%s answers with other content for version %d than was sent: %s", m.name, version, text)
 	}
-	return head.Version
+	return version
 }
 
 func same(a, b string) bool {
--- a/soak/proc.go
+++ b/soak/proc.go
@@ -1,7 +1,6 @@
 package soak
 
 import (
-	"encoding/json"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -11,13 +10,15 @@
 
 	"github.com/rotisserie/eris"
 	"k8s.io/klog/v2"
+
+	"citronledge.example/stub/users"
 )
 
 // program is one process of the system under test, which may be started many
 // times.
 type program struct {
 	name, path, dir string
-	node            map[string]any // the platform's settings file
+	node            users.Node
 	args            []string
 
 	mu     sync.Mutex
@@ -33,7 +34,7 @@
 	if p.cmd != nil {
 		return nil
 	}
-	text, err := json.Marshal(p.node)
+	text, err := p.node.Settings()
 	if err != nil {
 		return eris.Wrap(err, "cannot encode settings")
 	}
--- a/soak/site.go
+++ b/soak/site.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"citronledge.example/stub/users"
 )
 
 // Ports are the same for all processes of a site; each process has an address
@@ -77,8 +79,7 @@
 	for i := range states {
 		m := s.member(bin, "state", i+1, address(block, 10+i), seeds)
 		public := address(block, 20+i)
-		m.node["listen"] = map[string]string{"control-plane": at(m.ip, operatorPort)}
-		m.node["data-dir"] = filepath.Join(dir, m.name+"-data")
+		m.node.Operators, m.node.Data = at(m.ip, operatorPort), filepath.Join(dir, m.name+"-data")
 		m.args = append(m.args, "--advertise", at(public, internalPort))
 		if m.front, err = newProxy(at(public, internalPort), at(m.ip, internalPort)); err != nil {
 			return nil, err
@@ -90,7 +91,7 @@
 	}
 	for i := range gates {
 		m := s.member(bin, "gate", i+1, address(block, 30+i), seeds)
-		m.node["listen"] = map[string]string{"frontend": at(m.ip, callerPort), "readiness": at(m.ip, readyPort)}
+		m.node.Callers, m.node.Ready = at(m.ip, callerPort), at(m.ip, readyPort)
 		if m.front, err = newProxy(at(address(block, 40+i), callerPort), at(m.ip, callerPort)); err != nil {
 			return nil, err
 		}
@@ -104,15 +105,9 @@
 func (s *site) member(bin, role string, n int, ip string, seeds []string) *member {
 	p := &program{name: fmt.Sprintf("%s-%d", role, n), path: filepath.Join(bin, role), dir: s.dir}
 	p.args = []string{"--keys", filepath.Join(s.dir, "keys.yaml")}
-	p.node = map[string]any{
-		"node-name": p.name, "ip": ip, "zone": "a", "bootstrap": true, "seed-nodes": seeds,
-		"internal-port-range": []int{internalPort, internalPort + 9},
-		"limits":              map[string]int{"memory-mb": 128}, "fault-tolerance": map[string]int{"machines": 1},
-		"bounds": map[string]any{
-			"grace-period-s": stopTime.Seconds(), "drain-timeout-ms": leftBy.Milliseconds(),
-			"retry-budget-ratio": retryRatio, "retry-window-s": 10, "budget-slack": retrySlack, "canary-share": 0.15, "session-s": 5,
-		},
-		"cloud-api": map[string]any{"address": s.backends.list.Addr().String(), "rate-per-s": 10},
+	p.node = users.Node{
+		Name: p.name, IP: ip, Seeds: seeds, First: internalPort, Found: true, List: s.backends.list.Addr().String(),
+		Losses: 1, Stop: stopTime, Drain: leftBy, RetryRatio: retryRatio, RetrySlack: retrySlack,
 	}
 	return &member{program: p, ip: ip}
 }
@@ -128,18 +123,18 @@
 		}
 	}
 	for _, m := range s.all() {
-		m.node["bootstrap"] = false
+		m.node.Found = false
 	}
 	return nil
 }
 
 // wipe removes the data folder of a state process that is down.
-func (m *member) wipe() error { return os.RemoveAll(m.node["data-dir"].(string)) }
+func (m *member) wipe() error { return os.RemoveAll(m.node.Data) }
 
 // tear appends bytes that no sync covered to the newest file of a state process
 // that is down, as a loss of power may leave them.
 func (m *member) tear(r *rand.Rand) error {
-	files, err := filepath.Glob(filepath.Join(m.node["data-dir"].(string), "*"))
+	files, err := filepath.Glob(filepath.Join(m.node.Data, "*"))
 	if err != nil {
 		return err
 	}
--- a/stub/runner/runner.go
+++ b/stub/runner/runner.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 )
@@ -24,6 +25,16 @@
 // Attempt returns the id of the request.
 func (r *Request) Attempt() string { return r.Header.Get("Attempt-Id") }
 
+// After returns the number of the event after which a stream is resumed, 0 for one
+// from its start.
+func (r *Request) After() int {
+	n, err := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	if err != nil {
+		return 0 // none or not one of ours
+	}
+	return n
+}
+
 // Reply writes an answer. It returns false to close the connection, and may
 // close it itself.
 type Reply func(c net.Conn, r *Request) (keep bool)
