gate/conn, gate/relay: bound what a backend server may send without end

Cause: http.ReadResponse reads a head of any size, interim answers were skipped in any number, and the body of a skipped answer counted only its payload. A server that sends without end filled the memory of a gate until the caller's deadline. Ruled out: the bodies of whole answers and single events, which had their limits already.

Change: a limiter between connection and parser bounds each head (16 KB, 200 lines, 8 interim answers) and each skipped body. The error names the server and the limit, the connection is closed at once, and the attempt counts as broken, so the route may retry it.

Found beside it, each with a test that failed first: answers of exactly 64 KB, and longer ones without a stated length, were never delivered; a caller that stopped reading a long answer held its request for good.

--- a/gate/conn/conn.go
+++ b/gate/conn/conn.go
@@ -41,11 +41,6 @@
 	// keepAliveMargin is subtracted from the keep-alive timeout that the
 	// backend server states, which starts earlier there than at this end.
 	keepAliveMargin = 700 * time.Millisecond
-	// maxForeignAnswers is how many answers to other requests are skipped
-	// before the connection is given up.
-	maxForeignAnswers = 2
-	// maxSkippedBytes limits the body of a skipped answer.
-	maxSkippedBytes = 1 << 20
 )
 
 // Header is one header line of a request.
@@ -101,10 +96,16 @@
 // pooledConn is a connection that the pool may reuse.
 type pooledConn struct {
 	net.Conn
-	r           *bufio.Reader
+	addr        string
+	limiter     *limiter
+	r           *bufio.Reader // reads from limiter
 	idleSince   time.Time
 	usableUntil time.Time
-	used        bool
+}
+
+func newPooledConn(c net.Conn, addr string) *pooledConn {
+	l := &limiter{Reader: c}
+	return &pooledConn{Conn: c, addr: addr, limiter: l, r: bufio.NewReaderSize(l, readBufferBytes)}
 }
 
 // Option configures a Pool.
@@ -227,7 +228,7 @@
 		if err != nil {
 			return nil, NotSentError{err}
 		}
-		pc = &pooledConn{Conn: c, r: bufio.NewReaderSize(c, readBufferBytes)}
+		pc = newPooledConn(c, p.addr)
 	}
 	a := &Answer{pool: p, conn: pc, Reused: reused}
 	a.stop = context.AfterFunc(ctx, func() { _ = pc.Close() })
@@ -276,7 +277,7 @@
 		}()
 	}
 	for range maxForeignAnswers + 1 {
-		resp, err := readHead(a.conn.r, q.Method)
+		resp, err := a.conn.readHead(q.Method)
 		if err != nil {
 			return UnansweredError{err}
 		}
@@ -285,46 +286,13 @@
 			return nil
 		}
 		a.notReusable = true
-		if err := skipBody(resp); err != nil {
-			return UnansweredError{errForeign}
+		if err := a.conn.skipBody(resp); err != nil {
+			return UnansweredError{err}
 		}
 	}
 	return UnansweredError{errForeign}
 }
 
-// readHead reads the head of the next final answer and skips informational
-// ones.
-func readHead(r *bufio.Reader, method string) (*http.Response, error) {
-	for {
-		resp, err := http.ReadResponse(r, &http.Request{Method: method})
-		if err != nil {
-			return nil, err
-		}
-		if resp.StatusCode >= 200 {
-			return resp, nil
-		}
-	}
-}
-
-// skipBody reads and discards the body of an answer to another request.
-func skipBody(resp *http.Response) error {
-	var b [1 << 10]byte
-	for n := 0; n < maxSkippedBytes; {
-		m, err := resp.Body.Read(b[:])
-		n += m
-		if err != nil {
-			if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
-				return errForeign // the end of the connection delimits the body
-			}
-			if errors.Is(err, io.EOF) {
-				return nil
-			}
-			return err
-		}
-	}
-	return errForeign
-}
-
 // Read reads the body; io.EOF means that it is complete.
 func (a *Answer) Read(b []byte) (int, error) {
 	n, err := a.resp.Body.Read(b)
--- a/gate/relay/attempt.go
+++ b/gate/relay/attempt.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"time"
 
@@ -28,9 +27,6 @@
 	// request that must not be repeated: the other end may close an older one
 	// at the same moment.
 	onceMaxIdle = 400 * time.Millisecond
-	// maxBufferedBytes is the size up to which an answer is read in full before
-	// any of it is passed on, so that another attempt stays possible.
-	maxBufferedBytes = 64 << 10
 )
 
 // decision is what to do after an attempt.
@@ -291,7 +287,7 @@
 	if x.route.Type == plan.RouteStream {
 		return x.relayStream(a)
 	}
-	return x.relayBuffered(a)
+	return x.relayBody(a)
 }
 
 // noAnswer decides what follows an attempt without an answer.
@@ -308,64 +304,3 @@
 	}
 	return retry{reason: "no answer", mayHaveRun: true}, fleet.Broke
 }
-
-// discard reads the rest of a short answer, so that its connection can be
-// reused.
-func (x *attempt) discard(a *conn.Answer) {
-	if a.Length < 0 || a.Length > maxBufferedBytes {
-		return
-	}
-	// An error here only costs the connection.
-	_, _ = io.Copy(io.Discard, a)
-}
-
-// errorAnswer stores an unsuccessful answer, to be passed on unless another
-// attempt succeeds.
-func (x *attempt) errorAnswer(a *conn.Answer) (decision, fleet.Outcome) {
-	body, err := io.ReadAll(io.LimitReader(a, maxBufferedBytes+1))
-	x.detail = http.StatusText(a.Status)
-	outcome := fleet.Failed
-	if a.Status == http.StatusGatewayTimeout {
-		outcome = fleet.Neutral // its deadline had passed
-	}
-	if err == nil && len(body) <= maxBufferedBytes && !x.headSent {
-		x.call.failedAnswer = &errorAnswer{a.Status, a.Header, body}
-	}
-	return retry{reason: "the backend server failed", mayHaveRun: true}, outcome
-}
-
-// relayBuffered passes on an answer that is not a stream. A short one is read
-// in full first.
-func (x *attempt) relayBuffered(a *conn.Answer) (decision, fleet.Outcome) {
-	if a.Length > maxBufferedBytes {
-		return x.relayLong(a)
-	}
-	body, err := io.ReadAll(io.LimitReader(a, maxBufferedBytes))
-	if err != nil {
-		x.detail = "broke off: " + err.Error()
-		return retry{reason: "the answer broke off", mayHaveRun: true}, fleet.Broke
-	}
-	if len(body) == maxBufferedBytes {
-		x.detail = "an answer without a length is too long"
-		return retry{reason: x.detail, mayHaveRun: true}, fleet.Broke
-	}
-	a.Close()
-	platform.CopyAnswerHeaders(a.Header, x.w.Header())
-	x.writeAnswer(a.Status, body)
-	return answered{}, fleet.Good
-}
-
-// relayLong passes on a long answer as it arrives.
-func (x *attempt) relayLong(a *conn.Answer) (decision, fleet.Outcome) {
-	platform.CopyAnswerHeaders(a.Header, x.w.Header())
-	x.w.Header()["Content-Length"] = a.Header["Content-Length"]
-	x.w.WriteHeader(a.Status)
-	x.headSent = true
-	n, err := io.Copy(x.w, a)
-	if err != nil || n != a.Length {
-		x.detail = "broke off"
-		return giveUp{"the answer broke off"}, fleet.Broke
-	}
-	x.recordEnd("served", a.Status)
-	return answered{}, fleet.Good
-}
--- a/gate/relay/call.go
+++ b/gate/relay/call.go
@@ -26,6 +26,9 @@
 	// defaultMaxBody limits the body of a request if the configuration does
 	// not.
 	defaultMaxBody = 4 << 20 // bytes
+	// writeDeadlineMargin is how long after the request's deadline a write to
+	// the caller fails.
+	writeDeadlineMargin = time.Second
 	// retryAfter is the wait suggested with a refusal for lack of capacity.
 	retryAfter = 300 * time.Millisecond
 	// stoppingRetryAfter is the wait suggested by a gate that is stopping:
@@ -109,6 +112,13 @@
 	c.service = c.route.PickService(xxhash.Sum64String(c.splitKey()))
 	c.r.recordRequest(c.service, c.start)
 
+	control := http.NewResponseController(c.w)
+	// A caller that stops reading must not hold the request any longer. The error
+	// is ignored: a writer without deadlines, as in tests, is bounded by the
+	// request. The deadline must not stay for the next request of the connection.
+	_ = control.SetWriteDeadline(c.deadline.Add(writeDeadlineMargin))
+	defer func() { _ = control.SetWriteDeadline(time.Time{}) }()
+
 	ctx := c.req.Context()
 	if !c.route.Repeatable() {
 		// A run that must not be repeated goes on when its caller leaves: its
--- a/gate/relay/stream.go
+++ b/gate/relay/stream.go
@@ -19,9 +19,6 @@
 	initialBufferBytes = 4 << 10
 	// maxEventBytes limits one event.
 	maxEventBytes = 256 << 10
-	// writeDeadlineMargin is how long after the request's deadline a write to
-	// the caller fails.
-	writeDeadlineMargin = time.Second
 )
 
 var (
@@ -33,11 +30,6 @@
 // breaks off, an incomplete event is dropped: the next run sends it again.
 func (x *attempt) relayStream(a *conn.Answer) (decision, fleet.Outcome) {
 	control := http.NewResponseController(x.w)
-	// The error is ignored: a writer without deadlines, as in tests, is bounded
-	// by the request. The deadline must not stay for the next request of the
-	// connection.
-	_ = control.SetWriteDeadline(x.deadline.Add(writeDeadlineMargin))
-	defer func() { _ = control.SetWriteDeadline(time.Time{}) }()
 	buf := make([]byte, 0, initialBufferBytes)
 	lastRead := time.Now()
 	for {
