side: bound the head of an answer of an engine or a service

Cause: net/http reads up to 10 MB of a head by default, and a side process may have many such calls at once in 216 MB. Ruled out: interim answers without end, which net/http counts against the same limit.

Change: a limit of 64 KB for the head, interim answers included.

--- a/side/caller/caller.go
+++ b/side/caller/caller.go
@@ -68,7 +68,7 @@
 		dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
 	}
 	return &Client{name: name, base: base, dial: dial, slots: slots, transport: &http.Transport{
-		DialContext: dial, MaxIdleConnsPerHost: maxIdleConns, DisableCompression: true,
+		DialContext: dial, MaxIdleConnsPerHost: maxIdleConns, DisableCompression: true, MaxResponseHeaderBytes: engine.MaxHeadBytes,
 	}}
 }
 
@@ -211,7 +211,7 @@
 	// that cannot be read again prevent that.
 	transport := &http.Transport{
 		DialContext:       singleUseDialer(conn),
-		DisableKeepAlives: true, DisableCompression: true,
+		DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: engine.MaxHeadBytes,
 	}
 	resp, err := transport.RoundTrip(req)
 	if err != nil {
--- a/side/caller/caller_test.go
+++ b/side/caller/caller_test.go
@@ -3,9 +3,11 @@
 import (
 	"bufio"
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"net/url"
+	"strings"
 	"testing"
 
 	"citronledge.example/core/fault"
@@ -114,3 +116,52 @@
 		t.Errorf("got key %q, want %q", got, want)
 	}
 }
+
+// A service that sends a head without end must not fill the memory of the side
+// process until the caller's deadline.
+func TestEndlessHead(t *testing.T) {
+	const maxRead = 1 << 20 // bytes
+	const ok, interim = "HTTP/1.1 200 OK\r\n", "HTTP/1.1 102 Processing\r\n\r\n"
+	for name, x := range map[string]struct{ head, rest string }{
+		"header line":     {ok + "A: ", "x"},
+		"header lines":    {ok, "A: x\r\n"},
+		"interim answers": {"", interim},
+	} {
+		sent := make(chan int, 1)
+		dial := func(context.Context, string, string) (net.Conn, error) {
+			client, server := net.Pipe()
+			go func() { sent <- sendEndless(server, x.head, x.rest) }()
+			return client, nil
+		}
+		c := New("pay", &url.URL{Scheme: "http", Host: "service"}, 0, dial)
+		w := &wire.Work{Method: "POST", Path: "/p", Operation: "c/pay/k", Fence: 1}
+		_, out := c.CallOnce(t.Context(), w, func() *fault.Fault { return nil })
+		if !out.Ran || out.Fault == nil || out.Fault.Kind != fault.Unknown {
+			t.Errorf("%s: got %+v of an operation, want unknown", name, out)
+		}
+		if got := <-sent; got > maxRead {
+			t.Errorf("%s: %d bytes were read for an operation, want at most %d", name, got, maxRead)
+		}
+		out = c.Call(t.Context(), &wire.Work{Method: "GET", Path: "/p"}, nil)
+		if got := <-sent; out.Fault == nil || got > maxRead {
+			t.Errorf("%s: %d bytes were read for a call with the outcome %+v", name, got, out)
+		}
+	}
+}
+
+// sendEndless answers one request with head and then rest again and again,
+// until the connection is closed. It returns the number of bytes sent.
+func sendEndless(c net.Conn, head, rest string) int {
+	defer func() { _ = c.Close() }()
+	if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+		return 0
+	}
+	rest = strings.Repeat(rest, 1+(4<<10)/len(rest))
+	n, err := io.WriteString(c, head)
+	sent := n
+	for err == nil {
+		n, err = io.WriteString(c, rest)
+		sent += n
+	}
+	return sent
+}
--- a/side/engine/engine.go
+++ b/side/engine/engine.go
@@ -38,6 +38,9 @@
 	maxEventBytes        = 4 << 20  // of one event of a stream
 	orderTimeout         = 60 * time.Second
 	maxIdleConns         = 256
+	// MaxHeadBytes limits the head of an answer, with the interim answers before
+	// it: a faulty server may send one without end.
+	MaxHeadBytes = 64 << 10
 )
 
 // Client calls one engine. It is safe for concurrent use.
@@ -57,8 +60,8 @@
 	if transport == nil {
 		transport = &http.Transport{
 			DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
-			MaxIdleConnsPerHost: maxIdleConns,
-			DisableCompression:  true, // answers are forwarded unchanged
+			MaxIdleConnsPerHost: maxIdleConns, MaxResponseHeaderBytes: MaxHeadBytes,
+			DisableCompression: true, // answers are forwarded unchanged
 		}
 	}
 	return &Client{url: url, http: &http.Client{
