core/policy: count running streams in the bound of their duration

The gate had started 6 s before its SIGTERM, so every stream it had seen end was shorter than that; the one it accepted needed over 7 s. Ruled out: too few streams (it had seen over 20), and the share that may exceed the bound.

Change: streams that still run count with the time they have taken so far.

TestStreamUpperBoundOfYoungGate: 1 s before beside a stream that has run for 5 s, 5 s after.

--- a/core/policy/streamtime_test.go
+++ b/core/policy/streamtime_test.go
@@ -7,6 +7,13 @@
 	"time"
 )
 
+var now = time.Unix(1e9, 0)
+
+// observe counts a whole stream.
+func observe(e *StreamDurationEstimator, took time.Duration, tokens int64) {
+	e.End(e.Begin(tokens, now.Add(-took)), true, now)
+}
+
 // A gate that stops accepts only streams that end in time. Most streams are
 // fast and some are many times slower, so a bound from a mean and a deviation
 // lets slow ones through, which the stop then cuts off.
@@ -32,12 +39,12 @@
 			over := 0
 			for i := range streams {
 				took := time.Duration(perToken(r) * tokens * float64(time.Millisecond))
-				if bound := e.UpperBound(tokens); (bound == 0) != (i < minStreams) {
+				if bound := e.UpperBound(tokens, now); (bound == 0) != (i < minStreams) {
 					t.Fatalf("got bound %v after %d streams", bound, i)
 				} else if bound > 0 && took > bound {
 					over++
 				}
-				e.Observe(took, tokens)
+				observe(&e, took, tokens)
 			}
 			if share := float64(over) / streams; share > maxShare {
 				t.Errorf("got %.3f of streams over the bound, want at most %v", share, maxShare)
@@ -51,13 +58,30 @@
 func TestStreamUpperBoundFollows(t *testing.T) {
 	var e StreamDurationEstimator
 	for range recentStreams {
-		e.Observe(10*time.Second, 100)
+		observe(&e, 10*time.Second, 100)
 	}
 	for range recentStreams {
-		e.Observe(time.Second, 100)
-		e.Observe(time.Hour, 0)
+		observe(&e, time.Second, 100)
+		observe(&e, time.Hour, 0)
 	}
-	if got := e.UpperBound(200); got != 2*time.Second {
+	if got := e.UpperBound(200, now); got != 2*time.Second {
 		t.Errorf("got %v for 200 tokens, want 2 s", got)
 	}
 }
+
+// Soon after the start of a gate, only short streams have ended. The long ones
+// that still run must count, or the bound is that of the short ones alone.
+func TestStreamUpperBoundOfYoungGate(t *testing.T) {
+	var e StreamDurationEstimator
+	for range 50 {
+		observe(&e, time.Second, 1000)
+	}
+	long := e.Begin(1000, now.Add(-5*time.Second))
+	if got := e.UpperBound(1000, now); got != 5*time.Second {
+		t.Errorf("got %v beside a stream that has run for 5 s, want 5 s", got)
+	}
+	e.End(long, false, now)
+	if got := e.UpperBound(1000, now); got != time.Second {
+		t.Errorf("got %v after the stream broke off, want 1 s", got)
+	}
+}
--- a/gate/relay/relay.go
+++ b/gate/relay/relay.go
@@ -144,7 +144,7 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	duration := r.streamDurations.UpperBound(int64(tokens))
+	duration := r.streamDurations.UpperBound(int64(tokens), now)
 	// Right after the start the duration of streams is not known yet. Other gates
 	// can serve the stream to its end.
 	return duration == 0 || now.Add(time.Duration(outlastFactor*float64(duration))).After(*end)
@@ -222,11 +222,17 @@
 	return slow
 }
 
-// recordStream records how long a whole stream took after its head.
-func (r *Relay) recordStream(took time.Duration, tokens ident.Tokens) {
+// beginStream counts a stream whose head has arrived, and returns the function
+// that counts its end.
+func (r *Relay) beginStream(tokens ident.Tokens) (end func(whole bool)) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.streamDurations.Observe(took, int64(tokens))
+	s := r.streamDurations.Begin(int64(tokens), time.Now())
+	return func(whole bool) {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.streamDurations.End(s, whole, time.Now())
+	}
 }
 
 // IdleTimeout returns how long a caller's connection may stay without a
--- a/gate/relay/stream.go
+++ b/gate/relay/stream.go
@@ -30,6 +30,8 @@
 // breaks off, an incomplete event is dropped: the next run sends it again.
 func (x *attempt) relayStream(a *conn.Answer) (decision, fleet.Outcome) {
 	control := http.NewResponseController(x.w)
+	whole, end := false, x.r.beginStream(x.head.MaxOutput)
+	defer func() { end(whole) }()
 	buf := make([]byte, 0, initialBufferBytes)
 	lastRead := time.Now()
 	for {
@@ -63,7 +65,7 @@
 		switch {
 		case errors.Is(err, io.EOF):
 			a.Close()
-			x.r.recordStream(time.Since(x.attemptStart)-x.headLatency, x.head.MaxOutput)
+			whole = true
 			x.recordEnd("served", a.Status)
 			return answered{}, fleet.Good
 		case err != nil:
