--- a/core/policy/direct_test.go
+++ b/core/policy/direct_test.go
@@ -103,19 +103,19 @@
 func TestStreamDurationEstimator(t *testing.T) {
 	var e StreamDurationEstimator
 	for range minStreams - 1 {
-		e.Observe(time.Second, 100)
+		observe(&e, time.Second, 100)
 	}
-	if got := e.UpperBound(100); got != 0 {
+	if got := e.UpperBound(100, now); got != 0 {
 		t.Errorf("got %v before enough is known, want 0", got)
 	}
 	for i := range 200 {
-		e.Observe(time.Duration(800+400*(i%2))*time.Millisecond, 100)
+		observe(&e, time.Duration(800+400*(i%2))*time.Millisecond, 100)
 	}
-	if got := e.UpperBound(100); got < 1200*time.Millisecond || got > 2400*time.Millisecond {
+	if got := e.UpperBound(100, now); got < 1200*time.Millisecond || got > 2400*time.Millisecond {
 		t.Errorf("got %v for streams of 0.8 and 1.2 s, want 1.2 to 2.4 s", got)
 	}
-	e.Observe(time.Hour, 0) // a stream without a size must not count
-	if got := e.UpperBound(100); got > 2400*time.Millisecond {
+	observe(&e, time.Hour, 0) // a stream without a size must not count
+	if got := e.UpperBound(100, now); got > 2400*time.Millisecond {
 		t.Errorf("got %v after a stream without a size", got)
 	}
 }
