--- a/core/client/client.go
+++ b/core/client/client.go
@@ -51,10 +51,12 @@
 // WithZone sets the availability zone of this process.
 func WithZone(zone ident.Zone) Option { return func(c *Client) { c.zone = zone } }
 
-// WithLoadExchange sets the address at which this process receives the loads of
-// other gates, and the function to call with the addresses of the other gates.
-func WithLoadExchange(addr string, onAddrs func([]string)) Option {
-	return func(c *Client) { c.exchangeAddr, c.onExchangeAddrs = addr, onAddrs }
+// WithExchange sets the address at which this process receives the datagrams of
+// other gates, the rate of its link in kB per second (0 if it is not known),
+// and the function to call when the list of gates changes; this process is in
+// the list.
+func WithExchange(addr string, linkRate uint32, onGates func([]*wire.Gate)) Option {
+	return func(c *Client) { c.exchangeAddr, c.linkRate, c.onGates = addr, linkRate, onGates }
 }
 
 // WithTallies sets the source of the tallies that are sent with each renewal.
@@ -114,8 +116,10 @@
 	subleases    Subleases
 	maxBackoff   time.Duration // between two attempts
 
-	exchangeAddr    string
-	onExchangeAddrs func([]string)
+	exchangeAddr string
+	linkRate     uint32 // kB per second
+	onGates      func([]*wire.Gate)
+	gatesDigest  atomic.Uint64 // of the last list of gates
 
 	mu            sync.Mutex // guards the fields below and addrs; held while dialling
 	session       *session
--- a/core/client/lease.go
+++ b/core/client/lease.go
@@ -261,6 +261,7 @@
 	r := &wire.Renew{
 		Seq: h.seq, Name: h.c.linkConfig.Name, Zone: string(h.c.zone), Incarnation: h.c.incarnation.Load(),
 		Revision: uint64(acked), Leaving: leaving, Exchange: h.c.exchangeAddr,
+		Gates: h.c.gatesDigest.Load(), Link: h.c.linkRate,
 	}
 	if applied > acked {
 		r.Applied = uint64(applied)
@@ -302,8 +303,9 @@
 			delete(h.sent, seq)
 		}
 	}
-	if h.c.onExchangeAddrs != nil {
-		h.c.onExchangeAddrs(g.GetExchanges())
+	if list := g.GetGates(); list != nil && h.c.onGates != nil {
+		h.c.gatesDigest.Store(list.GetDigest())
+		h.c.onGates(list.GetGates())
 	}
 	if g.GetTtl() > 0 {
 		h.granted = true
--- a/gate/cmd/gate/platform.go
+++ b/gate/cmd/gate/platform.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"net/netip"
 	"os"
 	"runtime/debug"
 	"strconv"
@@ -35,12 +36,18 @@
 	// stopMargin is how long before SIGKILL a planned stop ends; streams that
 	// last longer are cut off.
 	stopMargin = 150 * time.Millisecond
-	// listInterval is how often the gate of the first rank reads the list of
-	// backend servers, and listRankDelay how much longer the gate of each further
-	// rank waits before it reads the list itself. A leaving backend server must be
-	// noticed within a few seconds.
-	listInterval  = time.Second
-	listRankDelay = 350 * time.Millisecond
+	// listInterval is how often the first gate in the order of reading reads the
+	// list of backend servers. A leaving backend server must be noticed within a
+	// few seconds.
+	listInterval = time.Second
+	// listCheckInterval is how often a gate checks whether it has to read the
+	// list itself.
+	listCheckInterval = 350 * time.Millisecond
+	// listMargin is the part of a backend server's drain timeout that is kept for
+	// reading the list and for requests on their way, and minListSlack the least
+	// delay of gates that wait for the news of others.
+	listMargin   = 600 * time.Millisecond
+	minListSlack = 400 * time.Millisecond
 	// listRetryDelay is the delay after a failed read of the list.
 	listRetryDelay = 400 * time.Millisecond
 	// listTimeout limits one read of the list.
@@ -103,8 +110,12 @@
 	h.frame.OnShutdown(func() { h.relay.Drain(time.Now().Add(s.DrainTimeout)) })
 	bounds := s.node.Bounds
 	exchange := net.JoinHostPort(s.node.IP, strconv.Itoa(s.node.FirstPort+1))
+	exchangeAddr, err := netip.ParseAddrPort(exchange)
+	if err != nil {
+		return eris.Wrap(err, "the platform's address of this VM is not valid")
+	}
 	h.client, err = client.New(
-		client.WithMaxBackoff(maxFindPause), client.WithLoadExchange(exchange, func(others []string) { h.share.SetPeers(others) }),
+		client.WithMaxBackoff(maxFindPause), client.WithExchange(exchange, s.node.LinkRate, func(gates []*wire.Gate) { h.share.SetGates(gates) }),
 		client.WithAddresses(addrs...), client.WithLink(link.Config{Name: s.Name, Keys: keys}), client.WithZone(s.node.Zone),
 		client.WithTallies(func() []*wire.Tally { return h.relay.Tallies() }),
 	)
@@ -120,7 +131,10 @@
 			RetryRatio: retryBudgetShare * bounds.RetryRatio, RetrySlack: min(retrySlack, bounds.RetrySlack), RetryWindow: bounds.RetryWindow,
 		}),
 	)
-	h.share = share.New(s.Name, s.node.Zone, exchange, keys, h.fleet, h.relay, h.fleet)
+	h.share = share.New(share.Config{
+		Name: s.Name, Self: share.Member{Addr: exchangeAddr, Zone: s.node.Zone, LinkRate: s.node.LinkRate},
+		ReadSlack: max(minListSlack, bounds.DrainTimeout-listInterval-listMargin), Loads: h.fleet, Sessions: h.relay, Lists: h.fleet,
+	}, keys)
 	return h.frame.Run(ctx, h)
 }
 
@@ -248,8 +262,8 @@
 			return nil
 		case <-timer.C:
 		}
-		if wait := time.Until(h.fleet.NextListRead(h.share.Rank(), listInterval, listRankDelay)); wait > 0 {
-			timer.Reset(min(wait, listRankDelay))
+		if wait := time.Until(h.fleet.NextListRead(listInterval, h.share.ReadDelay())); wait > 0 {
+			timer.Reset(min(wait, listCheckInterval))
 			continue
 		}
 		list, broken, err := h.list.Read(ctx)
--- a/gate/fleet/fleet.go
+++ b/gate/fleet/fleet.go
@@ -4,6 +4,7 @@
 package fleet
 
 import (
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -27,7 +28,7 @@
 	changedAt   time.Time // last change of the two
 	reported    loadReport
 	health      health
-	peerLoads   map[string]*peerLoad // by name of the gate
+	peerLoads   map[string]*peerLoad // by source
 }
 
 // Conns returns the connections to the server.
@@ -50,7 +51,7 @@
 	services      map[ident.Service][]*Server
 	list          listState
 	incumbents    map[ident.Service]ident.Version // versions in use
-	peers         map[string]*peer                // other gates, by name
+	peers         map[string]*peer                // sources of reports, by name
 	paths         map[ident.Zone]*zonePath
 	loadsChanged  bool // since the last LocalLoads
 	loadsReported bool // the last LocalLoads returned a server
@@ -61,7 +62,7 @@
 	return &Fleet{
 		zone: zone, servers: map[ident.Backend]*Server{},
 		services: map[ident.Service][]*Server{}, incumbents: map[ident.Service]ident.Version{},
-		peers: map[string]*peer{}, paths: map[ident.Zone]*zonePath{},
+		peers: map[string]*peer{}, paths: map[ident.Zone]*zonePath{}, list: listState{reader: rand.Uint64()},
 	}
 }
 
@@ -113,7 +114,7 @@
 func (f *Fleet) ListReadAt() time.Time {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.list.readAt
+	return f.list.reading.At
 }
 
 // CountByVersion returns the number of servers of each version of a service,
--- a/gate/fleet/fleet_test.go
+++ b/gate/fleet/fleet_test.go
@@ -8,6 +8,7 @@
 	"citronledge.example/core/ident"
 	"citronledge.example/core/policy"
 	"citronledge.example/core/wire"
+	"citronledge.example/gate/share"
 	"citronledge.example/platform"
 )
 
@@ -59,33 +60,39 @@
 	now := time.Now()
 	criteria := Criteria{Service: "pool", Prompt: policy.Prompt{Work: 1000}}
 	first := f.servers["s0"]
-	f.MergeLoads(&wire.Loads{Name: "g2", Zone: "a", Run: 1, Seq: 1, Shares: []*wire.Share{{Server: first.hash, Running: 4, Reading: 90_000}}}, time.Second)
+	f.MergeLoads(share.Report{Source: "g2", Zone: "a", Run: 1, Seq: 1, Loads: []share.Load{{Server: first.loadKey(), Running: 4, Reading: 90_000}}}, time.Second)
 	for range 3 {
 		if got := f.Pick(criteria, now); got.ID != "s1" {
 			t.Errorf("got %s, where another gate's prompts wait", got.ID)
 		}
 	}
 	// A datagram that arrives out of order is ignored.
-	f.MergeLoads(&wire.Loads{Name: "g2", Zone: "a", Run: 1, Seq: 1}, time.Second)
+	f.MergeLoads(share.Report{Source: "g2", Zone: "a", Run: 1, Seq: 1}, time.Second)
 	if got := f.candidate(first, criteria, now); got.PendingPromptWork != 90_000 {
 		t.Errorf("got %v waiting after an old datagram, want 90,000", got.PendingPromptWork)
 	}
 	if got := f.candidate(first, criteria, now.Add(2*time.Second)); got.PendingPromptWork != 0 {
 		t.Errorf("got %v waiting after the gate fell silent, want 0", got.PendingPromptWork)
 	}
-	f.MergeLoads(&wire.Loads{Name: "g2", Zone: "a", Run: 1, Seq: 2}, time.Second)
+	f.MergeLoads(share.Report{Source: "g2", Zone: "a", Run: 1, Seq: 2}, time.Second)
 	if got := f.candidate(first, criteria, now); got.PendingPromptWork != 0 {
 		t.Errorf("got %v waiting after the work ended, want 0", got.PendingPromptWork)
 	}
+	// Once the source is forgotten, its next run may start at any number.
+	f.MergeLoads(share.Report{Source: "g2", Zone: "a", Run: 1, Seq: 9, Loads: []share.Load{{Server: first.loadKey(), Reading: 7}}}, time.Second)
+	f.ForgetLoads()
+	if got := f.candidate(first, criteria, now); got.PendingPromptWork != 0 {
+		t.Errorf("got %v waiting of a source that was forgotten, want 0", got.PendingPromptWork)
+	}
 }
 
 // A server that fails at several gates is ejected though each of them has seen
 // too few failures.
 func TestSharedFailures(t *testing.T) {
 	f := newFleet(3)
-	hash := f.servers["s0"].hash
+	key := f.servers["s0"].loadKey()
 	for i, bad := range []uint32{0, 2, 5} {
-		f.MergeLoads(&wire.Loads{Name: "g2", Run: 1, Seq: uint64(i + 1), Shares: []*wire.Share{{Server: hash, Good: 1, Bad: bad}}}, time.Second)
+		f.MergeLoads(share.Report{Source: "g2", Run: 1, Seq: uint64(i + 1), Loads: []share.Load{{Server: key, Good: 1, Bad: bad}}}, time.Second)
 	}
 	now := time.Now()
 	for range 6 {
@@ -95,7 +102,7 @@
 	}
 	// The counts in the first datagram of a gate's run are the base of later ones.
 	f = newFleet(3)
-	f.MergeLoads(&wire.Loads{Name: "g2", Run: 1, Seq: 9, Shares: []*wire.Share{{Server: hash, Good: 1, Bad: 50}}}, time.Second)
+	f.MergeLoads(share.Report{Source: "g2", Run: 1, Seq: 9, Loads: []share.Load{{Server: key, Good: 1, Bad: 50}}}, time.Second)
 	if f.servers["s0"].health.isEjected(time.Now()) {
 		t.Error("failures from before a gate's first datagram count")
 	}
@@ -108,7 +115,7 @@
 	loss := func(from, to uint64, skip uint64) float64 {
 		for seq := from; seq <= to; seq++ {
 			if skip == 0 || seq%skip != 0 {
-				f.MergeLoads(&wire.Loads{Name: "g2", Zone: "b", Run: 1, Seq: seq}, time.Second)
+				f.MergeLoads(share.Report{Source: "g2", Zone: "b", Run: 1, Seq: seq}, time.Second)
 			}
 		}
 		return f.path("b").lossShare(now)
@@ -220,68 +227,99 @@
 	}
 }
 
-// One gate reads the list for all: the others adopt it, keep it while it is
-// confirmed, and read it themselves when they miss a newer one or no
+// pull copies the list of one gate to another one, as over the network, without
+// the bucket with the given index.
+func pull(from, to *Fleet, without int) {
+	for _, b := range from.DifferingBuckets(to.BucketDigests()) {
+		if int(b.GetIndex()) != without {
+			to.MergeBuckets(from.ListReading(), []*wire.Bucket{b})
+		}
+	}
+}
+
+// One gate reads the list for all: the others get what they lack of it, keep it
+// while it is confirmed, and read it themselves when they miss a newer one or no
 // confirmation arrives.
 func TestSharedList(t *testing.T) {
 	now := time.Now()
 	reader, other := New("a"), New("b")
-	reader.SetList(list(3), now)
-	digest, read, announced := reader.ListAnnouncement()
-	if len(announced) != 3 {
-		t.Fatalf("got %d entries to announce, want 3", len(announced))
-	}
-	other.AdoptList(digest, read, announced)
-	if got := other.CountByVersion("pool")["v1"]; got != 3 {
-		t.Fatalf("got %d servers, want 3", got)
-	}
-	due := func(rank int) time.Duration {
-		return other.NextListRead(rank, time.Second, 100*time.Millisecond).Sub(now).Round(10 * time.Millisecond)
-	}
-	for rank, want := range []time.Duration{1000, 1100, 1200, 1300, 1300} {
-		if got := due(rank); got != want*time.Millisecond {
-			t.Errorf("rank %d: due after %v, want %d ms", rank, got, want)
+	reader.SetList(list(30), now)
+	if !other.NoteReading(reader.ListReading()) {
+		t.Fatal("a list that was never seen is not missing")
+	}
+	// Until all parts have arrived, none is in use.
+	lost := int(bucketOf("s4"))
+	pull(reader, other, lost)
+	if got := other.CountByVersion("pool")["v1"]; got != 0 {
+		t.Errorf("got %d servers of a list with a part missing, want 0", got)
+	}
+	pull(reader, other, -1)
+	if got := other.CountByVersion("pool")["v1"]; got != 30 || other.ListReading() != reader.ListReading() {
+		t.Fatalf("got %d servers of reading %v, want 30 of %v", got, other.ListReading(), reader.ListReading())
+	}
+	due := func(delay time.Duration) time.Duration { return other.NextListRead(time.Second, delay).Sub(now) }
+	for _, delay := range []time.Duration{0, 100 * time.Millisecond, 2 * time.Second} {
+		if got := due(delay); got != time.Second+delay {
+			t.Errorf("due after %v with a delay of %v", got, delay)
 		}
 	}
-	other.AdoptList(digest, now.Add(time.Second), nil)
-	if got := due(0); got != 2*time.Second {
-		t.Errorf("due after %v when the list was confirmed after 1 s, want 2 s", got)
+	reader.SetList(list(30), now.Add(time.Second))
+	if other.NoteReading(reader.ListReading()) || due(0) != 2*time.Second {
+		t.Errorf("due after %v when the list was confirmed after 1 s, want 2 s", due(0))
 	}
-	// An older reading changes nothing; a newer one of another list is missed.
-	other.AdoptList(digest+1, now, nil)
-	other.AdoptList(digest+1, now.Add(1500*time.Millisecond), nil)
-	if got := due(0); got > time.Second {
-		t.Errorf("due after %v when another gate has a newer list", got)
+	// Only the parts that differ are sent.
+	changed := list(30)
+	changed[4].Leaving = true
+	reader.SetList(changed, now.Add(1500*time.Millisecond))
+	if !other.NoteReading(reader.ListReading()) || due(0) > time.Second {
+		t.Errorf("due after %v when another gate has a newer list", due(0))
 	}
-	// A list that does not match its digest is ignored.
-	other.AdoptList(digest+2, now.Add(3*time.Second), announced[:1])
-	if got := other.CountByVersion("pool")["v1"]; got != 3 {
-		t.Errorf("got %d servers after an altered list, want 3", got)
+	parts := reader.DifferingBuckets(other.BucketDigests())
+	if len(parts) != 1 || int(parts[0].GetIndex()) != lost {
+		t.Errorf("got parts %v, want the one with the server that changed", parts)
 	}
-	for range announceTimes {
-		_, _, announced = reader.ListAnnouncement()
+	pull(reader, other, -1)
+	if !other.servers["s4"].Leaving || other.ListReading() != reader.ListReading() {
+		t.Error("the change did not arrive")
 	}
-	if len(announced) != 0 {
-		t.Error("a list that is no longer new is still announced")
+	// An older reading changes nothing, and a list that does not match its digest
+	// is not used.
+	if other.NoteReading(share.Reading{Digest: 9, At: now, Reader: 9, Number: 9}) {
+		t.Error("an older list is missing")
+	}
+	forged := share.Reading{Digest: 9, At: now.Add(3 * time.Second), Reader: 9, Number: 10}
+	other.MergeBuckets(forged, []*wire.Bucket{{Index: 0}})
+	if got := other.CountByVersion("pool")["v1"]; got != 29 {
+		t.Errorf("got %d servers after an altered list, want 29", got)
 	}
 }
 
 // Gates that missed a new list must not keep the old one current by confirming
-// it to each other: a server that leaves would go on to get requests.
+// it to each other: a server that leaves would go on to get requests. Each
+// datagram takes a moment, so what it confirms looks later than it was.
 func TestMutualConfirmation(t *testing.T) {
 	now := time.Now()
-	a := New("a")
+	a, b := New("a"), New("b")
 	a.SetList(list(3), now)
-	digest, _, _ := a.ListAnnouncement()
-	a.AdoptList(digest+1, now.Add(time.Second), nil) // a new list, whose datagrams were lost
-	for i := range 2000 {                            // the other gate has the old list too; each datagram takes a moment
-		a.AdoptList(digest, now.Add(time.Duration(i)*time.Millisecond/2), nil)
+	b.SetList(list(3), now.Add(time.Millisecond))
+	own, others := a.ListReading(), b.ListReading()
+	a.NoteReading(others)
+	newer := share.Reading{Digest: 9, At: now.Add(time.Second), Reader: 9, Number: 1}
+	if !a.NoteReading(newer) {
+		t.Fatal("a newer list is not missing")
+	}
+	for i := range 2000 {
+		for _, r := range []share.Reading{own, others} {
+			r.At = r.At.Add(time.Duration(i) * time.Millisecond)
+			a.NoteReading(r)
+		}
 	}
-	if due := a.NextListRead(0, time.Second, 100*time.Millisecond); due.Sub(now) > time.Second {
+	if due := a.NextListRead(time.Second, 0); due.Sub(now) > time.Second+time.Millisecond {
 		t.Errorf("the list is due %v after its reading, want at most 1 s", due.Sub(now))
 	}
-	a.AdoptList(digest, now.Add(2*time.Second), nil) // a true reading of the old list, later than the new one
-	if due := a.NextListRead(0, time.Second, 100*time.Millisecond); due.Sub(now) != 3*time.Second {
+	b.SetList(list(3), now.Add(2*time.Second)) // a true reading of the old list, later than the new one
+	a.NoteReading(b.ListReading())
+	if due := a.NextListRead(time.Second, 0); due.Sub(now) != 3*time.Second {
 		t.Errorf("the list is due %v after its reading, want 3 s after a later confirmation", due.Sub(now))
 	}
 }
--- a/gate/fleet/list.go
+++ b/gate/fleet/list.go
@@ -6,132 +6,216 @@
 	"strings"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-	"k8s.io/klog/v2"
-
 	"citronledge.example/core/ident"
 	"citronledge.example/core/wire"
+	"citronledge.example/gate/share"
 	"citronledge.example/platform"
+	"github.com/cespare/xxhash/v2"
 )
 
 const (
-	// announceTimes is how often a new list is sent to the other gates, since a
-	// datagram may be lost.
-	announceTimes = 2
-	// minReadingGap is the least difference between two readings of the list.
-	// The network latency of a datagram makes a reading look later than it was;
-	// without this bound, gates that missed a new list would confirm the old
-	// one to each other forever.
+	// minReadingGap is how much later than the list in use another list must
+	// have been read to replace it. The network latency of datagrams makes a
+	// reading look later than it was.
 	minReadingGap = 400 * time.Millisecond
 	// missingListTimeout is how long a gate waits for a newer list that another
 	// gate has before it reads the list itself.
-	missingListTimeout = 300 * time.Millisecond
+	missingListTimeout = 600 * time.Millisecond
+	// missingDelayShare is the part of a gate's delay for reading the list by
+	// which it waits longer than missingListTimeout, so that not all read at
+	// once.
+	missingDelayShare = 0.25
+	// maxReaders limits the gates whose readings are remembered.
+	maxReaders = 1000
 )
 
 // listState is the list of backend servers and how current it is. Fleet.mu
 // guards it.
 type listState struct {
-	digest            uint64
-	servers           []platform.ListedBackend
-	readAt            time.Time // when this list was last known to be current
-	announcementsLeft int       // datagrams that still carry the list
-	missingSince      time.Time // since when another gate has had a newer list; zero if none has
-	newestReadAt      time.Time // when the newest list known here or reported by another gate was read
+	reading share.Reading // the last one that had this list
+	servers []platform.ListedBackend
+	// noted is the number of the last reading of each gate that was processed.
+	// Gates that missed a new list would else confirm the old one to each other
+	// forever, as each confirmation looks later than it was.
+	noted        map[uint64]uint32
+	reader       uint64    // identifies the readings of this gate
+	number       uint32    // of its last reading
+	missingSince time.Time // since when another gate has had a newer list; zero if none has
+	newestReadAt time.Time // when the newest list known here or reported by another gate was read
+	// parts are the parts of a newer list that have arrived, by index.
+	parts       map[uint32][]platform.ListedBackend
+	partsDigest uint64 // of the whole newer list
 }
 
 // SetList stores the list that this gate has read.
 func (f *Fleet) SetList(list []platform.ListedBackend, now time.Time) {
-	digest := listDigest(list)
 	f.mu.Lock()
-	changed := digest != f.list.digest
-	f.list.readAt, f.list.missingSince, f.list.newestReadAt = now, time.Time{}, now
-	if changed {
-		f.list.digest, f.list.servers, f.list.announcementsLeft = digest, list, announceTimes
-	}
+	f.list.number++
+	changed := f.setList(share.Reading{Digest: listDigest(list), At: now, Reader: f.list.reader, Number: f.list.number}, list)
 	f.mu.Unlock()
 	if changed {
 		f.Update(list)
 	}
 }
 
+// setList stores a reading and its list, and reports whether the list is
+// another one. It must be called with mu held.
+func (f *Fleet) setList(r share.Reading, list []platform.ListedBackend) (changed bool) {
+	l := &f.list
+	changed = r.Digest != l.reading.Digest
+	l.reading, l.servers, l.missingSince, l.newestReadAt = r, list, time.Time{}, r.At
+	l.parts, l.partsDigest = nil, 0
+	return changed
+}
+
 // NextListRead returns when this gate is to read the list itself, unless it
 // gets a newer reading from another gate before: interval after the last
-// reading for the gate of rank 0, and pause later for each further rank.
-func (f *Fleet) NextListRead(rank int, interval, pause time.Duration) time.Time {
-	const maxRank = 3 // gates of a higher rank don't wait longer
+// reading, and delay later.
+func (f *Fleet) NextListRead(interval, delay time.Duration) time.Time {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	due := f.list.readAt.Add(interval + time.Duration(min(rank, maxRank))*pause)
-	if since := f.list.missingSince; !since.IsZero() && since.Add(missingListTimeout).Before(due) {
-		due = since.Add(missingListTimeout)
+	due := f.list.reading.At.Add(interval + delay)
+	if since := f.list.missingSince; !since.IsZero() {
+		missing := since.Add(missingListTimeout + time.Duration(missingDelayShare*float64(delay)))
+		if missing.Before(due) {
+			due = missing
+		}
 	}
 	return due
 }
 
-// ListAnnouncement implements share.ServerList.
-func (f *Fleet) ListAnnouncement() (digest uint64, read time.Time, list []*wire.Listed) {
+// ListReading implements share.ServerList.
+func (f *Fleet) ListReading() share.Reading {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.list.reading
+}
+
+// NoteReading implements share.ServerList.
+func (f *Fleet) NoteReading(r share.Reading) (missing bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	l := &f.list
-	if l.announcementsLeft > 0 {
-		l.announcementsLeft--
-		for _, x := range l.servers {
-			list = append(list, &wire.Listed{
+	if r.Digest == l.reading.Digest {
+		if l.isNews(r) && r.At.After(l.reading.At) {
+			l.note(r)
+			// A confirmation that is older than a newer list proves nothing.
+			if !l.newestReadAt.After(r.At) {
+				l.reading, l.missingSince = r, time.Time{}
+			}
+		}
+		return false
+	}
+	if !l.isNews(r) || !r.At.After(l.reading.At.Add(minReadingGap)) {
+		return false
+	}
+	if r.At.After(l.newestReadAt) {
+		l.newestReadAt = r.At
+	}
+	if l.missingSince.IsZero() {
+		l.missingSince = time.Now()
+	}
+	return true
+}
+
+// isNews reports whether a reading has not been processed yet.
+func (l *listState) isNews(r share.Reading) bool {
+	number, ok := l.noted[r.Reader]
+	return r.Reader != l.reader && (!ok || r.Number > number)
+}
+
+func (l *listState) note(r share.Reading) {
+	if l.noted == nil || len(l.noted) >= maxReaders {
+		l.noted = map[uint64]uint32{}
+	}
+	l.noted[r.Reader] = r.Number
+}
+
+// bucketOf returns the part of the list that a server belongs to.
+func bucketOf(id ident.Backend) uint32 {
+	return uint32(xxhash.Sum64String(string(id)) % share.ListBuckets)
+}
+
+// buckets divides a list into its parts.
+func buckets(list []platform.ListedBackend) [][]platform.ListedBackend {
+	parts := make([][]platform.ListedBackend, share.ListBuckets)
+	for _, x := range list {
+		i := bucketOf(x.ID)
+		parts[i] = append(parts[i], x)
+	}
+	return parts
+}
+
+// BucketDigests implements share.ServerList.
+func (f *Fleet) BucketDigests() []uint32 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	digests := make([]uint32, share.ListBuckets)
+	for i, part := range buckets(f.list.servers) {
+		digests[i] = uint32(listDigest(part))
+	}
+	return digests
+}
+
+// DifferingBuckets implements share.ServerList.
+func (f *Fleet) DifferingBuckets(digests []uint32) []*wire.Bucket {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var list []*wire.Bucket
+	for i, part := range buckets(f.list.servers) {
+		if uint32(listDigest(part)) == digests[i] {
+			continue
+		}
+		b := &wire.Bucket{Index: uint32(i)}
+		for _, x := range part {
+			b.Servers = append(b.Servers, &wire.Listed{
 				Id: string(x.ID), Service: string(x.Service), Address: x.Address, Zone: string(x.Zone), Version: string(x.Version),
 				Slots: uint32(x.Slots), Leaving: x.Leaving,
 			})
 		}
+		list = append(list, b)
 	}
-	return l.digest, l.readAt, list
+	return list
 }
 
-// AdoptList implements share.ServerList.
-func (f *Fleet) AdoptList(digest uint64, read time.Time, announced []*wire.Listed) {
+// MergeBuckets implements share.ServerList.
+func (f *Fleet) MergeBuckets(r share.Reading, parts []*wire.Bucket) {
 	f.mu.Lock()
 	l := &f.list
-	switch {
-	case !read.After(l.readAt.Add(minReadingGap)):
+	if r.Digest == l.reading.Digest || !l.isNews(r) || !r.At.After(l.reading.At.Add(minReadingGap)) {
 		f.mu.Unlock()
 		return
-	case digest == l.digest:
-		// A confirmation that is older than a newer list proves nothing.
-		if !l.newestReadAt.After(read) {
-			l.readAt, l.missingSince = read, time.Time{}
-		}
-		f.mu.Unlock()
-		return
-	case len(announced) == 0:
-		l.newestReadAt = latest(l.newestReadAt, read)
-		if l.missingSince.IsZero() {
-			l.missingSince = time.Now()
+	}
+	if l.partsDigest != r.Digest {
+		l.parts, l.partsDigest = map[uint32][]platform.ListedBackend{}, r.Digest
+	}
+	for _, b := range parts {
+		part := make([]platform.ListedBackend, 0, len(b.GetServers()))
+		for _, x := range b.GetServers() {
+			part = append(part, platform.ListedBackend{
+				ID: ident.Backend(x.GetId()), Service: ident.Service(x.GetService()), Address: x.GetAddress(), Zone: ident.Zone(x.GetZone()),
+				Version: ident.Version(x.GetVersion()), Slots: int(x.GetSlots()), Leaving: x.GetLeaving(),
+			})
 		}
-		f.mu.Unlock()
-		return
+		l.parts[b.GetIndex()] = part
 	}
-	list := make([]platform.ListedBackend, 0, len(announced))
-	for _, x := range announced {
-		list = append(list, platform.ListedBackend{
-			ID: ident.Backend(x.GetId()), Service: ident.Service(x.GetService()), Address: x.GetAddress(), Zone: ident.Zone(x.GetZone()),
-			Version: ident.Version(x.GetVersion()), Slots: int(x.GetSlots()), Leaving: x.GetLeaving(),
-		})
+	var list []platform.ListedBackend
+	for i, part := range buckets(l.servers) {
+		if newer, ok := l.parts[uint32(i)]; ok {
+			part = newer
+		}
+		list = append(list, part...)
 	}
-	if listDigest(list) != digest {
-		f.mu.Unlock()
-		klog.InfoS("List of another gate does not match its digest; ignored", "entries", len(list))
+	if listDigest(list) != r.Digest {
+		f.mu.Unlock() // parts are missing
 		return
 	}
-	l.digest, l.servers, l.readAt, l.missingSince, l.newestReadAt, l.announcementsLeft = digest, list, read, time.Time{}, read, 0
+	l.note(r)
+	f.setList(r, list)
 	f.mu.Unlock()
 	f.Update(list)
 }
 
-func latest(a, b time.Time) time.Time {
-	if b.After(a) {
-		return b
-	}
-	return a
-}
-
 // listDigest returns a digest of a list, whatever its order.
 func listDigest(list []platform.ListedBackend) uint64 {
 	sorted := slices.Clone(list)
--- a/gate/fleet/share.go
+++ b/gate/fleet/share.go
@@ -6,11 +6,11 @@
 
 	"citronledge.example/core/ident"
 	"citronledge.example/core/wire"
+	"citronledge.example/gate/share"
 )
 
-// peerLoad is what another gate has reported about its attempts at a server.
+// peerLoad is what a source has reported about the attempts at a server.
 type peerLoad struct {
-	at                   time.Time
 	expires              time.Time
 	running, pendingWork float64
 	good, bad            uint32
@@ -20,7 +20,7 @@
 const reportPeriod = 3 * time.Second
 
 // LocalLoads implements share.LoadTable.
-func (f *Fleet) LocalLoads() ([]*wire.Share, bool) {
+func (f *Fleet) LocalLoads() ([]share.Load, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	changed := f.loadsChanged
@@ -28,7 +28,7 @@
 	if !changed && !f.loadsReported {
 		return nil, false
 	}
-	var list []*wire.Share
+	var list []share.Load
 	now := time.Now()
 	f.loadsReported = false
 	for _, s := range f.servers {
@@ -36,67 +36,102 @@
 			continue
 		}
 		f.loadsReported = true
-		list = append(list, &wire.Share{
-			Server: s.hash, Running: uint32(s.inFlight), Reading: uint32(min(s.pendingWork, math.MaxUint32)), Good: s.health.goodCount, Bad: s.health.badCount,
+		list = append(list, share.Load{
+			Server: s.loadKey(), Running: uint32(s.inFlight), Reading: uint32(min(s.pendingWork, math.MaxUint32)), Good: s.health.goodCount, Bad: s.health.badCount,
 		})
 	}
 	return list, changed
 }
 
+// loadKey is the hash by which gates name the server in their reports.
+func (s *Server) loadKey() uint32 { return uint32(s.hash) }
+
 // MergeLoads implements share.LoadTable.
-func (f *Fleet) MergeLoads(l *wire.Loads, ttl time.Duration) {
+func (f *Fleet) MergeLoads(r share.Report, ttl time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := time.Now()
-	p := f.peers[l.GetName()]
+	p := f.peers[r.Source]
 	if p == nil {
 		p = &peer{}
-		f.peers[l.GetName()] = p
+		f.peers[r.Source] = p
 	}
-	restarted := p.run != l.GetRun()
-	if !restarted && l.GetSeq() <= p.seq {
-		return // a later datagram arrived first
+	restarted := p.run != r.Run
+	if !restarted && r.Seq <= p.seq {
+		return // a later report arrived first
 	}
-	if zone := ident.Zone(l.GetZone()); !restarted && zone != f.zone {
-		f.path(zone).record(float64(l.GetSeq()-p.seq-1), now)
+	if !restarted && r.Zone != f.zone {
+		f.path(r.Zone).record(float64(r.Seq-p.seq-1), now)
 	}
-	p.run, p.seq, p.at = l.GetRun(), l.GetSeq(), now
-	shares := make(map[uint64]*wire.Share, len(l.GetShares()))
-	for _, s := range l.GetShares() {
-		shares[s.GetServer()] = s
+	p.run, p.seq = r.Run, r.Seq
+	loads := make(map[uint32]share.Load, len(r.Loads))
+	for _, l := range r.Loads {
+		loads[l.Server] = l
 	}
 	for _, s := range f.servers {
-		last := s.peerLoads[l.GetName()]
-		share := shares[s.hash]
-		if share == nil {
+		last := s.peerLoads[r.Source]
+		l, reported := loads[s.loadKey()]
+		if !reported {
 			if last != nil {
 				last.running, last.pendingWork = 0, 0
 			}
 			continue
 		}
 		if last == nil {
-			last = &peerLoad{good: share.GetGood(), bad: share.GetBad()}
+			last = &peerLoad{good: l.Good, bad: l.Bad}
 			if s.peerLoads == nil {
 				s.peerLoads = map[string]*peerLoad{}
 			}
-			s.peerLoads[l.GetName()] = last
-		} else if restarted || share.GetGood() < last.good || share.GetBad() < last.bad {
-			last.good, last.bad = share.GetGood(), share.GetBad()
+			s.peerLoads[r.Source] = last
+		} else if restarted || l.Good < last.good || l.Bad < last.bad {
+			last.good, last.bad = l.Good, l.Bad
 		}
-		s.health.mergePeer(s, float64(share.GetGood()-last.good), float64(share.GetBad()-last.bad), now)
+		s.health.mergePeer(s, float64(l.Good-last.good), float64(l.Bad-last.bad), now)
 		*last = peerLoad{
-			at: now, expires: now.Add(ttl), running: float64(share.GetRunning()), pendingWork: float64(share.GetReading()),
-			good: share.GetGood(), bad: share.GetBad(),
+			expires: now.Add(ttl), running: float64(l.Running), pendingWork: float64(l.Reading), good: l.Good, bad: l.Bad,
 		}
 	}
 }
 
-// peer is another gate.
-type peer struct {
-	run, seq uint64
-	at       time.Time
+// ForgetLoads implements share.LoadTable.
+func (f *Fleet) ForgetLoads() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	clear(f.peers)
+	for _, s := range f.servers {
+		s.peerLoads = nil
+	}
 }
 
+// PathLosses implements share.LoadTable.
+func (f *Fleet) PathLosses() []*wire.PathLoss {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := time.Now()
+	var list []*wire.PathLoss
+	for zone, p := range f.paths {
+		p.decay(now)
+		if p.lost > 0 {
+			list = append(list, &wire.PathLoss{Zone: string(zone), Lost: float32(p.lost), Received: float32(p.received)})
+		}
+	}
+	return list
+}
+
+// SetPathLosses implements share.LoadTable.
+func (f *Fleet) SetPathLosses(list []*wire.PathLoss) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := time.Now()
+	clear(f.paths)
+	for _, l := range list {
+		f.paths[ident.Zone(l.GetZone())] = &zonePath{decayedAt: now, lost: float64(l.GetLost()), received: float64(l.GetReceived())}
+	}
+}
+
+// peer is a source of reports.
+type peer struct{ run, seq uint64 }
+
 // zonePath is the network path between this gate's availability zone and
 // another one.
 type zonePath struct {
@@ -143,7 +178,7 @@
 	return p.lost / (p.lost + p.received + lossPriorDatagrams)
 }
 
-// peerTotals sums up the valid loads that the other gates have reported.
+// peerTotals sums up the valid loads that have been reported.
 func (s *Server) peerTotals(now time.Time) (running, pendingWork float64) {
 	for _, p := range s.peerLoads {
 		if now.Before(p.expires) {
--- a/gate/relay/relay.go
+++ b/gate/relay/relay.go
@@ -100,7 +100,7 @@
 	r := &Relay{
 		started:      time.Now(),
 		retryBudgets: map[ident.Service]*policy.WindowBudget{}, firstTokenEstimators: map[ident.Service]*policy.FirstTokenEstimator{}, baselines: map[baselineKey]*policy.MedianEstimator{}, hasLease: func() bool { return true },
-		sessions: sessions{byHash: map[uint64]sessionEntry{}}, metrics: newMetrics(), tallies: newTallies(),
+		sessions: sessions{byHash: map[uint32]sessionEntry{}}, metrics: newMetrics(), tallies: newTallies(),
 	}
 	for _, o := range opts {
 		o(r)
--- a/gate/relay/relay_test.go
+++ b/gate/relay/relay_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -585,3 +586,33 @@
 		t.Errorf("got %d runs of half a request", got)
 	}
 }
+
+// Gates that know nothing of each other's sessions agree on those that a version
+// in its canary stage may get. Otherwise each of many gates would give it other
+// sessions, and move them from the version that serves them elsewhere.
+func TestCandidateSessions(t *testing.T) {
+	const gates, sessionCount = 16, 150
+	by := func(version string) runner.Reply { return runner.Events(1, 1, 0, "X-Version: "+version+"\r\n") }
+	var all, moved []string
+	for i := range sessionCount {
+		all = append(all, fmt.Sprint("s", i))
+	}
+	for range gates {
+		r := newRig(t, by("v1"), by("v2"))
+		r.fleet.Update(r.list[:1])
+		r.send(http.MethodPost, "/stream/x", "first", nil)
+		r.list[1].Version = "v2"
+		r.fleet.Update(r.list)
+		r.plan(2, map[ident.Service]conf.ServiceRollout{service: {Target: "v2", DurationMillis: 10_000, Stage: conf.StageCanary, Number: 1}})
+		for i := range all {
+			s := all[(i*7+11*len(moved))%len(all)] // in another order at each gate
+			if got := r.send(http.MethodPost, "/stream/x", "r"+s, map[string]string{"Session": s}).header.Get("X-Version"); got == "v2" && !slices.Contains(moved, s) {
+				moved = append(moved, s)
+			}
+		}
+	}
+	// The canary share is 0.1; four times as many sessions are candidates.
+	if len(moved) == 0 || len(moved) > sessionCount/2 {
+		t.Errorf("the canary got %d of %d sessions at %d gates, want some and at most half", len(moved), sessionCount, gates)
+	}
+}
--- a/gate/relay/session.go
+++ b/gate/relay/session.go
@@ -1,13 +1,14 @@
 package relay
 
 import (
+	"math"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
 	"citronledge.example/core/conf"
 	"citronledge.example/core/ident"
-	"citronledge.example/core/wire"
+	"citronledge.example/gate/share"
 )
 
 // maxSessions limits the sessions that a gate remembers.
@@ -16,11 +17,19 @@
 // maxUnsentSessions limits the sessions that wait to be sent to other gates.
 const maxUnsentSessions = 500
 
+// candidateFactor is how many times the canary share of all sessions may be
+// served by a version in its canary stage. All gates agree on which these are
+// by their hash, and exchange only what serves them: every other session stays
+// with the version in use, also at a gate that has never seen it. The factor
+// leaves room for those that were under way when the rollout began.
+const candidateFactor = 4
+
 // sessions remembers which version serves a session, so that a rollout does not
-// move it. The requests of a session arrive at several gates.
+// move it. The requests of a session arrive at several gates. It holds only
+// candidates for a version in its canary stage.
 type sessions struct {
-	byHash map[uint64]sessionEntry // by hash of service and session
-	unsent []*wire.Seen            // not yet sent to the other gates
+	byHash map[uint32]sessionEntry // by hash of service and session
+	unsent []share.Session         // not yet sent to the other gates
 }
 
 type sessionEntry struct {
@@ -28,7 +37,7 @@
 	servedAt time.Time
 }
 
-func (s *sessions) record(id uint64, version uint32, now time.Time) {
+func (s *sessions) record(id, version uint32, now time.Time) {
 	if _, known := s.byHash[id]; !known && len(s.byHash) >= maxSessions {
 		return
 	}
@@ -44,7 +53,7 @@
 }
 
 // TakeServedSessions implements share.SessionTable.
-func (r *Relay) TakeServedSessions() []*wire.Seen {
+func (r *Relay) TakeServedSessions() []share.Session {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	list := r.sessions.unsent
@@ -53,22 +62,25 @@
 }
 
 // MergeSessions implements share.SessionTable.
-func (r *Relay) MergeSessions(list []*wire.Seen) {
+func (r *Relay) MergeSessions(list []share.Session) {
 	now := time.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, x := range list {
-		r.sessions.record(x.GetSession(), x.GetVersion(), now)
+		r.sessions.record(x.ID, x.Version, now)
 	}
 }
 
-// sessionHash returns the hash of the request's session with its service; 0 if
-// the request has no session.
-func (c *call) sessionHash() uint64 {
+// sessionHash returns the hash of the request's session with its service, and
+// whether the session is a candidate for a version in its canary stage. A
+// request without a session is none.
+func (c *call) sessionHash() (id uint32, candidate bool) {
 	if c.head.Session == "" {
-		return 0
+		return 0, false
 	}
-	return xxhash.Sum64String(string(c.service) + " " + string(c.head.Session))
+	h := xxhash.Sum64String(string(c.service) + " " + string(c.head.Session))
+	// The low half names the session, the high half decides.
+	return uint32(h), float64(h>>32) < candidateFactor*c.r.settings.CanaryShare*math.MaxUint32
 }
 
 func hashVersion(v ident.Version) uint32 { return uint32(xxhash.Sum64String(string(v))) }
@@ -76,8 +88,8 @@
 // sessionVersion returns which of the given versions serves the session, if any
 // does.
 func (c *call) sessionVersion(versions ...ident.Version) (ident.Version, bool) {
-	id := c.sessionHash()
-	if id == 0 {
+	id, candidate := c.sessionHash()
+	if !candidate {
 		return "", false
 	}
 	c.r.mu.Lock()
@@ -116,6 +128,9 @@
 		return incumbent, true
 	case conf.StageCanary:
 	}
+	if _, candidate := c.sessionHash(); c.head.Session != "" && !candidate {
+		return incumbent, false
+	}
 	if current, ok := c.sessionVersion(incumbent, s.Target); ok {
 		return current, false
 	}
@@ -136,14 +151,14 @@
 
 // recordSession records the version that serves the request's session.
 func (c *call) recordSession(v ident.Version, now time.Time) {
-	id := c.sessionHash()
-	if id == 0 {
+	id, candidate := c.sessionHash()
+	if !candidate {
 		return
 	}
 	c.r.mu.Lock()
 	defer c.r.mu.Unlock()
 	c.r.sessions.record(id, hashVersion(v), now)
 	if len(c.r.sessions.unsent) < maxUnsentSessions {
-		c.r.sessions.unsent = append(c.r.sessions.unsent, &wire.Seen{Session: id, Version: hashVersion(v)})
+		c.r.sessions.unsent = append(c.r.sessions.unsent, share.Session{ID: id, Version: hashVersion(v)})
 	}
 }
--- a/gate/share/share_test.go
+++ b/gate/share/share_test.go
@@ -1,8 +1,8 @@
 package share
 
 import (
-	"context"
 	"net"
+	"net/netip"
 	"sync"
 	"testing"
 	"time"
@@ -15,32 +15,45 @@
 // loadTable is a LoadTable that records what it receives.
 type loadTable struct {
 	mu       sync.Mutex
-	own      []*wire.Share
-	received map[string]*wire.Loads
+	own      []Load
+	received map[string]Report
+	losses   []*wire.PathLoss
 }
 
-func (s *loadTable) LocalLoads() ([]*wire.Share, bool) { return s.own, true }
+func newLoadTable(own ...Load) *loadTable { return &loadTable{own: own, received: map[string]Report{}} }
 
-func (s *loadTable) MergeLoads(l *wire.Loads, _ time.Duration) {
+func (s *loadTable) LocalLoads() ([]Load, bool) { return s.own, true }
+
+func (s *loadTable) MergeLoads(r Report, _ time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.received[r.Source] = r
+}
+
+func (s *loadTable) ForgetLoads() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.received[l.GetName()] = l
+	clear(s.received)
 }
 
-func (s *loadTable) from(name string) *wire.Loads {
+func (s *loadTable) PathLosses() []*wire.PathLoss { return s.losses }
+
+func (s *loadTable) SetPathLosses(l []*wire.PathLoss) { s.losses = l }
+
+func (s *loadTable) from(source string) Report {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.received[name]
+	return s.received[source]
 }
 
 // sessionTable is a SessionTable that counts what it receives.
 type sessionTable struct {
 	mu       sync.Mutex
-	own      []*wire.Seen
-	received map[uint64]int // times that each was received
+	own      []Session
+	received map[uint32]int // times that each was received
 }
 
-func (k *sessionTable) TakeServedSessions() []*wire.Seen {
+func (k *sessionTable) TakeServedSessions() []Session {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	own := k.own
@@ -48,38 +61,55 @@
 	return own
 }
 
-func (k *sessionTable) MergeSessions(l []*wire.Seen) {
+func (k *sessionTable) MergeSessions(l []Session) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	for _, s := range l {
 		if k.received == nil {
-			k.received = map[uint64]int{}
+			k.received = map[uint32]int{}
 		}
-		k.received[s.GetSession()]++
+		k.received[s.ID]++
 	}
 }
 
+func (k *sessionTable) times(id uint32) int {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.received[id]
+}
+
+func newExchange(t *testing.T, name, addr string, keys *link.Keys, loads LoadTable, sessions SessionTable, others ...string) *Exchange {
+	t.Helper()
+	x := New(Config{Name: name, Self: Member{Addr: netip.MustParseAddrPort(addr), Zone: "zone"}, Loads: loads, Sessions: sessions}, keys)
+	gates := []*wire.Gate{{Addr: addr, Zone: "zone"}}
+	for _, o := range others {
+		gates = append(gates, &wire.Gate{Addr: o, Zone: "zone"})
+	}
+	x.SetGates(gates)
+	return x
+}
+
+func address(t *testing.T) string {
+	t.Helper()
+	c, err := net.ListenPacket("udp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	return c.LocalAddr().String()
+}
+
 // Each session is sent twice, so that a lost datagram does not hide it.
 func TestSessions(t *testing.T) {
 	keys := link.NewKeys("k", link.RoleProcess, []byte("0123456789abcdef"))
 	g := group.New(t.Context())
 	one, two := address(t), address(t)
-	a, b := &sessionTable{own: []*wire.Seen{{Session: 5, Version: 1}}}, &sessionTable{}
-	start := func(name, addr string, k SessionTable, to string) {
-		x := New(name, "zone", addr, keys, &loadTable{received: map[string]*wire.Loads{}}, k, nil)
-		x.SetPeers([]string{to})
-		g.Go(name, func(ctx context.Context) error { return x.Run(ctx) })
-	}
-	start("b", two, b, one)
-	start("a", one, a, two)
-	received := func() int {
-		b.mu.Lock()
-		defer b.mu.Unlock()
-		return b.received[5]
-	}
-	for end := time.Now().Add(5 * time.Second); received() < 2; time.Sleep(time.Millisecond) {
+	a, b := &sessionTable{own: []Session{{ID: 5, Version: 1}}}, &sessionTable{}
+	g.Go("b", newExchange(t, "b", two, keys, newLoadTable(), b, one).Run)
+	g.Go("a", newExchange(t, "a", one, keys, newLoadTable(), a, two).Run)
+	for end := time.Now().Add(5 * time.Second); b.times(5) < 2; time.Sleep(time.Millisecond) {
 		if time.Now().After(end) {
-			t.Fatalf("the session was received %d times in 5 s, want 2", received())
+			t.Fatalf("the session was received %d times in 5 s, want 2", b.times(5))
 		}
 	}
 	g.Stop()
@@ -88,42 +118,27 @@
 	}
 }
 
-func address(t *testing.T) string {
-	t.Helper()
-	c, err := net.ListenPacket("udp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = c.Close() }()
-	return c.LocalAddr().String()
-}
-
 // Loads reach the other gates, and datagrams that are sealed with another key
 // are dropped: they could keep all traffic from a server.
 func TestExchange(t *testing.T) {
 	keys := link.NewKeys("k", link.RoleProcess, []byte("0123456789abcdef"))
 	other := link.NewKeys("k", link.RoleProcess, []byte("fedcba9876543210"))
 	g := group.New(t.Context())
-	one, two := address(t), address(t)
-	a, b := &loadTable{own: []*wire.Share{{Server: 7, Running: 2}}, received: map[string]*wire.Loads{}}, &loadTable{received: map[string]*wire.Loads{}}
-	start := func(name, addr string, k *link.Keys, s LoadTable, to string) {
-		x := New(name, "zone", addr, k, s, &sessionTable{}, nil)
-		x.SetPeers([]string{to})
-		g.Go(name, func(ctx context.Context) error { return x.Run(ctx) })
-	}
-	start("a", one, keys, a, two)
-	start("b", two, keys, b, one)
-	start("stranger", address(t), other, a, two)
-	for end := time.Now().Add(5 * time.Second); b.from("a") == nil || a.from("b") == nil; time.Sleep(time.Millisecond) {
+	one, two, three := address(t), address(t), address(t)
+	a, b := newLoadTable(Load{Server: 7, Running: 2}), newLoadTable()
+	g.Go("a", newExchange(t, "a", one, keys, a, nil, two, three).Run)
+	g.Go("b", newExchange(t, "b", two, keys, b, nil, one, three).Run)
+	g.Go("stranger", newExchange(t, "stranger", three, other, a, nil, two).Run)
+	for end := time.Now().Add(5 * time.Second); b.from(one).Seq == 0 || a.from(two).Seq == 0; time.Sleep(time.Millisecond) {
 		if time.Now().After(end) {
 			t.Fatal("no loads in 5 s")
 		}
 	}
-	if got := b.from("a"); len(got.GetShares()) != 1 || got.GetShares()[0].GetRunning() != 2 || got.GetZone() != "zone" {
+	if got := b.from(one); len(got.Loads) != 1 || got.Loads[0].Running != 2 || got.Zone != "zone" {
 		t.Errorf("got %v", got)
 	}
-	for last := b.from("a").GetSeq(); b.from("a").GetSeq() < last+5; time.Sleep(time.Millisecond) {
-		if b.from("stranger") != nil {
+	for last := b.from(one).Seq; b.from(one).Seq < last+5; time.Sleep(time.Millisecond) {
+		if b.from(three).Seq > 0 {
 			t.Fatal("a datagram without a valid seal was accepted")
 		}
 	}
@@ -133,37 +148,10 @@
 	}
 }
 
-// With many gates each one sends less often, so that the rate of datagrams at a
-// gate stays bounded. An empty list, as from a leader that does not know the
-// gates yet, changes nothing.
-func TestSendSchedule(t *testing.T) {
-	x := New("a", "z", "127.0.0.1:1", nil, nil, nil, nil)
-	for name, c := range map[string]struct {
-		peers int
-		want  time.Duration
-	}{"few": {2, minSendInterval}, "many": {320, 2 * time.Second}} {
-		var list []string
-		for range c.peers {
-			list = append(list, "127.0.0.1:9")
-		}
-		x.SetPeers(list)
-		x.SetPeers(nil)
-		if got, peers := x.sendSchedule(); got != c.want || len(peers) != c.peers {
-			t.Errorf("%s: got %v to %d, want %v to %d", name, got, len(peers), c.want, c.peers)
-		}
-	}
-}
-
-// Exactly one of the gates that know each other has rank 0.
-func TestRank(t *testing.T) {
-	all := []string{"127.0.0.1:1", "127.0.0.2:1", "127.0.0.3:1", "127.0.0.4:1"}
-	seen := map[int]bool{}
-	for i, own := range all {
-		x := New("g", "z", own, nil, nil, nil, nil)
-		x.SetPeers(append(append([]string(nil), all[:i]...), all[i+1:]...))
-		seen[x.Rank()] = true
-	}
-	if len(seen) != len(all) || !seen[0] {
-		t.Errorf("got ranks %v of %d gates, want each once", seen, len(all))
+// An address of a gate that cannot be read is left out, and the others hold.
+func TestInvalidGate(t *testing.T) {
+	x := newExchange(t, "a", "127.0.0.1:1", nil, newLoadTable(), nil, "host:7", "127.0.0.2:1")
+	if x.topo.size != 2 {
+		t.Errorf("got %d gates, want 2", x.topo.size)
 	}
 }
--- a/state/node/epoch.go
+++ b/state/node/epoch.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
+	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"k8s.io/klog/v2"
 
 	"citronledge.example/core/fault"
@@ -58,7 +61,8 @@
 // holder is a process that holds a lease.
 type holder struct {
 	name, zone   string
-	exchangeAddr string // address for the load reports of other gates
+	exchangeAddr string // address for the datagrams of other gates
+	linkRate     uint32 // of a gate, in kB/s
 	acked        uint64 // highest acknowledged revision
 	expires      time.Time
 }
@@ -180,8 +184,10 @@
 			h = &holder{name: r.GetName(), zone: r.GetZone(), acked: r.GetRevision()}
 			e.holders[id] = h
 		}
-		h.exchangeAddr = r.GetExchange()
-		grant.Exchanges = e.exchangeAddrs(id, h)
+		h.exchangeAddr, h.linkRate = r.GetExchange(), r.GetLink()
+		if h.exchangeAddr != "" {
+			grant.Gates = e.changedGates(r.GetGates(), now)
+		}
 		h.expires = now.Add(ident.GuardedLeaseDuration)
 		grant.Ttl = uint32(ident.LeaseDuration / time.Millisecond)
 	}
@@ -191,19 +197,27 @@
 	return grant
 }
 
-// exchangeAddrs returns the addresses of the other gates that exchange load
-// reports, or none if the given holder does not exchange them.
-func (e *epoch) exchangeAddrs(id uint64, of *holder) []string {
-	if of.exchangeAddr == "" {
+// changedGates returns the gates that exchange datagrams, unless a gate has the
+// list with this digest already. A new leader knows all of them only when their
+// leases from its predecessor have ended; until then it returns nil.
+func (e *epoch) changedGates(digest uint64, now time.Time) *wire.GateList {
+	if now.Before(e.elected.Add(ident.GuardedLeaseDuration)) {
 		return nil
 	}
-	var list []string
-	for other, h := range e.holders {
-		if other != id && h.exchangeAddr != "" {
-			list = append(list, h.exchangeAddr)
+	list := &wire.GateList{}
+	for _, h := range e.holders {
+		if h.exchangeAddr != "" {
+			list.Gates = append(list.Gates, &wire.Gate{Addr: h.exchangeAddr, Zone: h.zone, Link: h.linkRate})
 		}
 	}
-	slices.Sort(list)
+	slices.SortFunc(list.Gates, func(a, b *wire.Gate) int { return strings.Compare(a.GetAddr(), b.GetAddr()) })
+	d := xxhash.New()
+	for _, g := range list.GetGates() {
+		_, _ = fmt.Fprintln(d, g.GetAddr(), g.GetZone(), g.GetLink()) // a hash never fails
+	}
+	if list.Digest = d.Sum64(); list.GetDigest() == digest {
+		return nil
+	}
 	return list
 }
 
--- /dev/null
+++ b/state/node/gates_test.go
@@ -0,0 +1,47 @@
+package node
+
+import (
+	"testing"
+	"time"
+
+	"citronledge.example/core/client"
+	"citronledge.example/core/ident"
+	"citronledge.example/core/wire"
+)
+
+// A gate gets the list of gates when it changes, and only then: with hundreds of
+// gates, the list in each grant would fill the leader's link. A new leader, which
+// does not know all gates yet, sends none.
+func TestGateList(t *testing.T) {
+	bubble(t, func(r *testRig) {
+		lists := map[string][][]*wire.Gate{}
+		hold := func(name, addr string) {
+			r.holdLease(client.WithZone("zone"), client.WithExchange(addr, 1250, func(gates []*wire.Gate) { lists[name] = append(lists[name], gates) }))
+		}
+		hold("a", "10.0.0.1:7")
+		time.Sleep(10 * time.Second)
+		hold("b", "10.0.0.2:7")
+		time.Sleep(10 * time.Second)
+		if a, b := len(lists["a"]), len(lists["b"]); a != 2 || b != 1 {
+			t.Fatalf("got %d and %d lists, want 2 and 1", a, b)
+		}
+		for name, l := range lists {
+			got := l[len(l)-1]
+			if len(got) != 2 || got[0].GetAddr() != "10.0.0.1:7" || got[1].GetAddr() != "10.0.0.2:7" || got[1].GetZone() != "zone" || got[1].GetLink() != 1250 {
+				t.Errorf("%s: got %v, want both gates", name, got)
+			}
+		}
+		// After an election, gates renew one by one.
+		r.consensus.setElected(time.Now())
+		time.Sleep(ident.GuardedLeaseDuration / 2)
+		for name, l := range lists {
+			if len(l[len(l)-1]) != 2 {
+				t.Errorf("%s: got %v of a new leader, want no change", name, l[len(l)-1])
+			}
+		}
+		time.Sleep(10 * time.Second)
+		if a, b := len(lists["a"]), len(lists["b"]); a != 2 || b != 1 {
+			t.Errorf("got %d and %d lists after an election without a change, want 2 and 1", a, b)
+		}
+	})
+}
