core/policy: compare a sample of servers when many gates choose at once

Cause: with 105 gates, some 400 servers are chosen before one of these choices is known everywhere, each time the ones that were idle a moment ago. Ruled out: slow servers (they answered others at once), and the cost of a prompt.

Change: a gate compares a random sample, as large as leaves about three unseen choices to each preferred server, with as many of its own zone, and always the server that holds the shared part of the prompt. It compares all servers if there are few unseen choices or none of the sample has a free slot.

--- a/core/policy/direct.go
+++ b/core/policy/direct.go
@@ -1,6 +1,10 @@
 package policy
 
-import "citronledge.example/core/ident"
+import (
+	"math/rand/v2"
+
+	"citronledge.example/core/ident"
+)
 
 // DirectCandidate is a backend server as seen by a gate that reaches it
 // directly.
@@ -66,11 +70,73 @@
 	noFreeSlotLoad = 0.95
 )
 
+// unseenPerServer is how many attempts of other gates that it does not know of
+// yet a gate tolerates at the servers that it prefers.
+const unseenPerServer = 3
+
+// minSample is the least number of servers that are compared.
+const minSample = 2
+
+// SampleSize returns how many of the servers a gate compares when other gates
+// choose at the same time from knowledge of the same age; unseen is the number
+// of attempts that all gates together begin in that time. If many gates compared
+// all servers, each would send its attempts to the same few that were idle a
+// moment ago. Comparing d servers spreads the attempts over about one in d.
+func SampleSize(servers int, unseen float64) int {
+	if unseen <= unseenPerServer {
+		return servers
+	}
+	return min(servers, max(minSample, int(unseenPerServer*float64(servers)/unseen)))
+}
+
+// Sample says which servers a choice compares: Size of them, drawn by Seed, and
+// as many of the gate's own zone. A Size of 0 means all.
+type Sample struct {
+	Size int
+	Seed uint64
+}
+
+// mark marks the servers that are compared. With a sample of all, it returns
+// nil.
+func (s Sample) mark(list []DirectCandidate) []bool {
+	if s.Size <= 0 || s.Size >= len(list) {
+		return nil
+	}
+	r := rand.New(rand.NewPCG(s.Seed, uint64(len(list))))
+	marked := make([]bool, len(list))
+	all, near := s.Size, s.Size
+	for _, i := range r.Perm(len(list)) {
+		switch {
+		case list[i].Unavailable:
+		case list[i].SameZone && near > 0:
+			marked[i] = true
+			near--
+		case all > 0:
+			marked[i] = true
+			all--
+		}
+	}
+	return marked
+}
+
 // ChooseDirect returns the index of the server for an attempt, or -1 if there
 // is none. It is the one with the least cost: the prompts that wait there, what
 // has to be read of the attempt's own prompt, the batch, failures and distance.
-// Unavailable servers are used only if all are unavailable.
-func ChooseDirect(list []DirectCandidate, p Prompt) (int, Reason) {
+// Compared are the server that holds the shared part of the prompt and the
+// sample, or all if none of these has a free slot. Unavailable servers are used
+// only if all are unavailable.
+func ChooseDirect(list []DirectCandidate, p Prompt, sample Sample) (int, Reason) {
+	if marked := sample.mark(list); marked != nil {
+		if i, reason := chooseAmong(list, p, marked); i >= 0 && !list[i].Unavailable && list[i].Load < noFreeSlotLoad {
+			return i, reason
+		}
+	}
+	return chooseAmong(list, p, nil)
+}
+
+// chooseAmong returns the server with the least cost among the marked ones and
+// the one that holds the shared part of the prompt; nil marks all.
+func chooseAmong(list []DirectCandidate, p Prompt, marked []bool) (int, Reason) {
 	prefixHolder := -1
 	if p.SharedWork > 0 {
 		for i := range list {
@@ -83,7 +149,7 @@
 		best, leastCost := -1, 0.0
 		for i := range list {
 			s := &list[i]
-			if s.Unavailable != unavailable {
+			if s.Unavailable != unavailable || marked != nil && !marked[i] && i != prefixHolder {
 				continue
 			}
 			cost, work := s.cost(), p.Work
--- a/core/policy/direct_test.go
+++ b/core/policy/direct_test.go
@@ -61,7 +61,7 @@
 		"tolerated packet loss":      {[]DirectCandidate{{PacketLoss: 0.003}, {SameZone: true, Load: 0.8}}, Prompt{}, 0, ReasonLeastCost},
 	} {
 		t.Run(name, func(t *testing.T) {
-			if got, reason := ChooseDirect(test.list, test.prompt); got != test.want || reason != test.reason {
+			if got, reason := ChooseDirect(test.list, test.prompt, Sample{}); got != test.want || reason != test.reason {
 				t.Errorf("got %d for %q, want %d for %q", got, reason, test.want, test.reason)
 			}
 		})
--- a/gate/fleet/fleet.go
+++ b/gate/fleet/fleet.go
@@ -53,8 +53,11 @@
 	incumbents    map[ident.Service]ident.Version // versions in use
 	peers         map[string]*peer                // sources of reports, by name
 	paths         map[ident.Zone]*zonePath
-	loadsChanged  bool // since the last LocalLoads
-	loadsReported bool // the last LocalLoads returned a server
+	choices       map[ident.Service]*choiceRate
+	otherGates    int           // that choose servers too
+	exchangeDelay time.Duration // until they know of this gate's loads
+	loadsChanged  bool          // since the last LocalLoads
+	loadsReported bool          // the last LocalLoads returned a server
 }
 
 // New returns an empty fleet of a gate in a zone.
@@ -63,6 +66,7 @@
 		zone: zone, servers: map[ident.Backend]*Server{},
 		services: map[ident.Service][]*Server{}, incumbents: map[ident.Service]ident.Version{},
 		peers: map[string]*peer{}, paths: map[ident.Zone]*zonePath{}, list: listState{reader: rand.Uint64()},
+		choices: map[ident.Service]*choiceRate{},
 	}
 }
 
--- a/gate/fleet/pick.go
+++ b/gate/fleet/pick.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"math"
 	"time"
 
 	"citronledge.example/core/ident"
@@ -49,7 +50,8 @@
 		servers = append(servers, s)
 		candidates = append(candidates, f.candidate(s, criteria, now))
 	}
-	i, reason := policy.ChooseDirect(candidates, criteria.Prompt)
+	sample := policy.Sample{Size: policy.SampleSize(len(candidates), f.unseenChoices(criteria.Service, now)), Seed: criteria.TieBreak}
+	i, reason := policy.ChooseDirect(candidates, criteria.Prompt, sample)
 	if i < 0 {
 		return nil
 	}
@@ -63,6 +65,30 @@
 	return &Assignment{Server: s, fleet: f, start: now, Reason: reason, promptWork: criteria.Prompt.Work, Load: candidates[i].Load, QueuedWork: candidates[i].PendingPromptWork, PacketLoss: candidates[i].PacketLoss}
 }
 
+// choiceRate is the rate at which this gate chooses servers of a service.
+type choiceRate struct {
+	decayedAt time.Time
+	choices   float64 // decaying
+}
+
+// choiceHalfLife is the time after which a choice counts half.
+const choiceHalfLife = time.Second
+
+// unseenChoices counts a choice and estimates how many all other gates make
+// before this one knows of them. They get as many requests as this one, as the
+// load balancer spreads them. It must be called with mu held.
+func (f *Fleet) unseenChoices(service ident.Service, now time.Time) float64 {
+	r := f.choices[service]
+	if r == nil {
+		r = &choiceRate{decayedAt: now}
+		f.choices[service] = r
+	}
+	r.choices = r.choices*math.Exp2(-float64(now.Sub(r.decayedAt))/float64(choiceHalfLife)) + 1
+	r.decayedAt = now
+	perSecond := r.choices * math.Ln2 / choiceHalfLife.Seconds()
+	return perSecond * f.exchangeDelay.Seconds() * float64(f.otherGates)
+}
+
 // LeastQueuedWork returns the least work of prompts, in tokens of the smallest
 // model, that is queued at any usable server of a service.
 func (f *Fleet) LeastQueuedWork(service ident.Service, now time.Time) float64 {
--- a/gate/fleet/share.go
+++ b/gate/fleet/share.go
@@ -93,6 +93,13 @@
 	}
 }
 
+// SetExchange implements share.LoadTable.
+func (f *Fleet) SetExchange(others int, delay time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.otherGates, f.exchangeDelay = others, delay
+}
+
 // ForgetLoads implements share.LoadTable.
 func (f *Fleet) ForgetLoads() {
 	f.mu.Lock()
--- a/gate/share/node.go
+++ b/gate/share/node.go
@@ -56,6 +56,9 @@
 	MergeLoads(r Report, ttl time.Duration)
 	// ForgetLoads removes the reports of all sources.
 	ForgetLoads()
+	// SetExchange says how many other gates there are, and after how long they
+	// know of this gate's loads.
+	SetExchange(others int, delay time.Duration)
 	// PathLosses returns what was seen of the paths to other zones, and
 	// SetPathLosses replaces it by what the relay has seen.
 	PathLosses() []*wire.PathLoss
@@ -164,6 +167,11 @@
 	if old.direct() != n.topo.direct() {
 		n.resetSources()
 	}
+	delay := groupInterval + relayHeartbeat
+	if n.topo.direct() {
+		delay = n.directInterval()
+	}
+	n.cfg.Loads.SetExchange(n.topo.size-1, delay)
 	n.forgetGone()
 	klog.InfoS("Peer gates changed", "gates", n.topo.size, "groups", len(n.topo.groups), "group", n.topo.ownGroup().name, "rank", n.topo.self.rank)
 }
@@ -295,7 +303,7 @@
 func (n *Node) tickRelay(now time.Time, changed bool, served []Session) (packets []Packet, next time.Duration) {
 	interval, heartbeat := groupInterval, max(relayHeartbeat, n.interval)
 	if n.topo.direct() {
-		interval = max(minDirectInterval, time.Duration(float64(n.topo.size-1)/maxDirectRate*float64(time.Second)))
+		interval = n.directInterval()
 		heartbeat = MaxSendInterval
 	}
 	n.forGroups, n.forMembers = append(n.forGroups, served...), append(n.forMembers, served...)
@@ -333,6 +341,12 @@
 	return n.takeBurst(now)
 }
 
+// directInterval returns the interval between datagrams while each gate sends to
+// all others.
+func (n *Node) directInterval() time.Duration {
+	return max(minDirectInterval, time.Duration(float64(n.topo.size-1)/maxDirectRate*float64(time.Second)))
+}
+
 // takeBurst returns the next datagrams of a relay's round, and the time until
 // it may send more within its share of the link.
 func (n *Node) takeBurst(now time.Time) (burst []Packet, next time.Duration) {
--- a/gate/share/share_test.go
+++ b/gate/share/share_test.go
@@ -36,6 +36,8 @@
 	clear(s.received)
 }
 
+func (s *loadTable) SetExchange(int, time.Duration) {}
+
 func (s *loadTable) PathLosses() []*wire.PathLoss { return s.losses }
 
 func (s *loadTable) SetPathLosses(l []*wire.PathLoss) { s.losses = l }
--- a/gate/share/sim_test.go
+++ b/gate/share/sim_test.go
@@ -37,6 +37,7 @@
 
 func (l *loads) MergeLoads(r share.Report, _ time.Duration) { l.reported[r.Source] = r }
 func (l *loads) ForgetLoads()                               { clear(l.reported) }
+func (l *loads) SetExchange(int, time.Duration)             {}
 func (l *loads) PathLosses() []*wire.PathLoss               { return nil }
 func (l *loads) SetPathLosses([]*wire.PathLoss)             {}
 
