core/policy: share the slack of the retry budget among the gates

Cause: each gate might make 3 retries in a window regardless of its requests. With 105 gates these are 315, more than the 250 that the deployment allows for all of them together.

Change: a gate has an even share of the slack, at most 3 as before, from the list of gates that the leader sends.

TestGateSlack: 315 retries of 105 gates with a slack of 50 before, at most 50 now.

--- a/core/policy/direct_test.go
+++ b/core/policy/direct_test.go
@@ -226,3 +226,26 @@
 		}
 	}
 }
+
+// However many gates there are, the retries that they make regardless of their
+// requests must stay within the slack of all, also when its size or their number
+// changes.
+func TestGateSlack(t *testing.T) {
+	const slack = 50
+	for _, gates := range []int{1, 8, 30, 105, 300} {
+		total := 0
+		for range gates {
+			w := NewWindowBudget(10*time.Second, 0.5, 100)
+			w.SetSlack(GateSlack(slack, gates))
+			for w.TrySpend(now) {
+				total++
+			}
+		}
+		if total > slack {
+			t.Errorf("%d gates make %d retries without a request, want at most %d", gates, total, slack)
+		}
+	}
+	if got := GateSlack(slack, 1); got != maxGateSlack {
+		t.Errorf("got a slack of %v of a single gate, want %v", got, maxGateSlack)
+	}
+}
--- a/core/policy/window.go
+++ b/core/policy/window.go
@@ -23,6 +23,18 @@
 	return &WindowBudget{ratio: ratio, slack: slack, bucketLength: max(length/windowBucketCount, time.Millisecond)}
 }
 
+// maxGateSlack limits the slack of one gate: while there are few gates, an even
+// share would let each repeat a great many requests to a service that fails.
+const maxGateSlack = 3
+
+// GateSlack returns a gate's share of the slack that all gates have together.
+func GateSlack(slack float64, gates int) float64 {
+	return min(maxGateSlack, slack/float64(max(1, gates)))
+}
+
+// SetSlack changes the slack.
+func (w *WindowBudget) SetSlack(slack float64) { w.slack = slack }
+
 // bucket returns the bucket of a time, emptied if it last served an older one.
 func (w *WindowBudget) bucket(now time.Time) *windowBucket {
 	n := now.UnixNano() / int64(w.bucketLength)
--- a/gate/cmd/gate/platform.go
+++ b/gate/cmd/gate/platform.go
@@ -59,9 +59,6 @@
 	// retryBudgetShare is the share of the deployment's retry budget that is used,
 	// since each gate counts its retries on its own.
 	retryBudgetShare = 0.85
-	// retrySlack is this gate's share of the retries that are allowed regardless of
-	// the number of requests.
-	retrySlack = 3
 	// canaryExposureShare is the part of the allowed canary share that a new
 	// version gets; the rest is for the time in which all traffic moves to it.
 	canaryExposureShare = 0.58
@@ -115,7 +112,7 @@
 		return eris.Wrap(err, "the platform's address of this VM is not valid")
 	}
 	h.client, err = client.New(
-		client.WithMaxBackoff(maxFindPause), client.WithExchange(exchange, s.node.LinkRate, func(gates []*wire.Gate) { h.share.SetGates(gates) }),
+		client.WithMaxBackoff(maxFindPause), client.WithExchange(exchange, s.node.LinkRate, h.setGates),
 		client.WithAddresses(addrs...), client.WithLink(link.Config{Name: s.Name, Keys: keys}), client.WithZone(s.node.Zone),
 		client.WithTallies(func() []*wire.Tally { return h.relay.Tallies() }),
 	)
@@ -128,7 +125,7 @@
 		relay.WithLease(func() bool { return h.client.LeaseValidAt(time.Now()) }),
 		relay.WithSettings(relay.Settings{
 			CanaryShare: canaryExposureShare * bounds.MaxCanaryShare, SessionTimeout: bounds.MaxSessionPause, RequireLease: bounds.StrictRevocation,
-			RetryRatio: retryBudgetShare * bounds.RetryRatio, RetrySlack: min(retrySlack, bounds.RetrySlack), RetryWindow: bounds.RetryWindow,
+			RetryRatio: retryBudgetShare * bounds.RetryRatio, RetrySlack: retryBudgetShare * bounds.RetrySlack, RetryWindow: bounds.RetryWindow,
 		}),
 	)
 	h.share = share.New(share.Config{
@@ -160,6 +157,12 @@
 	}
 }
 
+// setGates sets the gates that take part in the exchange, this one included.
+func (h *platformGate) setGates(gates []*wire.Gate) {
+	h.share.SetGates(gates)
+	h.relay.SetGates(len(gates))
+}
+
 // platformGate is the gate on the users' platform; it implements server.Part.
 type platformGate struct {
 	settings *settings
--- a/gate/relay/relay.go
+++ b/gate/relay/relay.go
@@ -31,7 +31,7 @@
 	// SessionTimeout is the longest pause between two requests of a session.
 	SessionTimeout time.Duration
 	// RetryRatio, RetrySlack and RetryWindow define the budget of retries that
-	// this gate may send to a service.
+	// all gates together may send to a service.
 	RetryRatio, RetrySlack float64
 	RetryWindow            time.Duration
 	// RequireLease refuses new work without a lease on the configuration;
@@ -54,6 +54,7 @@
 
 	mu                   sync.Mutex // guards the fields below
 	retryBudgets         map[ident.Service]*policy.WindowBudget
+	gates                int // that share the slack of the retry budgets
 	sessions             sessions
 	streamDurations      policy.StreamDurationEstimator
 	firstTokenEstimators map[ident.Service]*policy.FirstTokenEstimator
@@ -276,12 +277,23 @@
 func (r *Relay) retryBudget(service ident.Service) *policy.WindowBudget {
 	w := r.retryBudgets[service]
 	if w == nil {
-		w = policy.NewWindowBudget(r.settings.RetryWindow, r.settings.RetryRatio, r.settings.RetrySlack)
+		w = policy.NewWindowBudget(r.settings.RetryWindow, r.settings.RetryRatio, policy.GateSlack(r.settings.RetrySlack, r.gates))
 		r.retryBudgets[service] = w
 	}
 	return w
 }
 
+// SetGates sets the number of gates, this one included, among which the slack of
+// the retry budgets is shared.
+func (r *Relay) SetGates(n int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.gates = n
+	for _, w := range r.retryBudgets {
+		w.SetSlack(policy.GateSlack(r.settings.RetrySlack, n))
+	}
+}
+
 func (r *Relay) recordRequest(service ident.Service, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
