core/policy: judge the pace of a version against the load of its servers

Change: the usual duration is a line over the load of the server, for each model; a batch takes proportionally longer for each step. Until 20 attempts on a model are known, the median of all counts, as before.

--- a/gate/relay/attempt.go
+++ b/gate/relay/attempt.go
@@ -154,9 +154,11 @@
 	}
 	x.speedRecorded = true
 	incumbent := x.assignment.Version == x.r.fleet.Incumbent(x.service)
-	slow := x.r.checkSlow(baselineKey{x.route.Name, "head"}, x.headLatency-x.expectedPrefill, incumbent)
+	load := x.assignment.Load
+	slow := x.r.checkSlow(baselineKey{x.route.Name, "head"}, x.model, load, x.headLatency-x.expectedPrefill, incumbent)
 	if x.eventsSent > 1 {
-		slow = x.r.checkSlow(baselineKey{x.route.Name, "event"}, time.Since(x.attemptStart.Add(x.headLatency))/time.Duration(x.eventsSent-1), incumbent) || slow
+		pace := time.Since(x.attemptStart.Add(x.headLatency)) / time.Duration(x.eventsSent-1)
+		slow = x.r.checkSlow(baselineKey{x.route.Name, "event"}, x.model, load, pace, incumbent) || slow
 	}
 	x.r.tallies.countAnswer(x.tallyKey(), slow)
 }
--- a/gate/relay/relay.go
+++ b/gate/relay/relay.go
@@ -58,7 +58,7 @@
 	sessions             sessions
 	streamDurations      policy.StreamDurationEstimator
 	firstTokenEstimators map[ident.Service]*policy.FirstTokenEstimator
-	baselines            map[baselineKey]*policy.MedianEstimator
+	baselines            map[baselineKey]*policy.PaceEstimator
 }
 
 // baselineKey names a duration whose usual value is learnt: the time to the
@@ -100,7 +100,7 @@
 func New(opts ...Option) *Relay {
 	r := &Relay{
 		started:      time.Now(),
-		retryBudgets: map[ident.Service]*policy.WindowBudget{}, firstTokenEstimators: map[ident.Service]*policy.FirstTokenEstimator{}, baselines: map[baselineKey]*policy.MedianEstimator{}, hasLease: func() bool { return true },
+		retryBudgets: map[ident.Service]*policy.WindowBudget{}, firstTokenEstimators: map[ident.Service]*policy.FirstTokenEstimator{}, baselines: map[baselineKey]*policy.PaceEstimator{}, hasLease: func() bool { return true },
 		sessions: sessions{byHash: map[uint32]sessionEntry{}}, metrics: newMetrics(), tallies: newTallies(),
 	}
 	for _, o := range opts {
@@ -203,9 +203,10 @@
 	return expected
 }
 
-// checkSlow reports whether a duration is far above its usual value, and learns
-// from the duration if it belongs to the version in use.
-func (r *Relay) checkSlow(k baselineKey, d time.Duration, learn bool) bool {
+// checkSlow reports whether a duration is far above its usual value for the
+// model and the load of the server, and learns from the duration if it belongs
+// to the version in use.
+func (r *Relay) checkSlow(k baselineKey, model ident.Model, load float64, d time.Duration, learn bool) bool {
 	if d <= 0 {
 		return false
 	}
@@ -213,12 +214,12 @@
 	defer r.mu.Unlock()
 	t := r.baselines[k]
 	if t == nil {
-		t = &policy.MedianEstimator{}
+		t = &policy.PaceEstimator{}
 		r.baselines[k] = t
 	}
-	slow := t.IsSlow(d)
+	slow := t.IsSlow(model, load, d)
 	if learn {
-		t.Observe(d)
+		t.Observe(model, load, d)
 	}
 	return slow
 }
