gate/relay: end stalled streams, and streams that end in the middle of an event

Cause: a stream had no rule of progress. One that fell silent, or sent bytes or comments now and then, held its caller until the deadline, though its route might resume it elsewhere. And a stream without a length whose connection was closed in the middle of an event was passed on as a whole answer. Ruled out: streams cut while slow (only whole events count, and the time allowed follows their usual pace).

A stalled stream goes on at another server where the route allows it, else it ends as incomplete; so does one whose connection ends in an event.

gate/conn: TestEndlessMemory failed once beside heavy load (51 MB): its servers left a copy of each block they sent as garbage, some 200 MB, faster than it was collected. They write the same bytes now; the bound is as before.

--- a/core/policy/pace.go
+++ b/core/policy/pace.go
@@ -75,6 +75,15 @@
 	return e.all.IsSlow(d)
 }
 
+// Expected returns the usual duration on a model at a load, 0 while too few
+// durations were observed.
+func (e *PaceEstimator) Expected(model ident.Model, load float64) time.Duration {
+	if l := e.models[model]; l != nil && l.attempts >= minMedianSamples {
+		return time.Duration(l.at(load) * float64(time.Millisecond))
+	}
+	return e.all.Median()
+}
+
 // Median returns the median over all models and loads, 0 while too few durations
 // were observed.
 func (e *PaceEstimator) Median() time.Duration { return e.all.Median() }
--- a/gate/conn/conn.go
+++ b/gate/conn/conn.go
@@ -328,10 +328,16 @@
 	a.pool.putIdle(pc, timeout)
 }
 
+// EndsWithConnection reports whether only the end of the connection shows where
+// the body ends.
+func (a *Answer) EndsWithConnection() bool {
+	return a.Length < 0 && len(a.resp.TransferEncoding) == 0
+}
+
 // idleTimeout returns how long the connection may stay idle in the pool; 0 or
 // less means that it cannot be reused.
 func (a *Answer) idleTimeout() time.Duration {
-	if a.Length < 0 && len(a.resp.TransferEncoding) == 0 {
+	if a.EndsWithConnection() {
 		return 0 // the end of the connection delimits the body
 	}
 	for part := range strings.SplitSeq(a.Header.Get("Keep-Alive"), ",") {
--- a/gate/conn/endless_test.go
+++ b/gate/conn/endless_test.go
@@ -19,11 +19,12 @@
 // endless answers with a head and then with a block of bytes again and again,
 // until the gate closes the connection.
 func endless(head, block string) runner.Reply {
-	block = strings.Repeat(block, 1+(4<<10)/len(block))
+	// io.WriteString would leave a copy of the block as garbage for each write.
+	repeated := []byte(strings.Repeat(block, 1+(4<<10)/len(block)))
 	return func(c net.Conn, _ *runner.Request) bool {
 		_, err := io.WriteString(c, head)
 		for err == nil {
-			_, err = io.WriteString(c, block)
+			_, err = c.Write(repeated)
 		}
 		return false
 	}
--- a/gate/relay/attempt.go
+++ b/gate/relay/attempt.go
@@ -169,6 +169,7 @@
 	assignment   *fleet.Assignment
 	model        ident.Model
 	attemptStart time.Time
+	abandon      func()        // closes the connection to the server
 	headLatency  time.Duration // time to the head of the answer; 0 if none arrived
 	// expectedPrefill is the part of headLatency that the prompts explain.
 	expectedPrefill time.Duration
@@ -227,13 +228,14 @@
 	if !x.route.Repeatable() {
 		q.MaxIdle = onceMaxIdle
 	}
-	headCtx, cancel := context.WithCancel(ctx)
+	exchangeCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	x.abandon = cancel
 	var timer *time.Timer
 	if limit := x.headTimeout(); limit > 0 {
 		timer = time.AfterFunc(limit, cancel)
 	}
-	a, err := x.assignment.Conns().Do(headCtx, q)
+	a, err := x.assignment.Conns().Do(exchangeCtx, q)
 	timedOut := timer != nil && !timer.Stop()
 	if err != nil {
 		if timedOut && ctx.Err() == nil {
--- a/gate/relay/relay.go
+++ b/gate/relay/relay.go
@@ -191,6 +191,18 @@
 	return 0
 }
 
+// stallTimeout returns how long a stream of a route may go without a whole
+// event.
+func (r *Relay) stallTimeout(route *plan.Route, model ident.Model, load float64) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	usual := time.Duration(0)
+	if t := r.baselines[baselineKey{route.Name, "event"}]; t != nil {
+		usual = t.Expected(model, load)
+	}
+	return policy.StallTimeout(usual, route.MaxEventGap)
+}
+
 // recordFirstToken records the time to the first token of a prompt and returns
 // how long its prefill was expected to take, beyond the part that every answer
 // has.
--- a/gate/relay/relay_test.go
+++ b/gate/relay/relay_test.go
@@ -31,6 +31,8 @@
 	runners []*runner.Backend
 	list    []platform.ListedBackend
 	url     string
+	// routeTimeout is that of all routes.
+	routeTimeout time.Duration
 }
 
 const (
@@ -39,7 +41,7 @@
 )
 
 func newRig(t testing.TB, replies ...runner.Reply) *rig {
-	r := &rig{t: t, fleet: fleet.New("a")}
+	r := &rig{t: t, fleet: fleet.New("a"), routeTimeout: 3 * time.Second}
 	for i, reply := range replies {
 		x, err := runner.Start(reply)
 		if err != nil {
@@ -68,7 +70,7 @@
 	r.t.Helper()
 	route := func(name string, repeat plan.RouteType) plan.Route {
 		return plan.Route{
-			Name: ident.Route(name), Host: "h.example", PathPrefix: "/" + name + "/", Type: repeat, Timeout: 3 * time.Second,
+			Name: ident.Route(name), Host: "h.example", PathPrefix: "/" + name + "/", Type: repeat, Timeout: r.routeTimeout,
 			TargetLatency: time.Second, Splits: []plan.Split{{Service: service, Weight: 1}}, MaxRuns: 3, Resumable: repeat == plan.RouteStream,
 		}
 	}
@@ -86,6 +88,13 @@
 	r.relay.SetPlan(p, rollouts, revision)
 }
 
+// longRoutes lets requests take as long as limit.
+func (r *rig) longRoutes(limit time.Duration) {
+	r.t.Helper()
+	r.routeTimeout = limit
+	r.plan(2, nil)
+}
+
 // answer is what a caller received.
 type answer struct {
 	status int
--- a/gate/relay/stream.go
+++ b/gate/relay/stream.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"citronledge.example/core/plan"
@@ -24,14 +25,35 @@
 var (
 	eventSeparator = []byte("\n\n")
 	idField        = []byte("id:")
+	dataField      = []byte("data:")
 )
 
+var errStalled = errors.New("the stream stalled")
+
+// isProgress reports whether whole events have an ID or data. Comments, which a
+// server may send without end, have neither.
+func isProgress(events []byte) bool {
+	for line := range bytes.Lines(events) {
+		if bytes.HasPrefix(line, idField) || bytes.HasPrefix(line, dataField) {
+			return true
+		}
+	}
+	return false
+}
+
 // relayStream passes on whole events as they arrive. If the backend server
 // breaks off, an incomplete event is dropped: the next run sends it again.
 func (x *attempt) relayStream(a *conn.Answer) (decision, fleet.Outcome) {
 	control := http.NewResponseController(x.w)
 	whole, end := false, x.r.beginStream(x.head.MaxOutput)
 	defer func() { end(whole) }()
+	limit := x.r.stallTimeout(x.route, x.model, x.assignment.Load)
+	var stalled atomic.Bool
+	stall := time.AfterFunc(limit, func() {
+		stalled.Store(true)
+		x.abandon() // ends the read below
+	})
+	defer stall.Stop()
 	buf := make([]byte, 0, initialBufferBytes)
 	lastRead := time.Now()
 	for {
@@ -53,7 +75,16 @@
 			complete = 0
 		}
 		if errors.Is(err, io.EOF) {
-			complete = len(buf)
+			if complete < len(buf) && a.EndsWithConnection() {
+				// Only the end of the connection says that this is all, and it came
+				// in the middle of an event.
+				err = io.ErrUnexpectedEOF
+			} else {
+				complete = len(buf)
+			}
+		}
+		if isProgress(buf[:complete]) && stall.Stop() {
+			stall.Reset(limit)
 		}
 		if complete > 0 || errors.Is(err, io.EOF) && !x.headSent {
 			if e := x.writeEvents(control, a, buf[:complete]); e != nil {
@@ -68,7 +99,11 @@
 			whole = true
 			x.recordEnd("served", a.Status)
 			return answered{}, fleet.Good
+		case err != nil && stalled.Load():
+			x.detail = "no event for " + limit.String()
+			return x.streamBroken(errStalled)
 		case err != nil:
+			x.detail = "broke off: " + err.Error()
 			return x.streamBroken(err)
 		}
 	}
@@ -101,7 +136,6 @@
 // streamBroken decides what follows a stream that its backend server did not
 // end.
 func (x *attempt) streamBroken(err error) (decision, fleet.Outcome) {
-	x.detail = "broke off: " + err.Error()
 	switch {
 	case x.req.Context().Err() != nil:
 		return giveUp{errCallerLeft.Error()}, fleet.Neutral
@@ -109,6 +143,8 @@
 		return giveUp{"the time is over"}, fleet.Neutral
 	case x.headSent && x.route.Type == plan.RouteStream && !x.route.Resumable:
 		return giveUp{"the stream broke off and cannot be resumed"}, fleet.Broke
+	case errors.Is(err, errStalled):
+		return retry{reason: errStalled.Error(), mayHaveRun: true}, fleet.Broke
 	}
 	return retry{reason: "the stream broke off", mayHaveRun: true}, fleet.Broke
 }
