gate/relay: count the wait for the first event in the duration of streams

Change: a request counts from its acceptance to the end of its stream.

TestDrainCountsFirstEvent: 200 before, 503 now.

--- a/gate/relay/call.go
+++ b/gate/relay/call.go
@@ -62,6 +62,7 @@
 	modelIndex   int             // position in the route's models
 	lastEventID  string          // ID of the last event passed on
 	headSent     bool            // the caller has the head of the answer
+	streamWhole  bool            // the caller has a whole stream
 	reason       string          // why the last attempt ended
 	failedAnswer *errorAnswer    // last unsuccessful answer of a backend server, to be passed on
 }
@@ -112,6 +113,10 @@
 	c.service = c.route.PickService(xxhash.Sum64String(c.splitKey()))
 	c.r.recordRequest(c.service, c.start)
 
+	if c.route.Type == plan.RouteStream {
+		end := c.r.beginStream(c.head.MaxOutput, c.start)
+		defer func() { end(c.streamWhole) }()
+	}
 	control := http.NewResponseController(c.w)
 	// A caller that stops reading must not hold the request any longer. The error
 	// is ignored: a writer without deadlines, as in tests, is bounded by the
--- a/gate/relay/relay.go
+++ b/gate/relay/relay.go
@@ -236,12 +236,13 @@
 	return slow
 }
 
-// beginStream counts a stream whose head has arrived, and returns the function
-// that counts its end.
-func (r *Relay) beginStream(tokens ident.Tokens) (end func(whole bool)) {
+// beginStream counts a request for a stream that was accepted at start, and
+// returns the function that counts its end. What it learns includes the wait for
+// the first token, retries and dropped answers.
+func (r *Relay) beginStream(tokens ident.Tokens, start time.Time) (end func(whole bool)) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	s := r.streamDurations.Begin(int64(tokens), time.Now())
+	s := r.streamDurations.Begin(int64(tokens), start)
 	return func(whole bool) {
 		r.mu.Lock()
 		defer r.mu.Unlock()
--- a/gate/relay/relay_test.go
+++ b/gate/relay/relay_test.go
@@ -442,6 +442,24 @@
 	}
 }
 
+// A stream may need most of its time before its first event: it waits for its
+// server, or an answer is dropped for that of a larger model. A gate that stops
+// must count this, or it cuts the stream that it accepted.
+func TestDrainCountsFirstEvent(t *testing.T) {
+	const wait = 40 * time.Millisecond
+	r := newRig(t, func(c net.Conn, q *runner.Request) bool {
+		time.Sleep(wait)
+		return runner.Events(1, 3, 0, "")(c, q)
+	})
+	for i := range 25 {
+		r.send(http.MethodPost, "/stream/x", fmt.Sprint(i), map[string]string{"Token-Usage": "10,10"})
+	}
+	r.relay.Drain(time.Now().Add(wait))
+	if got := r.send(http.MethodPost, "/stream/x", "d", map[string]string{"Token-Usage": "10,10"}); got.status != 503 {
+		t.Errorf("got %d for a stream that needs longer than the stop to begin, want 503", got.status)
+	}
+}
+
 // A gate that stops soon after its start does not know how long streams take.
 // It must not begin a stream that the end of the stop would cut.
 func TestDrainAfterStart(t *testing.T) {
--- a/gate/relay/stream.go
+++ b/gate/relay/stream.go
@@ -45,8 +45,6 @@
 // breaks off, an incomplete event is dropped: the next run sends it again.
 func (x *attempt) relayStream(a *conn.Answer) (decision, fleet.Outcome) {
 	control := http.NewResponseController(x.w)
-	whole, end := false, x.r.beginStream(x.head.MaxOutput)
-	defer func() { end(whole) }()
 	limit := x.r.stallTimeout(x.route, x.model, x.assignment.Load)
 	var stalled atomic.Bool
 	stall := time.AfterFunc(limit, func() {
@@ -96,7 +94,7 @@
 		switch {
 		case errors.Is(err, io.EOF):
 			a.Close()
-			whole = true
+			x.streamWhole = true
 			x.recordEnd("served", a.Status)
 			return answered{}, fleet.Good
 		case err != nil && stalled.Load():
