--- a/core/client/lease.go
+++ b/core/client/lease.go
@@ -261,7 +261,7 @@
 	r := &wire.Renew{
 		Seq: h.seq, Name: h.c.linkConfig.Name, Zone: string(h.c.zone), Incarnation: h.c.incarnation.Load(),
 		Revision: uint64(acked), Leaving: leaving, Exchange: h.c.exchangeAddr,
-		Gates: h.c.gatesDigest.Load(), Link: h.c.linkRate,
+		Gates: h.c.gatesDigest.Load(), Link: h.c.linkRate, Unpacks: true,
 	}
 	if applied > acked {
 		r.Applied = uint64(applied)
@@ -282,7 +282,11 @@
 		h.leader = f.GetLeader()
 		return f.Err()
 	}
-	if d := g.GetDelta(); d != nil {
+	if packed := g.GetDelta(); packed != nil {
+		d, err := packed.Unpack()
+		if err != nil {
+			return err
+		}
 		changed, err := h.c.apply(d)
 		if err != nil {
 			return err
--- a/state/node/gates_test.go
+++ b/state/node/gates_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -45,3 +46,19 @@
 		}
 	})
 }
+
+// A configuration with many routes reaches a gate whole, although it is sent
+// compressed.
+func TestLargeDocument(t *testing.T) {
+	bubble(t, func(r *testRig) {
+		c, _, _ := r.holdLease()
+		body := `{"routes":[` + strings.Repeat(`{"name":"r","host":"h.example"},`, 5000) + `{}]}`
+		if err := r.node.ReplaceDocument(r.ctx, 7, []byte(body)); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(time.Second)
+		if got := c.View().Document; got.Version != 7 || string(got.Body) != body {
+			t.Errorf("got version %d with %d bytes, want 7 with %d", got.Version, len(got.Body), len(body))
+		}
+	})
+}
--- a/state/node/node.go
+++ b/state/node/node.go
@@ -206,14 +206,22 @@
 	ledger *ledger.Ledger
 	mu     sync.Mutex
 	cached *wire.Delta
+	packed *wire.Delta // cached, compressed; nil until it is requested
 	from   uint64
 }
 
-func (d *deltaCache) get(from uint64) *wire.Delta {
+// get returns the delta from a revision, packed if the receiver accepts that.
+func (d *deltaCache) get(from uint64, packed bool) *wire.Delta {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.cached == nil || d.from != from || d.cached.GetRevision() != d.ledger.Revision() {
-		d.cached, d.from = d.ledger.Delta(from), from
+		d.cached, d.packed, d.from = d.ledger.Delta(from), nil, from
 	}
-	return d.cached
+	if !packed {
+		return d.cached
+	}
+	if d.packed == nil {
+		d.packed = d.cached.Pack()
+	}
+	return d.packed
 }
--- a/state/node/serve.go
+++ b/state/node/serve.go
@@ -40,7 +40,7 @@
 		_ = st.Send(&wire.Grant{Seq: r.GetSeq(), Fault: faultOf(err)})
 		return
 	}
-	p := &pusher{n: n, st: st, sentRevision: appliedRevision(&r)}
+	p := &pusher{n: n, st: st, sentRevision: appliedRevision(&r), packs: r.GetUnpacks()}
 	if err := p.push(n.renewLease(e, &r)); err != nil {
 		return
 	}
@@ -66,11 +66,12 @@
 	n            *Node
 	st           *link.Stream
 	sentRevision uint64 // revision that the receiver has or that was sent to it
+	packs        bool   // the receiver accepts packed deltas
 }
 
 // push adds the delta that the receiver lacks to a grant and sends the grant.
 func (p *pusher) push(g *wire.Grant) error {
-	if d := p.n.deltas.get(p.sentRevision); g.GetFault() == nil && (d.GetFull() || d.GetRevision() > p.sentRevision) {
+	if d := p.n.deltas.get(p.sentRevision, p.packs); g.GetFault() == nil && (d.GetFull() || d.GetRevision() > p.sentRevision) {
 		g.Delta, g.Revision, p.sentRevision = d, d.GetRevision(), d.GetRevision()
 	}
 	return p.st.Send(g)
