gate/relay: count the wait and the rest of a stream apart, and long prompts

Change: the bound is that of the wait, or the time that all models of the route need to read the prompt if that is longer, and that of the rest, which follows the length. The margin on top shrinks from 1.5 to 1.2, since the wait is part of the bound now.

--- a/gate/relay/call.go
+++ b/gate/relay/call.go
@@ -63,6 +63,7 @@
 	lastEventID  string          // ID of the last event passed on
 	headSent     bool            // the caller has the head of the answer
 	streamWhole  bool            // the caller has a whole stream
+	streamTimer  *streamTimer    // nil for other requests
 	reason       string          // why the last attempt ended
 	failedAnswer *errorAnswer    // last unsuccessful answer of a backend server, to be passed on
 }
@@ -99,10 +100,6 @@
 	if !c.readBody() {
 		return
 	}
-	if c.route.Type == plan.RouteStream && c.r.mayOutlastStop(c.head.MaxOutput, c.start) {
-		c.refuse(http.StatusServiceUnavailable, stoppingRetryAfter, "this gate stops before the stream would end")
-		return
-	}
 	limit := c.route.Timeout
 	if c.head.Deadline > 0 {
 		limit = min(limit, c.head.Deadline)
@@ -111,11 +108,15 @@
 	}
 	c.deadline = c.start.Add(limit)
 	c.service = c.route.PickService(xxhash.Sum64String(c.splitKey()))
+	if c.route.Type == plan.RouteStream && c.r.mayOutlastStop(c.head.MaxOutput, c.readingTime(), c.start) {
+		c.refuse(http.StatusServiceUnavailable, stoppingRetryAfter, "this gate stops before the stream would end")
+		return
+	}
 	c.r.recordRequest(c.service, c.start)
 
 	if c.route.Type == plan.RouteStream {
-		end := c.r.beginStream(c.head.MaxOutput, c.start)
-		defer func() { end(c.streamWhole) }()
+		c.streamTimer = c.r.startStreamTimer(c.head.MaxOutput, c.start)
+		defer func() { c.streamTimer.end(c.streamWhole) }()
 	}
 	control := http.NewResponseController(c.w)
 	// A caller that stops reading must not hold the request any longer. The error
@@ -249,6 +250,20 @@
 	return xxhash.Sum64String(string(model) + " " + c.head.PromptParts[n-2].ID)
 }
 
+// readingTime returns how long the prompt probably takes to read, at each model
+// that may be asked one after the other; 0 if that is not known.
+func (c *call) readingTime() (sum time.Duration) {
+	models := []ident.Model{c.nextModel()}
+	if c.head.AnyModel && len(c.route.Models) > 0 {
+		models = c.route.Models
+	}
+	for _, m := range models {
+		p := c.promptWork(m)
+		sum += c.r.firstTokenTime(c.service, p, p.Tokens(false), 0)
+	}
+	return sum
+}
+
 // nextModel returns the model of the next attempt; empty if the caller named
 // it.
 func (c *call) nextModel() ident.Model {
--- a/gate/relay/relay.go
+++ b/gate/relay/relay.go
@@ -56,7 +56,7 @@
 	retryBudgets         map[ident.Service]*policy.WindowBudget
 	gates                int // that share the slack of the retry budgets
 	sessions             sessions
-	streamDurations      policy.StreamDurationEstimator
+	streamTimes          streamTimes
 	firstTokenEstimators map[ident.Service]*policy.FirstTokenEstimator
 	baselines            map[baselineKey]*policy.PaceEstimator
 }
@@ -137,15 +137,16 @@
 func (r *Relay) Drain(end time.Time) { r.stopEnd.CompareAndSwap(nil, &end) }
 
 // mayOutlastStop reports whether a new stream would probably last longer than
-// the planned stop under way, if there is one.
-func (r *Relay) mayOutlastStop(tokens ident.Tokens, now time.Time) bool {
+// the planned stop under way, if there is one. reading is the time that its
+// prompt needs, at all models that may be asked one after the other.
+func (r *Relay) mayOutlastStop(tokens ident.Tokens, reading time.Duration, now time.Time) bool {
 	end := r.stopEnd.Load()
 	if end == nil {
 		return false
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	duration := r.streamDurations.UpperBound(int64(tokens), now)
+	duration := r.streamTimes.upperBound(tokens, reading, now)
 	// Right after the start the duration of streams is not known yet. Other gates
 	// can serve the stream to its end.
 	return duration == 0 || now.Add(time.Duration(outlastFactor*float64(duration))).After(*end)
@@ -153,7 +154,7 @@
 
 // outlastFactor allows for streams that become slower while other gates stop
 // too.
-const outlastFactor = 1.5
+const outlastFactor = 1.2
 
 // leastFirstTokenTime returns the expected time to the first token of a prompt
 // at the server with the least queued work.
@@ -236,20 +237,6 @@
 	return slow
 }
 
-// beginStream counts a request for a stream that was accepted at start, and
-// returns the function that counts its end. What it learns includes the wait for
-// the first token, retries and dropped answers.
-func (r *Relay) beginStream(tokens ident.Tokens, start time.Time) (end func(whole bool)) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	s := r.streamDurations.Begin(int64(tokens), start)
-	return func(whole bool) {
-		r.mu.Lock()
-		defer r.mu.Unlock()
-		r.streamDurations.End(s, whole, time.Now())
-	}
-}
-
 // IdleTimeout returns how long a caller's connection may stay without a
 // request; 0 if that is not known yet.
 func (r *Relay) IdleTimeout() time.Duration {
--- a/gate/relay/relay_test.go
+++ b/gate/relay/relay_test.go
@@ -31,8 +31,9 @@
 	runners []*runner.Backend
 	list    []platform.ListedBackend
 	url     string
-	// routeTimeout is that of all routes.
+	// routeTimeout is that of all routes, and engine describes the service.
 	routeTimeout time.Duration
+	engine       *plan.Engine
 }
 
 const (
@@ -78,7 +79,7 @@
 	sized.Models = []ident.Model{"small", "middle", "large"}
 	public.Public = true
 	p := &plan.Config{
-		Version: uint64(revision), Services: map[ident.Service]plan.Service{service: {Name: service}},
+		Version: uint64(revision), Services: map[ident.Service]plan.Service{service: {Name: service, Engine: r.engine}},
 		Routes:    []plan.Route{route("safe", plan.RouteSafe), route("once", plan.RouteOnce), route("stream", plan.RouteStream), sized, public},
 		Customers: []plan.Customer{{Name: "acme", Keys: []string{key}}},
 	}
@@ -460,6 +461,32 @@
 	}
 }
 
+// The wait for the first event grows with the prompt. A gate that stops must not
+// accept a long prompt by what short ones took.
+func TestDrainCountsPrompt(t *testing.T) {
+	r := newRig(t, func(c net.Conn, q *runner.Request) bool {
+		var tokens int
+		_, _ = fmt.Sscanf(q.Header.Get("Token-Usage"), "%d", &tokens)
+		time.Sleep(time.Duration(tokens) * 10 * time.Microsecond) // the time to read the prompt
+		return runner.Events(1, 3, 0, "")(c, q)
+	})
+	r.engine = &plan.Engine{Slots: 8, KVCapacity: 1e6, CostPer1000Tokens: map[ident.Model]float64{"small": 1}}
+	r.longRoutes(20 * time.Second)
+	send := func(id, tokens string) int {
+		return r.send(http.MethodPost, "/stream/x", id, map[string]string{"Model": "small", "Token-Usage": tokens, "Deadline-Ms": "9000"}).status
+	}
+	for i := range 25 {
+		send(fmt.Sprint(i), "3000,10")
+	}
+	r.relay.Drain(time.Now().Add(time.Second))
+	if got := send("long", "200000,10"); got != 503 {
+		t.Errorf("got %d for a prompt that takes 2 s to read, with 1 s left, want 503", got)
+	}
+	if got := send("short", "3000,10"); got != 200 {
+		t.Errorf("got %d for a prompt that takes 30 ms to read, with 1 s left, want 200", got)
+	}
+}
+
 // A gate that stops soon after its start does not know how long streams take.
 // It must not begin a stream that the end of the stop would cut.
 func TestDrainAfterStart(t *testing.T) {
--- a/gate/relay/stream.go
+++ b/gate/relay/stream.go
@@ -116,6 +116,7 @@
 		platform.CopyAnswerHeaders(a.Header, x.w.Header())
 		x.w.WriteHeader(a.Status)
 		x.headSent = true
+		x.streamTimer.firstEvent()
 	}
 	if id := lastEventIDOf(events); id != "" {
 		x.lastEventID = id
