gate/relay: a margin of half for streams that must end in a planned stop

The gate had started 6 s before its SIGTERM, so what it knows of long streams is how long those that run have lasted, which is less than they will take.

Change: the margin is 1.5 again.

--- a/gate/relay/relay.go
+++ b/gate/relay/relay.go
@@ -154,7 +154,7 @@
 
 // outlastFactor allows for streams that become slower while other gates stop
 // too.
-const outlastFactor = 1.2
+const outlastFactor = 1.5
 
 // leastFirstTokenTime returns the expected time to the first token of a prompt
 // at the server with the least queued work.
