--- a/state/node/gates_test.go
+++ b/state/node/gates_test.go
@@ -1,7 +1,9 @@
 package node
 
 import (
+	"maps"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -15,18 +17,28 @@
 // does not know all gates yet, sends none.
 func TestGateList(t *testing.T) {
 	bubble(t, func(r *testRig) {
-		lists := map[string][][]*wire.Gate{}
+		var mu sync.Mutex // guards received, which the tasks of both clients write
+		received := map[string][][]*wire.Gate{}
+		lists := func() map[string][][]*wire.Gate {
+			mu.Lock()
+			defer mu.Unlock()
+			return maps.Clone(received)
+		}
 		hold := func(name, addr string) {
-			r.holdLease(client.WithZone("zone"), client.WithExchange(addr, 1250, func(gates []*wire.Gate) { lists[name] = append(lists[name], gates) }))
+			r.holdLease(client.WithZone("zone"), client.WithExchange(addr, 1250, func(gates []*wire.Gate) {
+				mu.Lock()
+				defer mu.Unlock()
+				received[name] = append(received[name], gates)
+			}))
 		}
 		hold("a", "10.0.0.1:7")
 		time.Sleep(10 * time.Second)
 		hold("b", "10.0.0.2:7")
 		time.Sleep(10 * time.Second)
-		if a, b := len(lists["a"]), len(lists["b"]); a != 2 || b != 1 {
+		if a, b := len(lists()["a"]), len(lists()["b"]); a != 2 || b != 1 {
 			t.Fatalf("got %d and %d lists, want 2 and 1", a, b)
 		}
-		for name, l := range lists {
+		for name, l := range lists() {
 			got := l[len(l)-1]
 			if len(got) != 2 || got[0].GetAddr() != "10.0.0.1:7" || got[1].GetAddr() != "10.0.0.2:7" || got[1].GetZone() != "zone" || got[1].GetLink() != 1250 {
 				t.Errorf("%s: got %v, want both gates", name, got)
@@ -35,13 +47,13 @@
 		// After an election, gates renew one by one.
 		r.consensus.setElected(time.Now())
 		time.Sleep(ident.GuardedLeaseDuration / 2)
-		for name, l := range lists {
+		for name, l := range lists() {
 			if len(l[len(l)-1]) != 2 {
 				t.Errorf("%s: got %v of a new leader, want no change", name, l[len(l)-1])
 			}
 		}
 		time.Sleep(10 * time.Second)
-		if a, b := len(lists["a"]), len(lists["b"]); a != 2 || b != 1 {
+		if a, b := len(lists()["a"]), len(lists()["b"]); a != 2 || b != 1 {
 			t.Errorf("got %d and %d lists after an election without a change, want 2 and 1", a, b)
 		}
 	})
