state/node: a test that pushed configurations leave room for heartbeats

Changes a second apart queue up behind each other, heartbeats behind them, and the leader loses its lead at 10.0, 11.4 and 13.9 s. From the confirmation to the last gate it took up to 2.79 s; allowed are 2.5 s. Ruled out: gates that hold a change back (each applies it within some ms of its arrival), a confirmation before the commit, and the gates' leases.

TestConfigurationPushDelaysHeartbeats fails on: 520 ms of the link, 75 ms allowed (a quarter of the shortest election timeout: replication and push share the link, and two operators may change at once).

--- a/state/node/gates_test.go
+++ b/state/node/gates_test.go
@@ -1,7 +1,10 @@
 package node
 
 import (
+	"bytes"
+	"fmt"
 	"maps"
+	"math/rand/v2"
 	"strings"
 	"sync"
 	"testing"
@@ -74,3 +77,46 @@
 		}
 	})
 }
+
+// A change must not hold up heartbeats: its replication and its push share the
+// leader's link, and two operators may make a change each at the same time.
+func TestConfigurationPushDelaysHeartbeats(t *testing.T) {
+	const (
+		gates        = 28
+		linkRate     = 100_000_000 / 8 // bytes per second
+		maxOccupancy = minElectionTimeout / 4
+	)
+	bubble(t, func(r *testRig) {
+		for range gates {
+			r.holdLease()
+		}
+		before := r.sent.Load()
+		if err := r.node.ReplaceDocument(r.ctx, 7, largeDocument()); err != nil {
+			t.Fatal(err)
+		}
+		r.waitInForce(r.node.ledger.Revision())
+		sent := r.sent.Load() - before
+		if got := time.Duration(sent * int64(time.Second) / linkRate); got > maxOccupancy {
+			t.Errorf("a change takes %v of the leader's link (%d bytes), want at most %v", got, sent, maxOccupancy)
+		}
+	})
+}
+
+// minElectionTimeout is the shortest time without a heartbeat after which a
+// member calls an election.
+const minElectionTimeout = 300 * time.Millisecond
+
+// largeDocument returns a configuration of 1,400 routes with random names.
+func largeDocument() []byte {
+	random := rand.New(rand.NewPCG(1, 1))
+	var b bytes.Buffer
+	b.WriteString(`{"routes":[`)
+	for i := range 1400 {
+		if i > 0 {
+			b.WriteByte(',')
+		}
+		fmt.Fprintf(&b, `{"name":"r-%07x","host":"h%d.example","path-prefix":"/%06x/","type":"streaming","timeout-ms":20000,"target-latency-ms":3000,"service":"pool","max-attempts":3}`, random.Uint32(), i%5, random.Uint32())
+	}
+	b.WriteString(`]}`)
+	return b.Bytes()
+}
--- a/state/node/rig_test.go
+++ b/state/node/rig_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"runtime"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -88,6 +89,7 @@
 	consensus *singleMember
 	node      *Node
 	wg        sync.WaitGroup
+	sent      atomic.Int64 // bytes from the node to its clients
 }
 
 const latency = 20 * time.Millisecond // one way
@@ -145,13 +147,18 @@
 	}
 	near, a := net.Pipe()
 	b, far := net.Pipe()
-	p.r.wg.Go(func() { p.forward(a, b, func() bool { return p.up }) })
-	p.r.wg.Go(func() { p.forward(b, a, func() bool { return p.down }) })
+	p.r.wg.Go(func() { p.forward(a, b, func(int) bool { return p.up }) })
+	p.r.wg.Go(func() {
+		p.forward(b, a, func(n int) bool {
+			p.r.sent.Add(int64(n))
+			return p.down
+		})
+	})
 	p.r.wg.Go(func() { p.r.node.Serve(p.r.ctx, far) })
 	return link.Client(near, link.Config{Name: "gate", Keys: processKeys})
 }
 
-func (p *clientPath) forward(from, to net.Conn, passes func() bool) {
+func (p *clientPath) forward(from, to net.Conn, passes func(bytes int) bool) {
 	type packet struct {
 		data []byte
 		due  time.Time
@@ -174,7 +181,7 @@
 			break
 		}
 		p.mu.Lock()
-		cut = cut || !passes()
+		cut = !passes(n) || cut
 		p.mu.Unlock()
 		if !cut {
 			queue <- packet{buf[:n], time.Now().Add(latency)}
