gate/relay: log the prompt parts of an answer that broke off as it began

Hypotheses: (1) the repeats of single requests crash one server after the other; (2) new requests with the same part keep being sent, because nothing recognises the part; (3) servers fall over from the load of the repeats. The log could not tell them apart: an attempt did not say which parts its prompt has.

Change: a line for each answer that its server began and broke off before the first event, with the IDs of the shared parts. It is bounded by the answers that servers break off.

--- a/gate/relay/attempt.go
+++ b/gate/relay/attempt.go
@@ -119,6 +119,7 @@
 	end := time.Now()
 	assignment.Release(outcome, end)
 	x.recordOutcome(outcome)
+	x.recordCrash()
 	c.r.metrics.attempts.WithLabelValues(c.route.Type.String(), outcome.String()).Inc()
 	if outcome != fleet.Good && outcome != fleet.Neutral {
 		c.excluded = append(c.excluded, assignment.ID)
@@ -177,6 +178,7 @@
 	// longestPause is the longest time between two reads of a stream.
 	longestPause  time.Duration
 	speedRecorded bool // counted for the rollout of its version
+	brokenOff     bool // the server ended its connection in the middle of the answer
 	detail        string
 	status        int
 	confidence    int
--- a/gate/relay/body.go
+++ b/gate/relay/body.go
@@ -50,7 +50,7 @@
 	if a.Length <= maxBufferedBytes {
 		var err error
 		if body, err = io.ReadAll(io.LimitReader(a, maxBufferedBytes+1)); err != nil {
-			x.detail = "broke off: " + err.Error()
+			x.detail, x.brokenOff = "broke off: "+err.Error(), x.req.Context().Err() == nil
 			return retry{reason: "the answer broke off", mayHaveRun: true}, fleet.Broke
 		}
 	}
--- a/gate/relay/call.go
+++ b/gate/relay/call.go
@@ -239,15 +239,20 @@
 	}
 }
 
-// affinityKey returns a hash of the model and the parts of the prompt that
-// other requests share, or 0 if there are none. The last part of a prompt
-// belongs to the request or its session alone.
+// sharedParts returns the parts of the prompt that other requests may share. The
+// last part belongs to the request or its session alone.
+func (c *call) sharedParts() []platform.PromptPart {
+	return c.head.PromptParts[:max(0, len(c.head.PromptParts)-1)]
+}
+
+// affinityKey returns a hash of the model and the last shared part of the
+// prompt, or 0 if there is none.
 func (c *call) affinityKey(model ident.Model) uint64 {
-	n := len(c.head.PromptParts)
-	if !c.route.PrefixAffinity || n < 2 {
+	parts := c.sharedParts()
+	if !c.route.PrefixAffinity || len(parts) == 0 {
 		return 0
 	}
-	return xxhash.Sum64String(string(model) + " " + c.head.PromptParts[n-2].ID)
+	return xxhash.Sum64String(string(model) + " " + parts[len(parts)-1].ID)
 }
 
 // readingTime returns how long the prompt probably takes to read, at each model
@@ -290,8 +295,8 @@
 		p.TokenTimeRatio = math.Pow(engine.CostPer1000Tokens[model]/cost, costToTimeExponent)
 	}
 	p.Work = float64(c.head.Input) * p.TokenTimeRatio
-	if n := len(c.head.PromptParts); c.route.PrefixAffinity && n >= 2 {
-		for _, part := range c.head.PromptParts[:n-1] {
+	if c.route.PrefixAffinity {
+		for _, part := range c.sharedParts() {
 			p.SharedWork += float64(part.Tokens) * p.TokenTimeRatio
 		}
 		p.SharedWork = min(p.SharedWork, p.Work)
--- a/gate/relay/stream.go
+++ b/gate/relay/stream.go
@@ -101,7 +101,7 @@
 			x.detail = "no event for " + limit.String()
 			return x.streamBroken(errStalled)
 		case err != nil:
-			x.detail = "broke off: " + err.Error()
+			x.detail, x.brokenOff = "broke off: "+err.Error(), x.req.Context().Err() == nil
 			return x.streamBroken(err)
 		}
 	}
