core/policy, gate: quarantine parts of prompts that crash backend servers

Cause: an answer that broke off was blamed on the server alone. The gate sent the request to the next server, up to the route's limit, and nothing connected the crashes of different requests, servers and gates.

Ruled out: telling crashes from answers broken off by faulty servers (no single gate can), and counting every request that a crash cut off (most of these wait for their prompt or stream already; under the load of the repeats sound parts would be blamed).

Change: a part is suspect when a server breaks off the answer to it before its first event, and cleared by each answer that begins. Three crashes by two requests put it in quarantine: requests with it are refused with 503 and the time that is left, at all gates. Parts known to be sound are not blamed while a prompt has others; servers that end at the same moment count once. A quarantine lasts a minute, then one more crash doubles it. A request that has crashed two servers is not sent to a third. Gates tell each other crashes, sound parts and blocks in the datagrams that carry the loads, through relays as sessions do.

Now it passes, with TestPromptPartOfPeer, the tests of policy.Quarantine and TestSpreadOfCrashes (2 to 105 gates, 3% loss).

--- a/core/ident/ident.go
+++ b/core/ident/ident.go
@@ -41,6 +41,9 @@
 	Request string
 	// Session identifies a caller's session within one customer.
 	Session string
+	// PromptPart is the hash of a service and of a part of a prompt that requests
+	// may share.
+	PromptPart uint64
 	// Incarnation identifies one run of a gate. The ledger assigns each number
 	// once; zero means that none has been assigned yet.
 	Incarnation uint64
--- /dev/null
+++ b/core/policy/quarantine_test.go
@@ -0,0 +1,170 @@
+package policy
+
+import (
+	"testing"
+	"time"
+
+	"citronledge.example/core/ident"
+)
+
+// Parts of prompts: deadly crashes servers, base is shared by all requests of a
+// route, rare by few.
+const (
+	base ident.PromptPart = iota + 1
+	deadly
+	rare
+)
+
+// Which parts are blocked after a series of crashes and answers. A part that
+// crashes servers must be blocked before the fifth crash, whatever else its
+// requests hold; a sound part that shared their fate must not.
+func TestQuarantineBlame(t *testing.T) {
+	type step struct {
+		after   time.Duration
+		server  uint32 // that crashes; 0 for a sound answer
+		request uint64
+		parts   []ident.PromptPart
+	}
+	crash := func(after time.Duration, server uint32, request uint64, parts ...ident.PromptPart) step {
+		return step{after, server, request, parts}
+	}
+	sound := func(after time.Duration, parts ...ident.PromptPart) step {
+		return step{after: after, parts: parts}
+	}
+	const pause = 300 * time.Millisecond
+	for name, c := range map[string]struct {
+		steps []step
+		want  []ident.PromptPart
+	}{
+		"one deadly part": {[]step{
+			sound(0, base), crash(pause, 1, 1, base, deadly), crash(pause, 2, 1, base, deadly), crash(pause, 3, 2, base, deadly),
+		}, []ident.PromptPart{deadly}},
+		"deadly part beside rare ones": {[]step{
+			sound(0, base), crash(pause, 1, 1, base, deadly, rare), crash(pause, 2, 1, base, deadly, rare), crash(pause, 3, 2, base, deadly, rare+1), crash(pause, 4, 2, base, deadly, rare+1),
+		}, []ident.PromptPart{deadly}},
+		"known sound before it became deadly": {[]step{
+			sound(0, base, deadly), crash(pause, 1, 1, base, deadly), crash(pause, 2, 2, base, deadly), sound(0, base), crash(pause, 3, 3, base, deadly),
+		}, []ident.PromptPart{deadly}},
+		"repeats of one request": {[]step{
+			crash(0, 1, 1, rare), crash(pause, 2, 1, rare), crash(pause, 3, 1, rare), crash(pause, 4, 1, rare),
+		}, nil},
+		"answers in between": {[]step{
+			crash(0, 1, 1, base), crash(pause, 2, 2, base), sound(0, base), crash(pause, 3, 3, base), crash(pause, 4, 4, base),
+		}, nil},
+		"many servers at once": {[]step{
+			crash(0, 1, 1, base), crash(0, 2, 2, base), crash(10*time.Millisecond, 3, 3, base), crash(10*time.Millisecond, 4, 4, base),
+		}, nil},
+		"one crash reported by many gates": {[]step{
+			crash(0, 1, 1, base), crash(pause, 1, 2, base), crash(pause, 1, 3, base), crash(pause, 1, 4, base),
+		}, nil},
+		"an answer under way ends a quarantine": {[]step{
+			crash(0, 1, 1, rare), crash(pause, 2, 2, rare), crash(pause, 3, 3, rare), sound(0, rare),
+		}, nil},
+	} {
+		t.Run(name, func(t *testing.T) {
+			q, now := NewQuarantine(), time.Unix(1_000_000, 0)
+			for _, s := range c.steps {
+				now = now.Add(s.after)
+				if s.server == 0 {
+					q.RecordSound(s.parts, now)
+				} else {
+					q.RecordCrash(Crash{s.server, s.request, s.parts}, now)
+				}
+			}
+			for part := base; part <= rare+1; part++ {
+				_, got := q.Blocked([]ident.PromptPart{part}, now)
+				want := false
+				for _, w := range c.want {
+					want = want || w == part
+				}
+				if got != want {
+					t.Errorf("part %d: got blocked %v, want %v", part, got, want)
+				}
+			}
+		})
+	}
+}
+
+// crashUntilBlocked has a part crash servers until it is blocked.
+func crashUntilBlocked(t *testing.T, q *Quarantine, part ident.PromptPart, now time.Time) (crashes int, end time.Time) {
+	t.Helper()
+	for server := uint32(1); ; server++ {
+		if _, blocked := q.Blocked([]ident.PromptPart{part}, now); blocked {
+			return crashes, now
+		}
+		if crashes++; crashes > 10 {
+			t.Fatalf("the part is not blocked after %d crashes", crashes)
+		}
+		now = now.Add(time.Second)
+		q.RecordCrash(Crash{server, uint64(server), []ident.PromptPart{part}}, now)
+	}
+}
+
+// When a quarantine ends, one crash starts the next one, of twice the length.
+func TestQuarantineAgain(t *testing.T) {
+	q, now := NewQuarantine(), time.Unix(1_000_000, 0)
+	crashes, now := crashUntilBlocked(t, q, deadly, now)
+	if crashes != minCrashes {
+		t.Errorf("got %d crashes before the first quarantine, want %d", crashes, minCrashes)
+	}
+	for i, want := 0, 2*firstQuarantine; i < 8; i, want = i+1, min(2*want, maxQuarantine) {
+		b, _ := q.Blocked([]ident.PromptPart{deadly}, now)
+		now = now.Add(b.Left)
+		q.Expire(now)
+		crashes, now = crashUntilBlocked(t, q, deadly, now)
+		b, _ = q.Blocked([]ident.PromptPart{deadly}, now)
+		if crashes != 1 || b.Left != want {
+			t.Errorf("quarantine %d: got %d crashes and %v, want 1 and %v", i+2, crashes, b.Left, want)
+		}
+	}
+}
+
+// A gate that starts anew learns of the blocks from others, and a gate that has
+// seen an answer since corrects them.
+func TestQuarantineOfOtherGates(t *testing.T) {
+	a, b, late := NewQuarantine(), NewQuarantine(), NewQuarantine()
+	crashes, now := crashUntilBlocked(t, a, deadly, time.Unix(1_000_000, 0))
+	b.Merge(a.TakeNews(now), now)
+	if _, blocked := b.Blocked([]ident.PromptPart{deadly}, now); !blocked {
+		t.Errorf("the other gate has no block after %d crashes", crashes)
+	}
+	now = now.Add(10 * time.Second)
+	late.Merge(a.TakeNews(now), now)
+	if got, _ := late.Blocked([]ident.PromptPart{deadly}, now); got.Left != firstQuarantine-10*time.Second {
+		t.Errorf("got %v left at a new gate, want %v", got.Left, firstQuarantine-10*time.Second)
+	}
+	if released := b.RecordSound([]ident.PromptPart{deadly}, now); len(released) != 1 {
+		t.Errorf("got %d releases by an answer, want 1", len(released))
+	}
+	b.TakeNews(now) // the news of the answer are lost
+	now = now.Add(time.Second)
+	b.Merge(a.TakeNews(now), now)
+	a.Merge(b.TakeNews(now), now)
+	for name, q := range map[string]*Quarantine{"a": a, "b": b} {
+		if _, blocked := q.Blocked([]ident.PromptPart{deadly}, now); blocked {
+			t.Errorf("gate %s still has the block", name)
+		}
+	}
+}
+
+// What is remembered stays bounded, and is forgotten.
+func TestQuarantineIsBounded(t *testing.T) {
+	q, now := NewQuarantine(), time.Unix(1_000_000, 0)
+	for i := range ident.PromptPart(3 * maxParts) {
+		q.RecordCrash(Crash{1, 1, []ident.PromptPart{2 * i}}, now)
+		q.RecordSound([]ident.PromptPart{2*i + 1}, now)
+	}
+	news := q.TakeNews(now)
+	for name, got := range map[string][2]int{
+		"suspects": {len(q.suspects), maxParts}, "sound": {len(q.sound), maxParts},
+		"crashes to send": {len(news.Crashes), maxPartNews}, "sound to send": {len(news.Sound), maxPartNews},
+	} {
+		if got[0] > got[1] {
+			t.Errorf("%s: got %d, want at most %d", name, got[0], got[1])
+		}
+	}
+	q.Expire(now.Add(suspectMemory + time.Second))
+	if n := len(q.suspects) + len(q.sound); n > 0 {
+		t.Errorf("%d parts are remembered after a long silence, want none", n)
+	}
+}
--- a/gate/cmd/gate/platform.go
+++ b/gate/cmd/gate/platform.go
@@ -130,7 +130,7 @@
 	)
 	h.share = share.New(share.Config{
 		Name: s.Name, Self: share.Member{Addr: exchangeAddr, Zone: s.node.Zone, LinkRate: s.node.LinkRate},
-		ReadSlack: max(minListSlack, bounds.DrainTimeout-listInterval-listMargin), Loads: h.fleet, Sessions: h.relay, Lists: h.fleet,
+		ReadSlack: max(minListSlack, bounds.DrainTimeout-listInterval-listMargin), Loads: h.fleet, Sessions: h.relay, Parts: h.relay, Lists: h.fleet,
 	}, keys)
 	return h.frame.Run(ctx, h)
 }
--- a/gate/fleet/fleet.go
+++ b/gate/fleet/fleet.go
@@ -8,7 +8,6 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"k8s.io/klog/v2"
 
 	"citronledge.example/core/ident"
@@ -83,7 +82,7 @@
 		}
 		s := f.servers[l.ID]
 		if s == nil || s.Address != l.Address || s.Service != l.Service || s.Version != l.Version {
-			s = &Server{ListedBackend: l, conns: conn.New(l.Address), hash: xxhash.Sum64String(string(l.ID))}
+			s = &Server{ListedBackend: l, conns: conn.New(l.Address), hash: hashID(l.ID)}
 			klog.InfoS("Backend server listed", "backend", l.ID, "service", l.Service, "addr", l.Address, "zone", l.Zone, "version", l.Version, "leaving", l.Leaving)
 		} else if s.Leaving != l.Leaving {
 			klog.InfoS("Backend server changed", "backend", l.ID, "leaving", l.Leaving)
--- a/gate/fleet/share.go
+++ b/gate/fleet/share.go
@@ -4,6 +4,8 @@
 	"math"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"citronledge.example/core/ident"
 	"citronledge.example/core/wire"
 	"citronledge.example/gate/share"
@@ -46,6 +48,11 @@
 // loadKey is the hash by which gates name the server in their reports.
 func (s *Server) loadKey() uint32 { return uint32(s.hash) }
 
+// HashBackend returns the hash by which gates name a server in their reports.
+func HashBackend(id ident.Backend) uint32 { return uint32(hashID(id)) }
+
+func hashID(id ident.Backend) uint64 { return xxhash.Sum64String(string(id)) }
+
 // MergeLoads implements share.LoadTable.
 func (f *Fleet) MergeLoads(r share.Report, ttl time.Duration) {
 	f.mu.Lock()
--- a/gate/relay/attempt.go
+++ b/gate/relay/attempt.go
@@ -81,7 +81,11 @@
 				c.runs++
 				c.mayHaveRun = true
 			}
-			if ctx.Err() != nil || c.attempts >= maxAttempts || c.runs >= c.route.MaxRuns || x.mayHaveRun && !c.route.Repeatable() {
+			if ctx.Err() != nil || c.attempts >= maxAttempts || c.runs >= c.route.MaxRuns || x.mayHaveRun && !c.route.Repeatable() || c.crashes >= maxRequestCrashes {
+				c.finishUnserved(ctx)
+				return
+			}
+			if _, blocked := c.quarantined(); blocked {
 				c.finishUnserved(ctx)
 				return
 			}
--- a/gate/relay/body.go
+++ b/gate/relay/body.go
@@ -58,6 +58,7 @@
 		return x.relayLong(a, body)
 	}
 	a.Close()
+	x.recordSound()
 	platform.CopyAnswerHeaders(a.Header, x.w.Header())
 	x.writeAnswer(a.Status, body)
 	return answered{}, fleet.Good
--- a/gate/relay/call.go
+++ b/gate/relay/call.go
@@ -55,6 +55,8 @@
 	deadline time.Time
 
 	// State of the attempts so far.
+	partHashes   []ident.PromptPart
+	crashes      int             // servers that broke off their answers as they began
 	runs         int             // attempts that a backend server may have run
 	attempts     int             // attempts of any outcome
 	excluded     []ident.Backend // servers of failed attempts
@@ -108,6 +110,9 @@
 	}
 	c.deadline = c.start.Add(limit)
 	c.service = c.route.PickService(xxhash.Sum64String(c.splitKey()))
+	if c.refuseQuarantined() {
+		return
+	}
 	if c.route.Type == plan.RouteStream && c.r.mayOutlastStop(c.head.MaxOutput, c.readingTime(), c.start) {
 		c.refuse(http.StatusServiceUnavailable, stoppingRetryAfter, "this gate stops before the stream would end")
 		return
--- a/gate/relay/crash.go
+++ b/gate/relay/crash.go
@@ -1,32 +1,126 @@
 package relay
 
 import (
+	"fmt"
+	"net/http"
 	"strings"
+	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"k8s.io/klog/v2"
+
+	"citronledge.example/core/ident"
+	"citronledge.example/core/policy"
+	"citronledge.example/gate/fleet"
 )
 
-// recordCrash logs an answer that its server began and then broke off, as a
+// maxRequestCrashes is the number of servers that a request may crash before it
+// gets no further attempt, whatever its prompt is blamed for.
+const maxRequestCrashes = 2
+
+// promptParts returns the hashes of the shared parts of the prompt with the
+// service. What crashes the servers of one service may be sound at another.
+func (c *call) promptParts() []ident.PromptPart {
+	if c.partHashes == nil {
+		for _, part := range c.sharedParts() {
+			c.partHashes = append(c.partHashes, ident.PromptPart(xxhash.Sum64String(string(c.service)+" "+part.ID)))
+		}
+	}
+	return c.partHashes
+}
+
+// refuseQuarantined refuses a request whose prompt has a part that crashes
+// servers, and reports whether it did.
+func (c *call) refuseQuarantined() bool {
+	block, blocked := c.quarantined()
+	if blocked {
+		c.refuse(http.StatusServiceUnavailable, block.Left, c.reason)
+	}
+	return blocked
+}
+
+// quarantined returns the quarantine of a part of the prompt, if there is one,
+// and makes it the reason why the request ends.
+func (c *call) quarantined() (policy.Block, bool) {
+	c.r.mu.Lock()
+	block, blocked := c.r.quarantine.Blocked(c.promptParts(), time.Now())
+	c.r.mu.Unlock()
+	if blocked {
+		c.r.metrics.quarantined.Inc()
+		c.reason = fmt.Sprintf("the prompt has a part that crashes backend servers (%016x)", uint64(block.Part))
+	}
+	return block, blocked
+}
+
+// recordCrash records an answer that its server began and then broke off, as a
 // server does that its prompt crashes.
 func (x *attempt) recordCrash() {
-	if !x.brokenOff || x.eventsSent > 0 || len(x.head.PromptParts) == 0 {
+	if !x.brokenOff || x.eventsSent > 0 || len(x.promptParts()) == 0 {
 		return
 	}
-	klog.InfoS("Answer broke off as it began", "id", x.head.AttemptID, "try", x.attempts, "backend", x.assignment.ID, "head", x.headLatency, "events", x.eventsSent, "parts", partIDs(x.call))
+	x.crashes++
+	now := time.Now()
+	c := policy.Crash{Server: fleet.HashBackend(x.assignment.ID), Request: xxhash.Sum64String(string(x.head.AttemptID)), Parts: x.promptParts()}
+	x.r.mu.Lock()
+	blocks := x.r.quarantine.RecordCrash(c, now)
+	x.r.mu.Unlock()
+	klog.InfoS("Answer broke off as it began", "id", x.head.AttemptID, "try", x.attempts, "backend", x.assignment.ID, "head", x.headLatency, "events", x.eventsSent, "parts", partIDs(x.call), "hashes", hashList(x.promptParts()))
+	logBlocks(blocks, "this gate")
+}
+
+// recordSound records that the answer has begun.
+func (x *attempt) recordSound() {
+	x.r.mu.Lock()
+	released := x.r.quarantine.RecordSound(x.promptParts(), time.Now())
+	x.r.mu.Unlock()
+	logReleases(released, "this gate")
+}
+
+// TakePartNews implements share.PartTable.
+func (r *Relay) TakePartNews() policy.PartNews {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.quarantine.TakeNews(time.Now())
+}
+
+// MergePartNews implements share.PartTable.
+func (r *Relay) MergePartNews(news policy.PartNews) {
+	r.mu.Lock()
+	blocks, released := r.quarantine.Merge(news, time.Now())
+	r.mu.Unlock()
+	logBlocks(blocks, "another gate")
+	logReleases(released, "another gate")
+}
+
+func logBlocks(blocks []policy.Block, seenBy string) {
+	for _, b := range blocks {
+		klog.InfoS("Prompt part quarantined: it crashes backend servers", "part", fmt.Sprintf("%016x", uint64(b.Part)), "for", b.Left, "times", b.Times, "seen", seenBy)
+	}
+}
+
+func logReleases(released []ident.PromptPart, seenBy string) {
+	for _, part := range released {
+		klog.InfoS("Prompt part released: an answer has begun", "part", fmt.Sprintf("%016x", uint64(part)), "seen", seenBy)
+	}
 }
 
 // maxLoggedParts limits the parts of a prompt in a log line.
 const maxLoggedParts = 8
 
-// partIDs returns the IDs of the parts of the prompt that other requests may
-// share.
+// partIDs lists the IDs of the shared parts of the prompt for a log line.
 func partIDs(c *call) string {
 	var ids []string
-	for _, part := range c.sharedParts() {
-		if len(ids) == maxLoggedParts {
-			break
-		}
+	for _, part := range c.sharedParts()[:min(maxLoggedParts, len(c.sharedParts()))] {
 		ids = append(ids, part.ID)
 	}
 	return strings.Join(ids, ",")
 }
+
+// hashList lists hashes for a log line.
+func hashList(parts []ident.PromptPart) string {
+	var hashes []string
+	for _, part := range parts[:min(maxLoggedParts, len(parts))] {
+		hashes = append(hashes, fmt.Sprintf("%016x", uint64(part)))
+	}
+	return strings.Join(hashes, ",")
+}
--- /dev/null
+++ b/gate/relay/crash_test.go
@@ -0,0 +1,118 @@
+package relay_test
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"citronledge.example/stub/runner"
+)
+
+const (
+	deadlyPrompt = "ba5e:100,dead:20,%x:5"
+	soundPrompt  = "ba5e:100,%x:5"
+)
+
+// crashingReply answers with a stream, unless the prompt has the part dead: then
+// it begins the answer and ends the connection a while later. The while is long
+// enough for crashes not to look like one loss of power.
+func crashingReply(c net.Conn, r *runner.Request) bool {
+	if !strings.Contains(r.Header.Get("Prefix-Hash"), "dead:") {
+		return runner.Events(1, 3, 0, "")(c, r)
+	}
+	_, _ = io.WriteString(c, runner.ResponseHead(http.StatusOK, r, "Transfer-Encoding: chunked\r\n\r\n"))
+	<-time.After(250 * time.Millisecond)
+	return false
+}
+
+// deadlyRuns returns how many requests with the part dead have reached runners.
+func (r *rig) deadlyRuns() (n int) {
+	for _, x := range r.runners {
+		for _, q := range x.Requests() {
+			if strings.Contains(q.Header.Get("Prefix-Hash"), "dead:") {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// A part of a prompt that crashes each server that begins to answer it must not
+// crash one server after the other. Requests that share its other parts are
+// served at their first attempt.
+func TestPromptPartCrashesServers(t *testing.T) {
+	const (
+		requests = 12
+		maxRuns  = 8 // three after the fifth crash
+	)
+	r := newRig(t, crashingReply, crashingReply, crashingReply, crashingReply, crashingReply, crashingReply)
+	refused := 0
+	for i := range requests {
+		got := r.send(http.MethodPost, "/stream/x", fmt.Sprint("sound", i), map[string]string{"Prefix-Hash": fmt.Sprintf(soundPrompt, i)})
+		if got.status != http.StatusOK || got.body != events(1, 3) {
+			t.Errorf("sound request %d: got status %d with %q (%v), want the whole stream", i, got.status, got.body, got.err)
+		}
+		switch got := r.send(http.MethodPost, "/stream/x", fmt.Sprint("deadly", i), map[string]string{"Prefix-Hash": fmt.Sprintf(deadlyPrompt, i)}); got.status {
+		case http.StatusBadGateway: // it has run
+		case http.StatusServiceUnavailable:
+			refused++
+			if got.header.Get("Retry-After") == "" {
+				t.Errorf("deadly request %d is refused without a Retry-After", i)
+			}
+		default:
+			t.Errorf("deadly request %d: got status %d, want 502 or 503", i, got.status)
+		}
+	}
+	if got := r.deadlyRuns(); got > maxRuns {
+		t.Errorf("%d requests with the deadly part reached servers, want at most %d", got, maxRuns)
+	}
+	if got := r.runs() - r.deadlyRuns(); got != requests {
+		t.Errorf("the %d sound requests reached servers %d times, want once each", requests, got)
+	}
+	if refused == 0 {
+		t.Error("no request with the deadly part was refused")
+	}
+}
+
+// What one gate has seen of a deadly part holds at all gates, and an answer at
+// any of them ends it.
+func TestPromptPartOfPeer(t *testing.T) {
+	r, other := newRig(t, crashingReply, crashingReply, crashingReply), newRig(t, runner.Events(1, 3, 0, ""))
+	for i := range 3 {
+		r.send(http.MethodPost, "/stream/x", fmt.Sprint("sound", i), map[string]string{"Prefix-Hash": fmt.Sprintf(soundPrompt, i)})
+		r.send(http.MethodPost, "/stream/x", fmt.Sprint("deadly", i), map[string]string{"Prefix-Hash": fmt.Sprintf(deadlyPrompt, i)})
+	}
+	sendTo := func(r *rig, prompt string) int {
+		return r.send(http.MethodPost, "/stream/x", "other", map[string]string{"Prefix-Hash": prompt}).status
+	}
+	running := make(chan int)
+	started, resume := make(chan bool), make(chan bool)
+	other.runners[0].SetReply(func(c net.Conn, q *runner.Request) bool {
+		started <- true
+		<-resume
+		return runner.Events(1, 3, 0, "")(c, q)
+	})
+	go func() { running <- sendTo(other, fmt.Sprintf(deadlyPrompt, 7)) }()
+	<-started
+	other.relay.MergePartNews(r.relay.TakePartNews())
+	if got := sendTo(other, fmt.Sprintf(deadlyPrompt, 8)); got != http.StatusServiceUnavailable {
+		t.Errorf("got status %d at the other gate, want 503", got)
+	}
+	close(resume)
+	if got := <-running; got != http.StatusOK {
+		t.Errorf("got status %d of the request under way, want 200", got)
+	}
+	r.relay.MergePartNews(other.relay.TakePartNews())
+	other.runners[0].SetReply(runner.Events(1, 3, 0, ""))
+	r.runners[0].SetReply(runner.Events(1, 3, 0, ""))
+	r.fleet.Update(r.list[:1])
+	for name, x := range map[string]*rig{"first": r, "other": other} {
+		if got := sendTo(x, fmt.Sprintf(deadlyPrompt, 9)); got != http.StatusOK {
+			t.Errorf("%s gate: got status %d after a sound answer, want 200", name, got)
+		}
+	}
+}
--- a/gate/relay/metrics.go
+++ b/gate/relay/metrics.go
@@ -13,6 +13,7 @@
 	headLatency    *prometheus.HistogramVec
 	running        prometheus.Gauge
 	streamReads    prometheus.Counter
+	quarantined    prometheus.Counter
 }
 
 func newMetrics() metrics {
@@ -24,11 +25,12 @@
 		headLatency:    prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "relay_head_seconds", Help: "Time of an attempt to the head of its answer.", Buckets: buckets}, []string{"kind"}),
 		running:        prometheus.NewGauge(prometheus.GaugeOpts{Name: "relay_running_requests", Help: "Requests under way."}),
 		streamReads:    prometheus.NewCounter(prometheus.CounterOpts{Name: "relay_stream_reads_total", Help: "Parts of streams passed on."}),
+		quarantined:    prometheus.NewCounter(prometheus.CounterOpts{Name: "relay_quarantined_requests_total", Help: "Requests ended because a part of their prompts crashes backend servers."}),
 	}
 }
 
 func (m *metrics) register(reg prometheus.Registerer) {
-	reg.MustRegister(m.requests, m.attempts, m.requestLatency, m.headLatency, m.running, m.streamReads)
+	reg.MustRegister(m.requests, m.attempts, m.requestLatency, m.headLatency, m.running, m.streamReads, m.quarantined)
 }
 
 func (m *metrics) observeEnd(kind, end string, took time.Duration) {
--- a/gate/relay/relay.go
+++ b/gate/relay/relay.go
@@ -56,6 +56,7 @@
 	retryBudgets         map[ident.Service]*policy.WindowBudget
 	gates                int // that share the slack of the retry budgets
 	sessions             sessions
+	quarantine           *policy.Quarantine
 	streamTimes          streamTimes
 	firstTokenEstimators map[ident.Service]*policy.FirstTokenEstimator
 	baselines            map[baselineKey]*policy.PaceEstimator
@@ -101,7 +102,7 @@
 	r := &Relay{
 		started:      time.Now(),
 		retryBudgets: map[ident.Service]*policy.WindowBudget{}, firstTokenEstimators: map[ident.Service]*policy.FirstTokenEstimator{}, baselines: map[baselineKey]*policy.PaceEstimator{}, hasLease: func() bool { return true },
-		sessions: sessions{byHash: map[uint32]sessionEntry{}}, metrics: newMetrics(), tallies: newTallies(),
+		sessions: sessions{byHash: map[uint32]sessionEntry{}}, quarantine: policy.NewQuarantine(), metrics: newMetrics(), tallies: newTallies(),
 	}
 	for _, o := range opts {
 		o(r)
@@ -268,6 +269,7 @@
 			r.fleet.CloseExpired(now)
 			r.mu.Lock()
 			r.sessions.expire(now, r.sessionTTL())
+			r.quarantine.Expire(now)
 			r.mu.Unlock()
 		}
 	}
--- a/gate/relay/stream.go
+++ b/gate/relay/stream.go
@@ -118,6 +118,9 @@
 		x.headSent = true
 		x.streamTimer.firstEvent()
 	}
+	if x.eventsSent == 0 {
+		x.recordSound()
+	}
 	if id := lastEventIDOf(events); id != "" {
 		x.lastEventID = id
 	}
--- a/gate/share/node.go
+++ b/gate/share/node.go
@@ -9,6 +9,7 @@
 	"google.golang.org/protobuf/proto"
 	"k8s.io/klog/v2"
 
+	"citronledge.example/core/policy"
 	"citronledge.example/core/wire"
 )
 
@@ -64,17 +65,6 @@
 	SetPathLosses([]*wire.PathLoss)
 }
 
-// Session is a session that a version of a service serves, both as hashes.
-type Session struct{ ID, Version uint32 }
-
-// SessionTable holds the sessions that the gates serve.
-type SessionTable interface {
-	// TakeServedSessions returns the sessions served since the last call.
-	TakeServedSessions() []Session
-	// MergeSessions stores the sessions that another gate served.
-	MergeSessions([]Session)
-}
-
 // Packet is a datagram for other gates.
 type Packet struct {
 	To      []netip.AddrPort
@@ -111,11 +101,12 @@
 	roundAt  time.Time
 	rounds   int           // so far
 	interval time.Duration // that the last round took
-	// served are the sessions of this gate in its last datagram; each is sent
-	// twice, as one datagram may be lost. forGroups and forMembers are those that
-	// a relay has to pass on.
-	served, forGroups, forMembers []Session
-	requestedAt                   time.Time // of the list of backend servers
+	// sent are the news of this gate in its last datagram; each is sent twice, as
+	// one datagram may be lost. forGroups and forMembers are those that a relay has
+	// to pass on.
+	sent, forGroups, forMembers news
+	blocks                      []policy.Block // that this gate knows
+	requestedAt                 time.Time      // of the list of backend servers
 }
 
 // contact is what is known of another gate's datagrams.
@@ -133,8 +124,9 @@
 	// of backend servers.
 	ReadSlack time.Duration
 	Loads     LoadTable
-	// Sessions and Lists may be nil.
+	// Sessions, Parts and Lists may be nil.
 	Sessions SessionTable
+	Parts    PartTable
 	Lists    ServerList
 }
 
@@ -241,7 +233,7 @@
 	n.relaySince = now
 	klog.InfoS("Relay of the group of gates changed", "group", n.topo.ownGroup().name, "relay", n.topo.member(n.relay), "before", n.topo.member(old), "self", n.isRelay())
 	if n.isRelay() || old == n.topo.self.rank {
-		n.forGroups, n.forMembers, n.queue = nil, nil, nil
+		n.forGroups, n.forMembers, n.queue = news{}, news{}, nil
 		n.resetSources()
 	}
 }
@@ -259,20 +251,18 @@
 	}
 	loads, changed := n.cfg.Loads.LocalLoads()
 	n.updateOwn(loads)
-	served := n.served
-	if n.cfg.Sessions != nil {
-		n.served = n.cfg.Sessions.TakeServedSessions()
-		served = append(served, n.served...)
-	}
+	unsent := n.sent
+	n.sent = n.takeNews()
+	unsent.add(n.sent)
 	if n.isRelay() {
-		return n.tickRelay(now, changed, served)
+		return n.tickRelay(now, changed, unsent)
 	}
-	if !changed && len(served) == 0 && now.Sub(n.sentAt) < MaxSendInterval {
+	if !changed && unsent.isEmpty() && now.Sub(n.sentAt) < MaxSendInterval {
 		return nil, groupInterval
 	}
 	l := n.newLoads(wire.Loads_OWN, now, MaxSendInterval)
 	putLoads(l, loads)
-	l.Sessions = putSessions(served)
+	putNews(l, unsent)
 	return []Packet{n.send(l, now, n.relays())}, groupInterval
 }
 
@@ -300,14 +290,15 @@
 
 // tickRelay begins a round of datagrams of a relay: to the other groups, and to
 // each other gate of its own.
-func (n *Node) tickRelay(now time.Time, changed bool, served []Session) (packets []Packet, next time.Duration) {
+func (n *Node) tickRelay(now time.Time, changed bool, unsent news) (packets []Packet, next time.Duration) {
 	interval, heartbeat := groupInterval, max(relayHeartbeat, n.interval)
 	if n.topo.direct() {
 		interval = n.directInterval()
 		heartbeat = MaxSendInterval
 	}
-	n.forGroups, n.forMembers = append(n.forGroups, served...), append(n.forMembers, served...)
-	if !changed && !n.changed && len(n.forMembers) == 0 && now.Sub(n.sentAt) < heartbeat {
+	n.forGroups.add(unsent)
+	n.forMembers.add(unsent)
+	if !changed && !n.changed && n.forMembers.isEmpty() && now.Sub(n.sentAt) < heartbeat {
 		return nil, interval
 	}
 	n.changed = false
@@ -315,13 +306,13 @@
 	groupSum, all := n.sums(now)
 	l := n.newLoads(wire.Loads_GROUP, now, heartbeat)
 	putLoads(l, groupSum.without(nil, now))
-	l.Sessions = putSessions(n.forGroups)
+	putNews(l, n.forGroups)
 	packets = append(packets, n.send(l, now, n.otherRelays(now)))
 	if n.topo.direct() {
-		n.forGroups, n.forMembers = n.forGroups[:0], n.forMembers[:0]
+		n.forGroups, n.forMembers = news{}, news{}
 		return packets, interval
 	}
-	losses, sessions := n.cfg.Loads.PathLosses(), putSessions(n.forMembers)
+	losses, forMembers := n.cfg.Loads.PathLosses(), n.forMembers
 	members := n.topo.ownGroup().members
 	for i := range members {
 		// Another member is the first one in each round, since the last ones get
@@ -332,10 +323,11 @@
 		}
 		rest := n.newLoads(wire.Loads_REST, now, heartbeat)
 		putLoads(rest, all.without(n.sources[m.Addr.String()], now))
-		rest.Sessions, rest.Losses = sessions, losses
+		putNews(rest, forMembers)
+		rest.Losses = losses
 		packets = append(packets, n.send(rest, now, []netip.AddrPort{m.Addr}))
 	}
-	n.forGroups, n.forMembers = n.forGroups[:0], n.forMembers[:0]
+	n.forGroups, n.forMembers = news{}, news{}
 	n.rounds++
 	n.queue, n.roundAt = packets, now
 	return n.takeBurst(now)
@@ -426,7 +418,7 @@
 // newLoads returns a message without loads.
 func (n *Node) newLoads(scope wire.Loads_Scope, now time.Time, next time.Duration) *wire.Loads {
 	return &wire.Loads{
-		Name: n.cfg.Name, Run: n.run, Zone: string(n.self.Zone), Scope: scope, Next: uint32(next / time.Millisecond), List: n.ownReading(now),
+		Name: n.cfg.Name, Run: n.run, Zone: string(n.self.Zone), Scope: scope, Next: uint32(next / time.Millisecond), List: n.ownReading(now), Blocks: putBlocks(n.blocks),
 	}
 }
 
--- a/gate/share/receive.go
+++ b/gate/share/receive.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/netip"
-	"slices"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -46,9 +45,7 @@
 		n.heard[from] = c
 		n.receiveReport(from, p, l, loads, now)
 	}
-	if n.cfg.Sessions != nil && len(l.GetSessions()) > 0 {
-		n.receiveSessions(l, getSessions(l.GetSessions()))
-	}
+	n.receiveNews(l)
 	return n.noteReading(from, l.GetList(), now)
 }
 
@@ -91,37 +88,3 @@
 	}
 	s.update(r.Run, r.Loads, now.Add(loadTTL))
 }
-
-func (n *Node) receiveSessions(l *wire.Loads, list []Session) {
-	n.cfg.Sessions.MergeSessions(list)
-	if !n.isRelay() || n.topo.direct() {
-		return
-	}
-	n.forMembers = append(n.forMembers, list...)
-	if l.GetScope() == wire.Loads_OWN {
-		n.forGroups = append(n.forGroups, list...)
-	}
-}
-
-func putSessions(list []Session) []*wire.ServedSessions {
-	var versions []*wire.ServedSessions
-	for _, s := range list {
-		i := slices.IndexFunc(versions, func(v *wire.ServedSessions) bool { return v.GetVersion() == s.Version })
-		if i < 0 {
-			i = len(versions)
-			versions = append(versions, &wire.ServedSessions{Version: s.Version})
-		}
-		versions[i].Sessions = append(versions[i].Sessions, s.ID)
-	}
-	return versions
-}
-
-func getSessions(versions []*wire.ServedSessions) []Session {
-	var list []Session
-	for _, v := range versions {
-		for _, id := range v.GetSessions() {
-			list = append(list, Session{id, v.GetVersion()})
-		}
-	}
-	return list
-}
--- a/gate/share/sim_test.go
+++ b/gate/share/sim_test.go
@@ -14,6 +14,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"citronledge.example/core/ident"
+	"citronledge.example/core/policy"
 	"citronledge.example/core/wire"
 	"citronledge.example/gate/fleet"
 	"citronledge.example/gate/share"
@@ -64,12 +65,19 @@
 	return n
 }
 
+// parts is a share.PartTable.
+type parts struct{ *policy.Quarantine }
+
+func (p parts) TakePartNews() policy.PartNews      { return p.TakeNews(time.Now()) }
+func (p parts) MergePartNews(news policy.PartNews) { p.Merge(news, time.Now()) }
+
 // gate is a gate of the simulation.
 type gate struct {
 	share.Member
 	node     *share.Node
 	fleet    *fleet.Fleet
 	loads    *loads
+	parts    parts
 	down     bool
 	linkFree time.Time // when its link has sent what is queued
 	sent     int       // bytes
@@ -129,8 +137,8 @@
 		members = append(members, share.Member{Addr: addr, Zone: ident.Zone(fmt.Sprint("z", i%5)), LinkRate: simLinkRate / 1000})
 	}
 	for i, m := range members {
-		g := &gate{Member: m, fleet: fleet.New(m.Zone), loads: &loads{rand: w.rand, running: map[uint32]uint32{}, reported: map[string]share.Report{}}}
-		g.node = share.NewNode(share.Config{Name: fmt.Sprint("g", i), Self: m, ReadSlack: simReadSlack, Loads: g.loads, Lists: g.fleet}, w.rand.Uint64())
+		g := &gate{Member: m, fleet: fleet.New(m.Zone), loads: &loads{rand: w.rand, running: map[uint32]uint32{}, reported: map[string]share.Report{}}, parts: parts{policy.NewQuarantine()}}
+		g.node = share.NewNode(share.Config{Name: fmt.Sprint("g", i), Self: m, ReadSlack: simReadSlack, Loads: g.loads, Parts: g.parts, Lists: g.fleet}, w.rand.Uint64())
 		g.node.SetMembers(slices.Delete(slices.Clone(members), i, i+1), time.Now())
 		w.gates = append(w.gates, g)
 		w.byAddr[m.Addr] = g
@@ -332,3 +340,43 @@
 		}
 	})
 }
+
+// All gates know of a part of prompts that crashes servers within the time that
+// a change of the list may take, although each crash is seen by another gate;
+// and they know as soon when an answer to it has begun.
+func TestSpreadOfCrashes(t *testing.T) {
+	const maxKnown = 2500 * time.Millisecond
+	deadly := []ident.PromptPart{1}
+	for _, n := range []int{2, 10, 32, 105} {
+		t.Run(fmt.Sprint(n, " gates"), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorld(n, uint64(n), 0.03)
+				w.run(4 * time.Second)
+				blocking := func() (count int) {
+					for _, g := range w.gates {
+						if _, blocked := g.parts.Blocked(deadly, time.Now()); blocked {
+							count++
+						}
+					}
+					return count
+				}
+				waitFor := func(want int) {
+					start := time.Now()
+					for blocking() != want && time.Since(start) < 2*maxKnown {
+						w.run(simCheck)
+					}
+					if took := time.Since(start); took > maxKnown {
+						t.Errorf("%d gates block the part after %v, want %d within %v", blocking(), took, want, maxKnown)
+					}
+				}
+				for i := range 3 {
+					w.gates[i*(n-1)/2].parts.RecordCrash(policy.Crash{Server: uint32(i), Request: uint64(i), Parts: deadly}, time.Now())
+					w.run(300 * time.Millisecond)
+				}
+				waitFor(n)
+				w.gates[0].parts.RecordSound(deadly, time.Now())
+				waitFor(0)
+			})
+		})
+	}
+}
