core/policy: quarantine parts together that were only seen together

Change: a block covers a set of parts, and prompts with all of them. A sound answer takes its parts out of the set; a crash of a prompt with some of them adds a block of their own.

TestQuarantineBlame, "always together": the prompts with one of the parts were blocked before.

--- a/core/policy/quarantine.go
+++ b/core/policy/quarantine.go
@@ -19,7 +19,7 @@
 	// sameCrash is the time within which the reports of a server are about one
 	// crash. A server takes longer to start again.
 	sameCrash = time.Second
-	// firstQuarantine doubles with each quarantine of a part that crashed a server
+	// firstQuarantine doubles with each quarantine of parts that crashed a server
 	// again, up to maxQuarantine.
 	firstQuarantine = time.Minute
 	maxQuarantine   = time.Hour
@@ -44,11 +44,13 @@
 	Parts []ident.PromptPart
 }
 
-// Block is the quarantine of a part of prompts.
+// Block is the quarantine of prompts that have certain parts.
 type Block struct {
-	Part  ident.PromptPart
+	// Parts crash servers together; which of them does so alone is not known. A
+	// prompt with all of them is blocked.
+	Parts []ident.PromptPart
 	Left  time.Duration
-	Times int // that it was quarantined in a row
+	Times int // that they were quarantined in a row
 }
 
 // PartNews is what gates tell each other about parts of prompts.
@@ -61,22 +63,46 @@
 // Quarantine finds the part of prompts that crashes each server that begins to
 // answer them, and blocks it. A part is blamed for a crash if a server broke off
 // the answer to a prompt with it before the first event. It is cleared by each
-// answer that begins at any gate. It answers the load of requests that share a
-// deadly part, come at many gates, and would crash one server after the other.
+// answer that begins at any gate. Parts that were only seen together are blocked
+// together, so that prompts with some of them show which one is to blame. It
+// answers the load of requests that share a deadly part, come at many gates, and
+// would crash one server after the other.
 //
 // It is not safe for concurrent use.
 type Quarantine struct {
 	suspects map[ident.PromptPart]*suspect
 	sound    map[ident.PromptPart]*soundPart
+	blocks   []*block
 	unsent   PartNews // without Blocks
 }
 
 // suspect is a part of a prompt that no answer has cleared since the crashes.
 type suspect struct {
-	crashes      []crashMark
-	requests     []uint64 // that crashed a server
-	blockedUntil time.Time
-	blocks       int // in a row
+	crashes    []crashMark
+	requests   []uint64  // that crashed a server
+	blocks     int       // in a row
+	blockedEnd time.Time // of the last one
+}
+
+// block is a quarantine that ends at a time.
+type block struct {
+	parts []ident.PromptPart
+	until time.Time
+	times int
+}
+
+func (b *block) export(now time.Time) Block {
+	return Block{slices.Clone(b.parts), b.until.Sub(now), b.times}
+}
+
+// covers reports whether a prompt with the given parts is blocked.
+func (b *block) covers(parts []ident.PromptPart) bool {
+	for _, part := range b.parts {
+		if !slices.Contains(parts, part) {
+			return false
+		}
+	}
+	return true
 }
 
 type crashMark struct {
@@ -93,19 +119,26 @@
 	return &Quarantine{suspects: map[ident.PromptPart]*suspect{}, sound: map[ident.PromptPart]*soundPart{}}
 }
 
-// Blocked returns the quarantine of the first of the parts that has one.
+// Blocked returns the quarantine of a prompt with the given parts, if it has one.
 func (q *Quarantine) Blocked(parts []ident.PromptPart, now time.Time) (Block, bool) {
-	for _, part := range parts {
-		if s := q.suspects[part]; s != nil && now.Before(s.blockedUntil) {
-			return Block{part, s.blockedUntil.Sub(now), s.blocks}, true
-		}
+	if b := q.findBlock(parts, now); b != nil {
+		return b.export(now), true
 	}
 	return Block{}, false
 }
 
-// RecordCrash records a crash that this gate has seen, and returns the blocks
-// that follow. Parts known to be sound are not blamed while there are others.
-func (q *Quarantine) RecordCrash(c Crash, now time.Time) []Block {
+func (q *Quarantine) findBlock(parts []ident.PromptPart, now time.Time) *block {
+	for _, b := range q.blocks {
+		if now.Before(b.until) && b.covers(parts) {
+			return b
+		}
+	}
+	return nil
+}
+
+// RecordCrash records a crash that this gate has seen, and returns the block that
+// follows, if there is one. Parts known to be sound are not blamed while there are others.
+func (q *Quarantine) RecordCrash(c Crash, now time.Time) (Block, bool) {
 	isSound := func(part ident.PromptPart) bool {
 		s := q.sound[part]
 		return s != nil && now.Sub(s.seenAt) <= soundMemory
@@ -114,7 +147,7 @@
 		c.Parts = others
 	}
 	if len(c.Parts) == 0 {
-		return nil
+		return Block{}, false
 	}
 	if len(q.unsent.Crashes) < maxPartNews {
 		q.unsent.Crashes = append(q.unsent.Crashes, c)
@@ -122,8 +155,10 @@
 	return q.blame(c, now)
 }
 
-// blame adds a crash to the record of its parts.
-func (q *Quarantine) blame(c Crash, now time.Time) (blocks []Block) {
+// blame adds a crash to the record of its parts, and returns the block that
+// follows, if there is one.
+func (q *Quarantine) blame(c Crash, now time.Time) (Block, bool) {
+	var proven []ident.PromptPart
 	for _, part := range c.Parts {
 		s := q.suspects[part]
 		if s == nil {
@@ -133,12 +168,14 @@
 			s = &suspect{}
 			q.suspects[part] = s
 		}
-		s.add(c, now)
-		if s.isProven() && !now.Before(s.blockedUntil) {
-			blocks = append(blocks, s.block(part, now))
+		if s.add(c, now); s.isProven() {
+			proven = append(proven, part)
 		}
 	}
-	return blocks
+	if len(proven) == 0 || q.findBlock(proven, now) != nil {
+		return Block{}, false
+	}
+	return q.block(proven, now), true
 }
 
 func (s *suspect) add(c Crash, now time.Time) {
@@ -157,14 +194,21 @@
 	return len(s.crashes) >= minCrashes && len(s.requests) >= minCrashingRequests
 }
 
-// block blocks the part. When the block ends, one more crash suffices for the
-// next one.
-func (s *suspect) block(part ident.PromptPart, now time.Time) Block {
-	length := quarantineLength(s.blocks)
-	s.blocks++
-	s.blockedUntil = now.Add(length)
-	s.crashes = slices.Clone(s.crashes[len(s.crashes)-minCrashes+1:])
-	return Block{part, length, s.blocks}
+// block blocks prompts with all the given suspects. When the block ends, one more
+// crash suffices for the next one.
+func (q *Quarantine) block(parts []ident.PromptPart, now time.Time) Block {
+	before := 0
+	for _, part := range parts {
+		before = max(before, q.suspects[part].blocks)
+	}
+	b := &block{parts, now.Add(quarantineLength(before)), before + 1}
+	q.blocks = append(q.blocks, b)
+	for _, part := range parts {
+		s := q.suspects[part]
+		s.blocks, s.blockedEnd = b.times, b.until
+		s.crashes = slices.Clone(s.crashes[len(s.crashes)-minCrashes+1:])
+	}
+	return b.export(now)
 }
 
 // quarantineLength returns how long a part is blocked that was blocked a number
@@ -178,11 +222,14 @@
 }
 
 // RecordSound records that an answer to a prompt with the parts has begun, and
-// returns the parts whose quarantine ends with it.
+// returns those whose quarantine ends with it.
 func (q *Quarantine) RecordSound(parts []ident.PromptPart, now time.Time) (released []ident.PromptPart) {
 	for _, part := range parts {
 		suspected := q.suspects[part] != nil
-		released = append(released, q.clear(part, now)...)
+		if q.clear(part, now) {
+			released = append(released, part)
+			suspected = true
+		}
 		if s := q.sound[part]; suspected || s != nil && now.Sub(s.toldAt) > soundRefresh {
 			q.tellSound(part, now)
 		}
@@ -200,13 +247,17 @@
 	}
 }
 
-// clear records that a part is sound.
-func (q *Quarantine) clear(part ident.PromptPart, now time.Time) (released []ident.PromptPart) {
-	if s := q.suspects[part]; s != nil {
-		if now.Before(s.blockedUntil) {
-			released = append(released, part)
+// clear records that a part is sound, and reports whether it was blocked.
+func (q *Quarantine) clear(part ident.PromptPart, now time.Time) (released bool) {
+	delete(q.suspects, part)
+	for _, b := range q.blocks {
+		if i := slices.Index(b.parts, part); i >= 0 {
+			b.parts = slices.Delete(b.parts, i, i+1)
+			released = true
 		}
-		delete(q.suspects, part)
+	}
+	if released {
+		q.blocks = slices.DeleteFunc(q.blocks, func(b *block) bool { return len(b.parts) == 0 })
 	}
 	if s := q.sound[part]; s != nil {
 		s.seenAt = now
@@ -221,9 +272,9 @@
 func (q *Quarantine) TakeNews(now time.Time) PartNews {
 	news := q.unsent
 	q.unsent = PartNews{}
-	for part, s := range q.suspects {
-		if now.Before(s.blockedUntil) && len(news.Blocks) < maxPartNews {
-			news.Blocks = append(news.Blocks, Block{part, s.blockedUntil.Sub(now), s.blocks})
+	for _, b := range q.blocks {
+		if now.Before(b.until) && len(news.Blocks) < maxPartNews {
+			news.Blocks = append(news.Blocks, b.export(now))
 		}
 	}
 	return news
@@ -233,10 +284,14 @@
 // releases that follow.
 func (q *Quarantine) Merge(news PartNews, now time.Time) (blocks []Block, released []ident.PromptPart) {
 	for _, c := range news.Crashes {
-		blocks = append(blocks, q.blame(c, now)...)
+		if b, isNew := q.blame(c, now); isNew {
+			blocks = append(blocks, b)
+		}
 	}
 	for _, part := range news.Sound {
-		released = append(released, q.clear(part, now)...)
+		if q.clear(part, now) {
+			released = append(released, part)
+		}
 		if s := q.sound[part]; s != nil {
 			s.toldAt = now
 		}
@@ -250,37 +305,32 @@
 }
 
 // adopt takes over a block that another gate has, as after a restart, and reports
-// whether it is new here. A gate that knows better says so instead.
+// whether it is new here. A gate that has seen an answer since says so instead.
 func (q *Quarantine) adopt(b Block, now time.Time) bool {
 	age := quarantineLength(b.Times-1) - b.Left
-	if s := q.sound[b.Part]; s != nil && now.Sub(s.seenAt) < age {
-		q.tellSound(b.Part, now)
-		return false
-	}
-	s := q.suspects[b.Part]
-	if s == nil {
-		if len(q.suspects) >= maxParts {
+	for _, part := range b.Parts {
+		if s := q.sound[part]; s != nil && now.Sub(s.seenAt) < age {
+			q.tellSound(part, now)
 			return false
 		}
-		s = &suspect{}
-		q.suspects[b.Part] = s
 	}
-	if now.Before(s.blockedUntil) {
+	if len(b.Parts) == 0 || len(q.blocks) >= maxPartNews || q.findBlock(b.Parts, now) != nil {
 		return false
 	}
-	s.blockedUntil, s.blocks = now.Add(b.Left), b.Times
+	q.blocks = append(q.blocks, &block{slices.Clone(b.Parts), now.Add(b.Left), b.Times})
 	return true
 }
 
 // Expire forgets parts of which nothing was heard for a while.
 func (q *Quarantine) Expire(now time.Time) {
+	q.blocks = slices.DeleteFunc(q.blocks, func(b *block) bool { return !now.Before(b.until) })
 	for part, s := range q.sound {
 		if now.Sub(s.seenAt) > soundMemory {
 			delete(q.sound, part)
 		}
 	}
 	for part, s := range q.suspects {
-		last := s.blockedUntil
+		last := s.blockedEnd
 		if n := len(s.crashes); n > 0 && s.crashes[n-1].at.After(last) {
 			last = s.crashes[n-1].at
 		}
--- a/core/policy/quarantine_test.go
+++ b/core/policy/quarantine_test.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -34,17 +35,26 @@
 	const pause = 300 * time.Millisecond
 	for name, c := range map[string]struct {
 		steps []step
-		want  []ident.PromptPart
+		want  [][]ident.PromptPart // prompts with all parts of one of them are blocked
 	}{
 		"one deadly part": {[]step{
 			sound(0, base), crash(pause, 1, 1, base, deadly), crash(pause, 2, 1, base, deadly), crash(pause, 3, 2, base, deadly),
-		}, []ident.PromptPart{deadly}},
+		}, [][]ident.PromptPart{{deadly}}},
 		"deadly part beside rare ones": {[]step{
 			sound(0, base), crash(pause, 1, 1, base, deadly, rare), crash(pause, 2, 1, base, deadly, rare), crash(pause, 3, 2, base, deadly, rare+1), crash(pause, 4, 2, base, deadly, rare+1),
-		}, []ident.PromptPart{deadly}},
+		}, [][]ident.PromptPart{{deadly}}},
 		"known sound before it became deadly": {[]step{
 			sound(0, base, deadly), crash(pause, 1, 1, base, deadly), crash(pause, 2, 2, base, deadly), sound(0, base), crash(pause, 3, 3, base, deadly),
-		}, []ident.PromptPart{deadly}},
+		}, [][]ident.PromptPart{{deadly}}},
+		"deadly part with a rare one, then alone": {[]step{
+			crash(0, 1, 1, deadly, rare), crash(pause, 2, 1, deadly, rare), crash(pause, 3, 2, deadly, rare), crash(pause, 4, 3, deadly),
+		}, [][]ident.PromptPart{{deadly}}},
+		"deadly part with a rare one that is sound": {[]step{
+			crash(0, 1, 1, deadly, rare), crash(pause, 2, 1, deadly, rare), crash(pause, 3, 2, deadly, rare), sound(0, rare),
+		}, [][]ident.PromptPart{{deadly}}},
+		"always together": {[]step{
+			crash(0, 1, 1, deadly, rare), crash(pause, 2, 1, deadly, rare), crash(pause, 3, 2, deadly, rare),
+		}, [][]ident.PromptPart{{deadly, rare}}},
 		"repeats of one request": {[]step{
 			crash(0, 1, 1, rare), crash(pause, 2, 1, rare), crash(pause, 3, 1, rare), crash(pause, 4, 1, rare),
 		}, nil},
@@ -71,14 +81,11 @@
 					q.RecordCrash(Crash{s.server, s.request, s.parts}, now)
 				}
 			}
-			for part := base; part <= rare+1; part++ {
-				_, got := q.Blocked([]ident.PromptPart{part}, now)
-				want := false
-				for _, w := range c.want {
-					want = want || w == part
-				}
+			for _, prompt := range [][]ident.PromptPart{{base}, {deadly}, {rare}, {base, deadly}, {base, rare}, {deadly, rare}, {base, deadly, rare}} {
+				_, got := q.Blocked(prompt, now)
+				want := slices.ContainsFunc(c.want, func(parts []ident.PromptPart) bool { return (&block{parts: parts}).covers(prompt) })
 				if got != want {
-					t.Errorf("part %d: got blocked %v, want %v", part, got, want)
+					t.Errorf("prompt with the parts %d: got blocked %v, want %v", prompt, got, want)
 				}
 			}
 		})
--- a/gate/relay/crash.go
+++ b/gate/relay/crash.go
@@ -47,7 +47,7 @@
 	c.r.mu.Unlock()
 	if blocked {
 		c.r.metrics.quarantined.Inc()
-		c.reason = fmt.Sprintf("the prompt has a part that crashes backend servers (%016x)", uint64(block.Part))
+		c.reason = "the prompt has a part that crashes backend servers: " + hashList(block.Parts)
 	}
 	return block, blocked
 }
@@ -62,10 +62,12 @@
 	now := time.Now()
 	c := policy.Crash{Server: fleet.HashBackend(x.assignment.ID), Request: xxhash.Sum64String(string(x.head.AttemptID)), Parts: x.promptParts()}
 	x.r.mu.Lock()
-	blocks := x.r.quarantine.RecordCrash(c, now)
+	block, isNew := x.r.quarantine.RecordCrash(c, now)
 	x.r.mu.Unlock()
 	klog.InfoS("Answer broke off as it began", "id", x.head.AttemptID, "try", x.attempts, "backend", x.assignment.ID, "head", x.headLatency, "events", x.eventsSent, "parts", partIDs(x.call), "hashes", hashList(x.promptParts()))
-	logBlocks(blocks, "this gate")
+	if isNew {
+		logBlock(block, "this gate")
+	}
 }
 
 // recordSound records that the answer has begun.
@@ -88,14 +90,14 @@
 	r.mu.Lock()
 	blocks, released := r.quarantine.Merge(news, time.Now())
 	r.mu.Unlock()
-	logBlocks(blocks, "another gate")
+	for _, b := range blocks {
+		logBlock(b, "another gate")
+	}
 	logReleases(released, "another gate")
 }
 
-func logBlocks(blocks []policy.Block, seenBy string) {
-	for _, b := range blocks {
-		klog.InfoS("Prompt part quarantined: it crashes backend servers", "part", fmt.Sprintf("%016x", uint64(b.Part)), "for", b.Left, "times", b.Times, "seen", seenBy)
-	}
+func logBlock(b policy.Block, seenBy string) {
+	klog.InfoS("Prompt parts quarantined: they crash backend servers", "parts", hashList(b.Parts), "for", b.Left, "times", b.Times, "seen", seenBy)
 }
 
 func logReleases(released []ident.PromptPart, seenBy string) {
--- a/gate/share/news.go
+++ b/gate/share/news.go
@@ -98,14 +98,14 @@
 
 func putBlocks(blocks []policy.Block) (list []*wire.Block) {
 	for _, b := range blocks {
-		list = append(list, &wire.Block{Part: uint64(b.Part), Left: uint32(b.Left / time.Millisecond), Times: uint32(b.Times)})
+		list = append(list, &wire.Block{Parts: putParts(b.Parts), Left: uint32(b.Left / time.Millisecond), Times: uint32(b.Times)})
 	}
 	return list
 }
 
 func getBlocks(list []*wire.Block) (blocks []policy.Block) {
 	for _, b := range list {
-		blocks = append(blocks, policy.Block{Part: ident.PromptPart(b.GetPart()), Left: time.Duration(b.GetLeft()) * time.Millisecond, Times: int(b.GetTimes())})
+		blocks = append(blocks, policy.Block{Parts: getParts(b.GetParts()), Left: time.Duration(b.GetLeft()) * time.Millisecond, Times: int(b.GetTimes())})
 	}
 	return blocks
 }
