gate/relay: requests that wait at a server leave it when their prompt is quarantined

Change: an attempt without an event is abandoned when its prompt is quarantined, and its server is not blamed for that. Requests stay whose parts to blame were all sound before: if they still are, the answer ends the quarantine.

TestWaitingPromptLeavesServer: without the change the request waits until its deadline (504).

--- a/core/policy/quarantine.go
+++ b/core/policy/quarantine.go
@@ -139,10 +139,7 @@
 // RecordCrash records a crash that this gate has seen, and returns the block that
 // follows, if there is one. Parts known to be sound are not blamed while there are others.
 func (q *Quarantine) RecordCrash(c Crash, now time.Time) (Block, bool) {
-	isSound := func(part ident.PromptPart) bool {
-		s := q.sound[part]
-		return s != nil && now.Sub(s.seenAt) <= soundMemory
-	}
+	isSound := func(part ident.PromptPart) bool { return q.isSound(part, now) }
 	if others := slices.DeleteFunc(slices.Clone(c.Parts), isSound); len(others) > 0 {
 		c.Parts = others
 	}
@@ -155,6 +152,20 @@
 	return q.blame(c, now)
 }
 
+// isSound reports whether an answer to a prompt with the part has begun lately.
+func (q *Quarantine) isSound(part ident.PromptPart, now time.Time) bool {
+	s := q.sound[part]
+	return s != nil && now.Sub(s.seenAt) <= soundMemory
+}
+
+// MustLeave reports whether a prompt with the given parts that waits at a server
+// must not be answered any more. If all parts that are to blame were sound before,
+// it stays: should they still be, its answer shows it.
+func (q *Quarantine) MustLeave(parts []ident.PromptPart, now time.Time) bool {
+	b := q.findBlock(parts, now)
+	return b != nil && slices.ContainsFunc(b.parts, func(part ident.PromptPart) bool { return !q.isSound(part, now) })
+}
+
 // blame adds a crash to the record of its parts, and returns the block that
 // follows, if there is one.
 func (q *Quarantine) blame(c Crash, now time.Time) (Block, bool) {
--- a/gate/relay/attempt.go
+++ b/gate/relay/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -120,6 +121,9 @@
 	defer cancel()
 	x := &attempt{call: c, assignment: assignment, model: model, attemptStart: now}
 	next, outcome := x.exchange(ctx)
+	if x.quarantinedOff.Load() && outcome == fleet.Broke {
+		outcome = fleet.Neutral // the server is not to blame
+	}
 	end := time.Now()
 	assignment.Release(outcome, end)
 	x.recordOutcome(outcome)
@@ -183,9 +187,11 @@
 	longestPause  time.Duration
 	speedRecorded bool // counted for the rollout of its version
 	brokenOff     bool // the server ended its connection in the middle of the answer
-	detail        string
-	status        int
-	confidence    int
+	// quarantinedOff is set when the gate ends the attempt because of its prompt.
+	quarantinedOff atomic.Bool
+	detail         string
+	status         int
+	confidence     int
 }
 
 const (
@@ -237,6 +243,8 @@
 	exchangeCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	x.abandon = cancel
+	x.awaitFirstEvent()
+	defer x.answerBegun()
 	var timer *time.Timer
 	if limit := x.headTimeout(); limit > 0 {
 		timer = time.AfterFunc(limit, cancel)
--- a/gate/relay/crash.go
+++ b/gate/relay/crash.go
@@ -55,7 +55,7 @@
 // recordCrash records an answer that its server began and then broke off, as a
 // server does that its prompt crashes.
 func (x *attempt) recordCrash() {
-	if !x.brokenOff || x.eventsSent > 0 || len(x.promptParts()) == 0 {
+	if !x.brokenOff || x.quarantinedOff.Load() || x.eventsSent > 0 || len(x.promptParts()) == 0 {
 		return
 	}
 	x.crashes++
@@ -63,6 +63,9 @@
 	c := policy.Crash{Server: fleet.HashBackend(x.assignment.ID), Request: xxhash.Sum64String(string(x.head.AttemptID)), Parts: x.promptParts()}
 	x.r.mu.Lock()
 	block, isNew := x.r.quarantine.RecordCrash(c, now)
+	if isNew {
+		x.r.abandonQuarantined(now)
+	}
 	x.r.mu.Unlock()
 	klog.InfoS("Answer broke off as it began", "id", x.head.AttemptID, "try", x.attempts, "backend", x.assignment.ID, "head", x.headLatency, "events", x.eventsSent, "parts", partIDs(x.call), "hashes", hashList(x.promptParts()))
 	if isNew {
@@ -78,6 +81,37 @@
 	logReleases(released, "this gate")
 }
 
+// awaitFirstEvent lets a new quarantine end the attempt until answerBegun is
+// called.
+func (x *attempt) awaitFirstEvent() {
+	if len(x.promptParts()) == 0 {
+		return
+	}
+	x.r.mu.Lock()
+	defer x.r.mu.Unlock()
+	x.r.unanswered[x] = true
+}
+
+func (x *attempt) answerBegun() {
+	if len(x.promptParts()) == 0 {
+		return
+	}
+	x.r.mu.Lock()
+	defer x.r.mu.Unlock()
+	delete(x.r.unanswered, x)
+}
+
+// abandonQuarantined ends the attempts that wait at a server whose answers would
+// crash it. It must be called with mu held.
+func (r *Relay) abandonQuarantined(now time.Time) {
+	for x := range r.unanswered {
+		if r.quarantine.MustLeave(x.promptParts(), now) {
+			x.quarantinedOff.Store(true)
+			x.abandon()
+		}
+	}
+}
+
 // TakePartNews implements share.PartTable.
 func (r *Relay) TakePartNews() policy.PartNews {
 	r.mu.Lock()
@@ -87,8 +121,12 @@
 
 // MergePartNews implements share.PartTable.
 func (r *Relay) MergePartNews(news policy.PartNews) {
+	now := time.Now()
 	r.mu.Lock()
-	blocks, released := r.quarantine.Merge(news, time.Now())
+	blocks, released := r.quarantine.Merge(news, now)
+	if len(blocks) > 0 {
+		r.abandonQuarantined(now)
+	}
 	r.mu.Unlock()
 	for _, b := range blocks {
 		logBlock(b, "another gate")
--- a/gate/relay/crash_test.go
+++ b/gate/relay/crash_test.go
@@ -78,19 +78,57 @@
 	}
 }
 
-// What one gate has seen of a deadly part holds at all gates, and an answer at
-// any of them ends it.
+// A request that waits at a server when its prompt is found to crash servers must
+// not be left to crash this one too.
+func TestWaitingPromptLeavesServer(t *testing.T) {
+	r := newRig(t, crashingReply, crashingReply, crashingReply)
+	waiting, abandoned := make(chan bool, 1), make(chan bool, 1)
+	patient, err := runner.Start(func(c net.Conn, _ *runner.Request) bool {
+		waiting <- true
+		_, _ = io.Copy(io.Discard, c) // until the gate leaves
+		abandoned <- true
+		return false
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(patient.Close)
+	crashing := r.list
+	r.list = append(crashing[:3:3], crashing[0])
+	r.list[3].ID, r.list[3].Address = "patient", patient.Addr()
+	r.fleet.Update(r.list[3:])
+	status := make(chan int)
+	go func() {
+		// On this route, only the deadline ends the wait for an answer.
+		status <- r.send(http.MethodPost, "/once/x", "waiting", map[string]string{"Prefix-Hash": fmt.Sprintf(deadlyPrompt, 99)}).status
+	}()
+	<-waiting
+	r.fleet.Update(crashing)
+	for i := range 2 {
+		r.send(http.MethodPost, "/stream/x", fmt.Sprint("deadly", i), map[string]string{"Prefix-Hash": fmt.Sprintf(deadlyPrompt, i)})
+	}
+	<-abandoned
+	if got := <-status; got != http.StatusBadGateway {
+		t.Errorf("got status %d, want 502: it left its server, but may have run", got)
+	}
+}
+
+// What one gate has seen of a deadly part holds at all gates. If it was sound
+// before, a request under way goes on, and its answer ends the quarantine.
 func TestPromptPartOfPeer(t *testing.T) {
 	r, other := newRig(t, crashingReply, crashingReply, crashingReply), newRig(t, runner.Events(1, 3, 0, ""))
+	sendTo := func(r *rig, prompt string) int {
+		return r.send(http.MethodPost, "/stream/x", "other", map[string]string{"Prefix-Hash": prompt}).status
+	}
+	if got := sendTo(other, fmt.Sprintf(deadlyPrompt, 6)); got != http.StatusOK {
+		t.Errorf("got status %d at the other gate before the crashes, want 200", got)
+	}
 	for i := range 3 {
 		r.send(http.MethodPost, "/stream/x", fmt.Sprint("sound", i), map[string]string{"Prefix-Hash": fmt.Sprintf(soundPrompt, i)})
 		r.send(http.MethodPost, "/stream/x", fmt.Sprint("deadly", i), map[string]string{"Prefix-Hash": fmt.Sprintf(deadlyPrompt, i)})
 	}
-	sendTo := func(r *rig, prompt string) int {
-		return r.send(http.MethodPost, "/stream/x", "other", map[string]string{"Prefix-Hash": prompt}).status
-	}
 	running := make(chan int)
-	started, resume := make(chan bool), make(chan bool)
+	started, resume := make(chan bool, 8), make(chan bool)
 	other.runners[0].SetReply(func(c net.Conn, q *runner.Request) bool {
 		started <- true
 		<-resume
--- a/gate/relay/relay.go
+++ b/gate/relay/relay.go
@@ -57,6 +57,7 @@
 	gates                int // that share the slack of the retry budgets
 	sessions             sessions
 	quarantine           *policy.Quarantine
+	unanswered           map[*attempt]bool // with parts in their prompts, before the first event
 	streamTimes          streamTimes
 	firstTokenEstimators map[ident.Service]*policy.FirstTokenEstimator
 	baselines            map[baselineKey]*policy.PaceEstimator
@@ -102,7 +103,7 @@
 	r := &Relay{
 		started:      time.Now(),
 		retryBudgets: map[ident.Service]*policy.WindowBudget{}, firstTokenEstimators: map[ident.Service]*policy.FirstTokenEstimator{}, baselines: map[baselineKey]*policy.PaceEstimator{}, hasLease: func() bool { return true },
-		sessions: sessions{byHash: map[uint32]sessionEntry{}}, quarantine: policy.NewQuarantine(), metrics: newMetrics(), tallies: newTallies(),
+		sessions: sessions{byHash: map[uint32]sessionEntry{}}, quarantine: policy.NewQuarantine(), unanswered: map[*attempt]bool{}, metrics: newMetrics(), tallies: newTallies(),
 	}
 	for _, o := range opts {
 		o(r)
--- a/gate/relay/stream.go
+++ b/gate/relay/stream.go
@@ -119,6 +119,7 @@
 		x.streamTimer.firstEvent()
 	}
 	if x.eventsSent == 0 {
+		x.answerBegun()
 		x.recordSound()
 	}
 	if id := lastEventIDOf(events); id != "" {
