core/policy: the fastest attempts bound what is usual on an idle server

Cause: the new version's servers are idle, those in use are busy. What is usual at a load is a line through the durations on busy servers; where their reported load says little of the duration, the line is flat, and an idle slow server lies near it: the slow version's events took 74 to 211 ms, the median of the version in use was 48 ms, its fastest tenth 21 ms. Only 45% of the slow version's answers counted as slow, against 8% and later 20% of the others, so the sequential test took long.

Change: at a load below that of the fifth of the attempts at the idlest servers, the usual duration is at most that of the fastest fifth.

TestPaceOnIdleServersWithoutSlope before: 45% of the slow version count as slow, 95% wanted.

--- a/core/policy/pace.go
+++ b/core/policy/pace.go
@@ -21,6 +21,30 @@
 type paceLine struct {
 	attempts        int
 	w, x, y, xx, xy float64
+	// idle and fast are the fifth of the loads and of the durations that is least.
+	// A line through busy servers says little of idle ones; these are as fast as
+	// the fastest attempts at least.
+	idle, fast lowQuantile
+}
+
+// lowQuantile follows the lowest fifth of values above 0.
+type lowQuantile struct{ value float64 }
+
+const (
+	quantileShare = 0.2
+	// quantileStep is the relative step of the quantile for each value.
+	quantileStep = 0.05
+)
+
+func (q *lowQuantile) observe(v float64) {
+	switch {
+	case q.value == 0:
+		q.value = v
+	case v > q.value:
+		q.value *= 1 + quantileStep*quantileShare
+	default:
+		q.value /= 1 + quantileStep*(1-quantileShare)
+	}
 }
 
 const (
@@ -40,7 +64,11 @@
 	if spread := l.xx/l.w - meanLoad*meanLoad; spread >= minPaceSpread {
 		slope = max(0, (l.xy/l.w-meanLoad*mean)/spread)
 	}
-	return max(minPaceShare*mean, mean+slope*(load-meanLoad))
+	usual := max(minPaceShare*mean, mean+slope*(load-meanLoad))
+	if load < l.idle.value {
+		usual = min(usual, l.fast.value)
+	}
+	return usual
 }
 
 // observe counts a duration. A few attempts are held up for other reasons, so a
@@ -50,6 +78,8 @@
 		ms = min(ms, slowMedianFactor*l.at(load))
 	}
 	l.attempts++
+	l.idle.observe(load)
+	l.fast.observe(ms)
 	l.w, l.x, l.y = l.w*paceDecay+1, l.x*paceDecay+load, l.y*paceDecay+ms
 	l.xx, l.xy = l.xx*paceDecay+load*load, l.xy*paceDecay+load*ms
 }
--- a/core/policy/pace_test.go
+++ b/core/policy/pace_test.go
@@ -67,3 +67,34 @@
 		t.Error("attempts on an unknown model are not compared with all")
 	}
 }
+
+// A slow version on idle servers must be found too when what is known of the load
+// of busy servers says little of their durations: a line through these is flat,
+// and the slow version is near it.
+func TestPaceOnIdleServersWithoutSlope(t *testing.T) {
+	const attempts = 1000
+	r := rand.New(rand.NewPCG(5, 6))
+	between := func(low, high float64) float64 { return low + (high-low)*r.Float64() }
+	ms := func(v float64) time.Duration { return time.Duration(v * float64(time.Millisecond)) }
+	var e PaceEstimator
+	for range attempts {
+		e.Observe("small", between(0.08, 0.4), ms(between(20, 100)))
+	}
+	for name, c := range map[string]struct {
+		load, low, high, min, max float64 // ms; share that counts as slow
+	}{
+		"sound and idle":            {0.02, 12, 25, 0, 0.05},
+		"eight times slow and idle": {0.02, 80, 120, 0.95, 1},
+		"sound and busy":            {0.3, 20, 100, 0, 0.1},
+	} {
+		slow := 0.0
+		for range attempts {
+			if e.IsSlow("small", c.load, ms(between(c.low, c.high))) {
+				slow++
+			}
+		}
+		if got := slow / attempts; got < c.min || got > c.max {
+			t.Errorf("%s: got a share of %.2f slow, want %v to %v", name, got, c.min, c.max)
+		}
+	}
+}
