gate/relay: a stream that ends with its connection before any event has been broken off

The caller got status 200 with an empty body, as complete.

Change: such an answer is broken off unless the caller has events of it already (then a resumed stream may have nothing left). Another server is asked.

TestEndBeforeFirstEvent before: status 200 with no event, in both cases.

--- a/gate/relay/stall_test.go
+++ b/gate/relay/stall_test.go
@@ -112,3 +112,27 @@
 		t.Errorf("got %q as a whole answer", got.body)
 	}
 }
+
+// A stream that only the end of its connection ends, before any event, has been
+// broken off and must not look complete.
+func TestEndBeforeFirstEvent(t *testing.T) {
+	empty := runner.ReplyRawAndClose(func(q *runner.Request) string { return runner.ResponseHead(http.StatusOK, q, "\r\n") })
+	for name, c := range map[string]struct {
+		second runner.Reply
+		status int
+		body   string
+	}{
+		"another server is asked":   {runner.Events(1, 3, 0, ""), http.StatusOK, events(1, 3)},
+		"no server begins a stream": {empty, http.StatusBadGateway, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, empty, c.second)
+			for i := range 4 {
+				got := r.send(http.MethodPost, "/stream/x", fmt.Sprint(i), nil)
+				if got.status != c.status || c.body != "" && got.body != c.body {
+					t.Errorf("got status %d with %q, want %d with %q", got.status, got.body, c.status, c.body)
+				}
+			}
+		})
+	}
+}
--- a/gate/relay/stream.go
+++ b/gate/relay/stream.go
@@ -73,9 +73,9 @@
 			complete = 0
 		}
 		if errors.Is(err, io.EOF) {
-			if complete < len(buf) && a.EndsWithConnection() {
+			if a.EndsWithConnection() && (complete < len(buf) || complete == 0 && !x.headSent) {
 				// Only the end of the connection says that this is all, and it came
-				// in the middle of an event.
+				// in the middle of an event or before the first one.
 				err = io.ErrUnexpectedEOF
 			} else {
 				complete = len(buf)
