gate/share: bound what a relay passes on about parts of prompts

Found in the review: a relay adds up what its group tells. If many gates have seen many parts, as after the start of all, the message outgrows a datagram and is lost, with the loads in it: 754 KB for 32 gates with 256 parts and crashes each.

Change: at most 1,024 sound parts, each once, and 256 crashes; the rest is told again within half a minute, and blocks are in every message anyway.

--- a/gate/share/news.go
+++ b/gate/share/news.go
@@ -40,10 +40,21 @@
 	return len(w.sessions) == 0 && len(w.crashes) == 0 && len(w.sound) == 0
 }
 
+// maxSound and maxCrashes limit what a relay passes on at once, so that it fits
+// into a datagram. Many gates tell of the same parts.
+const (
+	maxSound   = 1024
+	maxCrashes = 256
+)
+
 func (w *news) add(more news) {
 	w.sessions = append(w.sessions, more.sessions...)
-	w.crashes = append(w.crashes, more.crashes...)
-	w.sound = append(w.sound, more.sound...)
+	w.crashes = append(w.crashes, more.crashes[:min(len(more.crashes), maxCrashes-len(w.crashes))]...)
+	for _, part := range more.sound {
+		if len(w.sound) < maxSound && !slices.Contains(w.sound, part) {
+			w.sound = append(w.sound, part)
+		}
+	}
 }
 
 // takeNews returns the events at this gate since the last call, and updates the
