gate: keep to the limits that backend servers name

Cause: no part of the product read the limit in the answers.

Change: platform decodes it; policy.ShareLimit divides it among the gates that rank first for the server, and gate/fleet keeps a token bucket for the gate's part. Gates tell each other limits with an epoch that grows with each change. A server without a token is no candidate; one with a token is always compared. If no server may take the attempt, it is refused at once with the time until one may. docs/decisions/limit.md has what was weighed.

Tests, before: TestServerOverItsLimit 106 requests, 6 allowed; TestAllServersAtTheirLimits 5 of 5 requests sent. The spread over 1 to 105 gates: TestGatesOverLimitTogether.

Gates use 85 to 88% of the limits.

The datagrams gain a field; gates of an older build ignore it.

--- a/core/ident/ident.go
+++ b/core/ident/ident.go
@@ -72,6 +72,8 @@
 	Quality float64
 	// Share is a fraction of traffic from 0 to 1.
 	Share float64
+	// Rate is a number of requests per second.
+	Rate float64
 )
 
 // Times that several programs must agree on.
--- a/core/policy/direct.go
+++ b/core/policy/direct.go
@@ -18,6 +18,10 @@
 	// PendingPromptWork is the work of the prompts that are being read or wait
 	// there, in tokens of the smallest model.
 	PendingPromptWork float64
+	// Limited is set if the server limits its requests and this gate may send it
+	// some. It is always compared: few gates may, and they would not draw it
+	// often enough.
+	Limited bool
 	// PacketLoss is the recent share of packets lost on the network path to its
 	// zone.
 	PacketLoss float64
@@ -108,6 +112,8 @@
 	for _, i := range r.Perm(len(list)) {
 		switch {
 		case list[i].Unavailable:
+		case list[i].Limited:
+			marked[i] = true
 		case list[i].SameZone && near > 0:
 			marked[i] = true
 			near--
--- a/gate/fleet/fleet.go
+++ b/gate/fleet/fleet.go
@@ -12,6 +12,7 @@
 
 	"citronledge.example/core/ident"
 	"citronledge.example/gate/conn"
+	"citronledge.example/gate/share"
 	"citronledge.example/platform"
 )
 
@@ -28,6 +29,7 @@
 	reported    loadReport
 	health      health
 	peerLoads   map[string]*peerLoad // by source
+	limit       limit
 }
 
 // Conns returns the connections to the server.
@@ -53,7 +55,7 @@
 	peers         map[string]*peer                // sources of reports, by name
 	paths         map[ident.Zone]*zonePath
 	choices       map[ident.Service]*choiceRate
-	otherGates    int           // that choose servers too
+	gates         share.Gates   // that choose servers; the zero value until they are known
 	exchangeDelay time.Duration // until they know of this gate's loads
 	loadsChanged  bool          // since the last LocalLoads
 	loadsReported bool          // the last LocalLoads returned a server
--- a/gate/fleet/pick.go
+++ b/gate/fleet/pick.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"citronledge.example/core/ident"
@@ -26,6 +27,11 @@
 	Exclude []ident.Backend
 }
 
+// matches reports whether a server may get the attempt.
+func (c *Criteria) matches(s *Server) bool {
+	return !s.Leaving && (c.AllowsVersion == nil || c.AllowsVersion(s.Version)) && !slices.Contains(c.Exclude, s.ID)
+}
+
 // Assignment is an attempt at a server. Release must be called exactly once.
 type Assignment struct {
 	*Server
@@ -37,14 +43,14 @@
 	Load, QueuedWork, PacketLoss float64
 }
 
-// Pick chooses a server, or returns nil if there is none.
+// Pick chooses a server, or returns nil if none may take the attempt now.
 func (f *Fleet) Pick(criteria Criteria, now time.Time) *Assignment {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	candidates := make([]policy.DirectCandidate, 0, len(f.services[criteria.Service]))
 	servers := make([]*Server, 0, len(f.services[criteria.Service]))
 	for _, s := range f.services[criteria.Service] {
-		if s.Leaving || criteria.AllowsVersion != nil && !criteria.AllowsVersion(s.Version) || contains(criteria.Exclude, s.ID) {
+		if !criteria.matches(s) || s.limit.untilAllowed(now) > 0 {
 			continue
 		}
 		servers = append(servers, s)
@@ -59,6 +65,7 @@
 	s.inFlight++
 	s.pendingWork += criteria.Prompt.Work
 	s.changedAt, f.loadsChanged = now, true
+	s.limit.spend(now)
 	if s.health.isProbeDue(now) {
 		s.health.startProbe()
 	}
@@ -86,7 +93,7 @@
 	r.choices = r.choices*math.Exp2(-float64(now.Sub(r.decayedAt))/float64(choiceHalfLife)) + 1
 	r.decayedAt = now
 	perSecond := r.choices * math.Ln2 / choiceHalfLife.Seconds()
-	return perSecond * f.exchangeDelay.Seconds() * float64(f.otherGates)
+	return perSecond * f.exchangeDelay.Seconds() * float64(len(f.gates.Others))
 }
 
 // LeastQueuedWork returns the least work of prompts, in tokens of the smallest
@@ -106,19 +113,11 @@
 	return max(0, least)
 }
 
-func contains(list []ident.Backend, id ident.Backend) bool {
-	for _, x := range list {
-		if x == id {
-			return true
-		}
-	}
-	return false
-}
-
 // candidate describes a server to the policy. It must be called with mu held.
 func (f *Fleet) candidate(s *Server, criteria Criteria, now time.Time) policy.DirectCandidate {
 	c := policy.DirectCandidate{
 		SameZone: s.Zone == f.zone, Unavailable: s.health.isEjected(now), FailureRate: s.health.failureShare(now),
+		Limited: s.limit.inUse,
 	}
 	if !c.SameZone {
 		c.PacketLoss = f.path(s.Zone).lossShare(now)
--- a/gate/fleet/share.go
+++ b/gate/fleet/share.go
@@ -101,10 +101,15 @@
 }
 
 // SetExchange implements share.LoadTable.
-func (f *Fleet) SetExchange(others int, delay time.Duration) {
+func (f *Fleet) SetExchange(gates share.Gates, delay time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.otherGates, f.exchangeDelay = others, delay
+	f.gates, f.exchangeDelay = gates, delay
+	for _, s := range f.servers {
+		if s.limit.inUse {
+			f.shareLimit(s)
+		}
+	}
 }
 
 // ForgetLoads implements share.LoadTable.
--- a/gate/relay/attempt.go
+++ b/gate/relay/attempt.go
@@ -107,13 +107,12 @@
 		Service: c.service, AffinityKey: c.affinityKey(model), Prompt: c.promptWork(model), Exclude: c.excluded, TieBreak: uint64(now.UnixNano()),
 		AllowsVersion: func(v ident.Version) bool { return v == version },
 	}
-	assignment := c.r.fleet.Pick(criteria, now)
-	if assignment == nil && !required {
+	if _, ok := c.r.fleet.UntilOpen(criteria, now); !ok && !required {
 		criteria.AllowsVersion = nil
-		assignment = c.r.fleet.Pick(criteria, now)
 	}
+	assignment := c.r.fleet.Pick(criteria, now)
 	if assignment == nil {
-		return giveUp{"no backend server"}
+		return c.noServer(criteria, now)
 	}
 	c.recordSession(assignment.Version, now)
 	c.r.tallies.countAttempt(tallyKey{c.service, c.route.Name, assignment.Version})
@@ -137,6 +136,18 @@
 	return next
 }
 
+// noServer decides what follows when no server may take the attempt.
+func (c *call) noServer(criteria fleet.Criteria, now time.Time) decision {
+	wait, ok := c.r.fleet.UntilOpen(criteria, now)
+	if !ok {
+		return giveUp{"no backend server"}
+	}
+	// Another gate may send at once what this one may not.
+	c.retryAfter = min(retryAfter, wait)
+	c.r.metrics.limited.Inc()
+	return giveUp{"all backend servers limit their requests"}
+}
+
 // speedCheckEvents is the number of events after which the speed of a stream is
 // recorded. If it were recorded at the end of the stream, slow streams would
 // show last.
@@ -268,6 +279,9 @@
 	if l := verdict.Load; l.Known {
 		x.assignment.RecordLoad(l.Running, l.Queued, l.Slots, time.Now())
 	}
+	if verdict.Limit.Named || verdict.Signed {
+		x.assignment.RecordLimit(verdict.Limit, time.Now())
+	}
 	switch {
 	case verdict.Misdirected:
 		x.discard(a)
--- a/gate/relay/call.go
+++ b/gate/relay/call.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -67,6 +68,7 @@
 	streamWhole  bool            // the caller has a whole stream
 	streamTimer  *streamTimer    // nil for other requests
 	reason       string          // why the last attempt ended
+	retryAfter   time.Duration   // suggested if the request is refused
 	failedAnswer *errorAnswer    // last unsuccessful answer of a backend server, to be passed on
 }
 
@@ -240,7 +242,7 @@
 		platform.SetRefusalHeaders(c.head, 0, c.w.Header())
 		c.writeAnswer(http.StatusBadGateway, []byte("the backend server did not answer; the request may have run\n"))
 	default:
-		c.refuse(http.StatusServiceUnavailable, retryAfter, c.reason)
+		c.refuse(http.StatusServiceUnavailable, cmp.Or(c.retryAfter, retryAfter), c.reason)
 	}
 }
 
--- a/gate/relay/metrics.go
+++ b/gate/relay/metrics.go
@@ -14,6 +14,7 @@
 	running        prometheus.Gauge
 	streamReads    prometheus.Counter
 	quarantined    prometheus.Counter
+	limited        prometheus.Counter
 }
 
 func newMetrics() metrics {
@@ -26,11 +27,12 @@
 		running:        prometheus.NewGauge(prometheus.GaugeOpts{Name: "relay_running_requests", Help: "Requests under way."}),
 		streamReads:    prometheus.NewCounter(prometheus.CounterOpts{Name: "relay_stream_reads_total", Help: "Parts of streams passed on."}),
 		quarantined:    prometheus.NewCounter(prometheus.CounterOpts{Name: "relay_quarantined_requests_total", Help: "Requests ended because a part of their prompts crashes backend servers."}),
+		limited:        prometheus.NewCounter(prometheus.CounterOpts{Name: "relay_limited_attempts_total", Help: "Attempts that were not made because all backend servers limit their requests."}),
 	}
 }
 
 func (m *metrics) register(reg prometheus.Registerer) {
-	reg.MustRegister(m.requests, m.attempts, m.requestLatency, m.headLatency, m.running, m.streamReads, m.quarantined)
+	reg.MustRegister(m.requests, m.attempts, m.requestLatency, m.headLatency, m.running, m.streamReads, m.quarantined, m.limited)
 }
 
 func (m *metrics) observeEnd(kind, end string, took time.Duration) {
--- a/gate/share/node.go
+++ b/gate/share/node.go
@@ -56,9 +56,13 @@
 	MergeLoads(r Report, ttl time.Duration)
 	// ForgetLoads removes the reports of all sources.
 	ForgetLoads()
-	// SetExchange says how many other gates there are, and after how long they
-	// know of this gate's loads.
-	SetExchange(others int, delay time.Duration)
+	// SetExchange says which gates there are, and after how long the others know
+	// of this gate's loads.
+	SetExchange(gates Gates, delay time.Duration)
+	// Limits returns what is known of the limits of backend servers, and
+	// MergeLimits stores what another gate knows.
+	Limits() []Limit
+	MergeLimits([]Limit)
 	// PathLosses returns what was seen of the paths to other zones, and
 	// SetPathLosses replaces it by what the relay has seen.
 	PathLosses() []*wire.PathLoss
@@ -84,17 +88,18 @@
 	run  uint64 // drawn at the start, tells restarts apart
 	self Member
 
-	mu         sync.Mutex // guards the fields below
-	topo       *topology
-	relay      int       // rank of the member of the own group that is taken for its relay
-	relaySince time.Time // when it was last changed
-	heard      map[netip.AddrPort]contact
-	speakers   map[string]netip.AddrPort // the relay that last reported for each other group
-	sources    map[string]*source
-	own        source
-	seq        uint64
-	sentAt     time.Time
-	changed    bool // something has to be passed on
+	mu          sync.Mutex // guards the fields below
+	topo        *topology
+	exchangeSet bool      // the table of loads knows the gates
+	relay       int       // rank of the member of the own group that is taken for its relay
+	relaySince  time.Time // when it was last changed
+	heard       map[netip.AddrPort]contact
+	speakers    map[string]netip.AddrPort // the relay that last reported for each other group
+	sources     map[string]*source
+	own         source
+	seq         uint64
+	sentAt      time.Time
+	changed     bool // something has to be passed on
 	// queue holds the datagrams of a relay's round that are not sent yet; they are
 	// spread over its interval. The round began at roundAt.
 	queue    []Packet
@@ -106,7 +111,8 @@
 	// to pass on.
 	sent, forGroups, forMembers news
 	blocks                      []policy.Block // that this gate knows
-	requestedAt                 time.Time      // of the list of backend servers
+	limits                      []*wire.ServerLimit
+	requestedAt                 time.Time // of the list of backend servers
 }
 
 // contact is what is known of another gate's datagrams.
@@ -148,7 +154,7 @@
 	}
 	old, relay := n.topo, n.topo.member(n.relay)
 	n.topo = newTopology(n.self, others)
-	if slices.EqualFunc(old.groups, n.topo.groups, func(a, b gateGroup) bool { return a.name == b.name && slices.Equal(a.members, b.members) }) {
+	if n.exchangeSet && slices.EqualFunc(old.groups, n.topo.groups, func(a, b gateGroup) bool { return a.name == b.name && slices.Equal(a.members, b.members) }) {
 		return
 	}
 	n.relay, n.relaySince = 0, now
@@ -163,7 +169,8 @@
 	if n.topo.direct() {
 		delay = n.directInterval()
 	}
-	n.cfg.Loads.SetExchange(n.topo.size-1, delay)
+	n.cfg.Loads.SetExchange(n.topo.gates(), delay)
+	n.exchangeSet = true
 	n.forgetGone()
 	klog.InfoS("Peer gates changed", "gates", n.topo.size, "groups", len(n.topo.groups), "group", n.topo.ownGroup().name, "rank", n.topo.self.rank)
 }
@@ -250,6 +257,7 @@
 		return n.takeBurst(now)
 	}
 	loads, changed := n.cfg.Loads.LocalLoads()
+	n.limits = putLimits(n.cfg.Loads.Limits())
 	n.updateOwn(loads)
 	unsent := n.sent
 	n.sent = n.takeNews()
@@ -419,6 +427,7 @@
 func (n *Node) newLoads(scope wire.Loads_Scope, now time.Time, next time.Duration) *wire.Loads {
 	return &wire.Loads{
 		Name: n.cfg.Name, Run: n.run, Zone: string(n.self.Zone), Scope: scope, Next: uint32(next / time.Millisecond), List: n.ownReading(now), Blocks: putBlocks(n.blocks),
+		Limits: n.limits,
 	}
 }
 
--- a/gate/share/receive.go
+++ b/gate/share/receive.go
@@ -46,6 +46,7 @@
 		n.receiveReport(from, p, l, loads, now)
 	}
 	n.receiveNews(l)
+	n.cfg.Loads.MergeLimits(getLimits(l.GetLimits()))
 	return n.noteReading(from, l.GetList(), now)
 }
 
--- a/gate/share/share_test.go
+++ b/gate/share/share_test.go
@@ -36,7 +36,11 @@
 	clear(s.received)
 }
 
-func (s *loadTable) SetExchange(int, time.Duration) {}
+func (s *loadTable) SetExchange(Gates, time.Duration) {}
+
+func (s *loadTable) Limits() []Limit { return nil }
+
+func (s *loadTable) MergeLimits([]Limit) {}
 
 func (s *loadTable) PathLosses() []*wire.PathLoss { return s.losses }
 
--- a/gate/share/sim_test.go
+++ b/gate/share/sim_test.go
@@ -38,7 +38,9 @@
 
 func (l *loads) MergeLoads(r share.Report, _ time.Duration) { l.reported[r.Source] = r }
 func (l *loads) ForgetLoads()                               { clear(l.reported) }
-func (l *loads) SetExchange(int, time.Duration)             {}
+func (l *loads) SetExchange(share.Gates, time.Duration)     {}
+func (l *loads) Limits() []share.Limit                      { return nil }
+func (l *loads) MergeLimits([]share.Limit)                  {}
 func (l *loads) PathLosses() []*wire.PathLoss               { return nil }
 func (l *loads) SetPathLosses([]*wire.PathLoss)             {}
 
@@ -127,6 +129,10 @@
 )
 
 func newWorld(n int, seed uint64, loss float64) *world {
+	return newWorldWith(n, seed, loss, func(g *gate) share.LoadTable { return g.loads })
+}
+
+func newWorldWith(n int, seed uint64, loss float64, table func(*gate) share.LoadTable) *world {
 	w := &world{rand: rand.New(rand.NewPCG(seed, 1)), byAddr: map[netip.AddrPort]*gate{}, loss: loss}
 	for i := range simServers {
 		w.list = append(w.list, platform.ListedBackend{ID: ident.Backend(fmt.Sprint("s", i)), Service: "pool", Address: "10.0.0.1:80", Version: "v1", Slots: 8})
@@ -138,7 +144,7 @@
 	}
 	for i, m := range members {
 		g := &gate{Member: m, fleet: fleet.New(m.Zone), loads: &loads{rand: w.rand, running: map[uint32]uint32{}, reported: map[string]share.Report{}}, parts: parts{policy.NewQuarantine()}}
-		g.node = share.NewNode(share.Config{Name: fmt.Sprint("g", i), Self: m, ReadSlack: simReadSlack, Loads: g.loads, Parts: g.parts, Lists: g.fleet}, w.rand.Uint64())
+		g.node = share.NewNode(share.Config{Name: fmt.Sprint("g", i), Self: m, ReadSlack: simReadSlack, Loads: table(g), Parts: g.parts, Lists: g.fleet}, w.rand.Uint64())
 		g.node.SetMembers(slices.Delete(slices.Clone(members), i, i+1), time.Now())
 		w.gates = append(w.gates, g)
 		w.byAddr[m.Addr] = g
--- a/stub/runner/runner.go
+++ b/stub/runner/runner.go
@@ -160,30 +160,30 @@
 // Status answers with a status and a body with Content-Length.
 func Status(status int, body string) Reply {
 	return func(c net.Conn, r *Request) bool {
-		return writeString(c, ResponseHead(status, r, fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body), body)))
+		return Write(c, ResponseHead(status, r, fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body), body)))
 	}
 }
 
 // ReplyNotExecuted refuses a request with the header Not-Executed, which says
 // that the request has not been run.
 func ReplyNotExecuted(c net.Conn, _ *Request) bool {
-	return writeString(c, "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+	return Write(c, "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n")
 }
 
 // Events answers with a stream of the events from first to last, with a pause
 // before each; more is added to the headers.
 func Events(first, last int, pause time.Duration, more string) Reply {
 	return func(c net.Conn, r *Request) bool {
-		if !writeString(c, ResponseHead(http.StatusOK, r, more+"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")) {
+		if !Write(c, ResponseHead(http.StatusOK, r, more+"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")) {
 			return false
 		}
 		for i := first; i <= last; i++ {
 			time.Sleep(pause)
-			if !writeString(c, Chunk(Event(i))) {
+			if !Write(c, Chunk(Event(i))) {
 				return false
 			}
 		}
-		return writeString(c, "0\r\n\r\n")
+		return Write(c, "0\r\n\r\n")
 	}
 }
 
@@ -196,7 +196,7 @@
 // ReplyRawAndClose answers with raw bytes and closes the connection.
 func ReplyRawAndClose(raw func(r *Request) string) Reply {
 	return func(c net.Conn, r *Request) bool {
-		writeString(c, raw(r))
+		Write(c, raw(r))
 		return false
 	}
 }
@@ -207,7 +207,8 @@
 	return false
 }
 
-func writeString(c net.Conn, s string) bool {
+// Write writes bytes to a connection and reports whether it could.
+func Write(c net.Conn, s string) bool {
 	_, err := io.WriteString(c, s)
 	return err == nil
 }
