gate/conn: a repeated refusal is not the answer to the next request

What operators reported (REFUSED, TWICE): a faulty runner wrote an earlier refusal once more on a kept connection; callers were told that a request had not run while it ran.

Cause here: a refusal without the id of its attempt counted as an answer to whatever request was on the connection, since servers that do not process a request may not echo it. A copy of an earlier one did too. With an id, copies were skipped already.

Change: only the first answer on a connection may lack the id; later ones are skipped like answers to other requests, and the connection is not used again.

TestRepeatedRefusal before: 503 while the request ran, with and without repeats allowed.

Remaining: a server that never echoes the id and refuses on a kept connection is waited for until the deadline; the caller then gets 504, which promises nothing.

--- a/gate/conn/conn.go
+++ b/gate/conn/conn.go
@@ -56,7 +56,9 @@
 	Body    []byte
 	// Matches reports whether an answer with this status and header belongs to
 	// this request; other answers are skipped. If it is nil, every answer does.
-	Matches func(status int, h http.Header) bool
+	// first is set for the first answer on a connection: nothing that was sent to
+	// an earlier request can come there.
+	Matches func(status int, h http.Header, first bool) bool
 	// MaxIdle is how long a reused connection may have been idle; 0 means that
 	// any pooled connection will do.
 	MaxIdle time.Duration
@@ -276,12 +278,12 @@
 			a.writeDone <- err
 		}()
 	}
-	for range maxForeignAnswers + 1 {
+	for skipped := range maxForeignAnswers + 1 {
 		resp, err := a.conn.readHead(q.Method)
 		if err != nil {
 			return UnansweredError{err}
 		}
-		if q.Matches == nil || q.Matches(resp.StatusCode, resp.Header) {
+		if q.Matches == nil || q.Matches(resp.StatusCode, resp.Header, !a.Reused && skipped == 0) {
 			a.resp, a.Status, a.Header, a.Length = resp, resp.StatusCode, resp.Header, resp.ContentLength
 			return nil
 		}
--- a/gate/conn/conn_test.go
+++ b/gate/conn/conn_test.go
@@ -29,7 +29,7 @@
 	return &conn.Request{
 		Method: http.MethodPost, Target: "/a//b/../c?x=%2F", Host: "h.example", Body: []byte("body"),
 		Headers: []conn.Header{{Name: "Attempt-Id", Value: id}},
-		Matches: func(_ int, h http.Header) bool { return h.Get("Attempt-Id") == id },
+		Matches: func(_ int, h http.Header, _ bool) bool { return h.Get("Attempt-Id") == id },
 	}
 }
 
--- a/gate/relay/attempt.go
+++ b/gate/relay/attempt.go
@@ -246,8 +246,8 @@
 	q := x.encodeAttempt(x.assignment.ID, x.model)
 	x.confidence = -1
 	var verdict platform.AnswerHead
-	q.Matches = func(status int, h http.Header) bool {
-		verdict = platform.DecodeAnswerHead(x.head.AttemptID, status, h)
+	q.Matches = func(status int, h http.Header, first bool) bool {
+		verdict = platform.DecodeAnswerHead(x.head.AttemptID, status, h, first)
 		return verdict.MatchesAttempt
 	}
 	if !x.route.Repeatable() {
--- a/gate/relay/relay_test.go
+++ b/gate/relay/relay_test.go
@@ -675,3 +675,43 @@
 		t.Errorf("the canary got %d of %d sessions at %d gates, want some and at most half", len(moved), sessionCount, gates)
 	}
 }
+
+// A refusal that a server writes once more on a kept connection is not the
+// answer to the next request there, which runs.
+func TestRepeatedRefusal(t *testing.T) {
+	const refusal = "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+	for name, x := range map[string]struct {
+		refusal func(id string) string
+		path    string
+	}{
+		"without an id, once":       {func(string) string { return refusal }, "/once/x"},
+		"without an id, repeatable": {func(string) string { return refusal }, "/safe/x"},
+		"with the earlier id, once": {func(id string) string { return strings.Replace(refusal, "\r\n", "\r\nAttempt-Id: "+id+"\r\n", 1) }, "/once/x"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			refused := ""
+			reply := func(c net.Conn, q *runner.Request) bool {
+				if refused == "" {
+					refused = x.refusal(q.AttemptID())
+					return runner.Write(c, refused)
+				}
+				if !runner.Write(c, refused) {
+					return false
+				}
+				<-time.After(50 * time.Millisecond) // it runs
+				return runner.OK("ok")(c, q)
+			}
+			r := newRig(t, reply)
+			r.send(http.MethodPost, x.path, "first", nil)
+			if got := r.send(http.MethodPost, x.path, "second", nil); got.status != 200 || got.body != "ok" {
+				t.Errorf("got status %d with %q, want the answer of the run", got.status, got.body)
+			}
+			if got := r.runs(); got != 2 {
+				t.Errorf("got %d requests at the server, want 2", got)
+			}
+			if got := r.runners[0].Requests()[1].ConnIndex; got != 0 {
+				t.Errorf("the second request came on connection %d, want the kept one", got)
+			}
+		})
+	}
+}
--- a/stub/runner/runner.go
+++ b/stub/runner/runner.go
@@ -166,8 +166,8 @@
 
 // ReplyNotExecuted refuses a request with the header Not-Executed, which says
 // that the request has not been run.
-func ReplyNotExecuted(c net.Conn, _ *Request) bool {
-	return Write(c, "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+func ReplyNotExecuted(c net.Conn, r *Request) bool {
+	return Write(c, "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nAttempt-Id: "+r.AttemptID()+"\r\nContent-Length: 0\r\n\r\n")
 }
 
 // Events answers with a stream of the events from first to last, with a pause
