gate/relay: only a stream continues a stream that broke off

Cause here: a signed answer below 500 was passed on like any other, also when the caller had events already. Its body followed them, and its end ended the stream as complete.

Change: once events have been passed on, only a 200 whose content type, if there is one, is that of a stream may follow. Anything else is a failed attempt; the next server is asked, or the stream is broken off.

--- a/gate/relay/attempt.go
+++ b/gate/relay/attempt.go
@@ -298,6 +298,9 @@
 		return retry{reason: "backend servers are full"}, fleet.Declined
 	case a.Status >= http.StatusInternalServerError || a.Status >= 300 && !verdict.Signed:
 		return x.errorAnswer(a)
+	case x.headSent && !continuesStream(a):
+		x.detail = "the answer does not continue the stream: " + http.StatusText(a.Status)
+		return retry{reason: x.detail, mayHaveRun: true}, fleet.Failed
 	case a.Status < 300 && !verdict.Signed:
 		x.detail = "success without a signature"
 		return retry{reason: x.detail, mayHaveRun: true}, fleet.Broke
--- a/gate/relay/relay_test.go
+++ b/gate/relay/relay_test.go
@@ -10,6 +10,7 @@
 	"net/http/httptest"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -715,3 +716,44 @@
 		})
 	}
 }
+
+// An unsuccessful answer of the next server must not become a part of a stream
+// that has begun, nor end it as if it were complete.
+func TestErrorWithinStream(t *testing.T) {
+	answer := func(status int, more, body string) runner.Reply {
+		return func(c net.Conn, q *runner.Request) bool {
+			runner.Write(c, runner.ResponseHead(status, q, more+"\r\n"+body))
+			return false
+		}
+	}
+	for name, next := range map[string]runner.Reply{
+		"404":                   answer(404, "Content-Length: 7\r\n", "unknown"),
+		"409 of events":         answer(409, "Content-Length: 12\r\n", "data: no\n\n\n\n"),
+		"400 in chunks":         answer(400, "Transfer-Encoding: chunked\r\n", "2\r\nno\r\n0\r\n\r\n"),
+		"410 until the end":     answer(410, "", "gone"),
+		"302":                   answer(302, "Content-Length: 0\r\nLocation: /\r\n", ""),
+		"500":                   answer(500, "Content-Length: 6\r\n", "broken"),
+		"429 with Not-Executed": answer(429, "Not-Executed: 1\r\nContent-Length: 4\r\n", "full"),
+		"204":                   answer(204, "", ""),
+		"a page":                answer(200, "Content-Type: text/html\r\nContent-Length: 9\r\n", "<p>busy\n\n"),
+	} {
+		t.Run(name, func(t *testing.T) {
+			broken := brokenStream(3)
+			var begun atomic.Bool
+			reply := func(c net.Conn, q *runner.Request) bool {
+				if begun.CompareAndSwap(false, true) {
+					return broken(c, q)
+				}
+				return next(c, q)
+			}
+			r := newRig(t, reply)
+			r.list = append(r.list, r.list[0], r.list[0])
+			r.list[1].ID, r.list[2].ID = "s1", "s2" // the same runner under other names
+			r.fleet.Update(r.list)
+			got := r.send(http.MethodPost, "/stream/x", "1", nil)
+			if got.status != 200 || got.body != events(1, 3) || got.err == nil {
+				t.Errorf("got status %d with %q (%v), want the three events and an incomplete body", got.status, got.body, got.err)
+			}
+		})
+	}
+}
--- a/gate/relay/stream.go
+++ b/gate/relay/stream.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"io"
+	"mime"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -20,6 +21,8 @@
 	initialBufferBytes = 4 << 10
 	// maxEventBytes limits one event.
 	maxEventBytes = 256 << 10
+	// eventStreamType is the content type of streams.
+	eventStreamType = "text/event-stream"
 )
 
 var (
@@ -41,6 +44,13 @@
 	return false
 }
 
+// continuesStream reports whether an answer may follow the events of an earlier
+// one that broke off. Servers may leave out the content type.
+func continuesStream(a *conn.Answer) bool {
+	contentType, _, err := mime.ParseMediaType(a.Header.Get("Content-Type"))
+	return a.Status == http.StatusOK && (err != nil || contentType == eventStreamType)
+}
+
 // relayStream passes on whole events as they arrive. If the backend server
 // breaks off, an incomplete event is dropped: the next run sends it again.
 func (x *attempt) relayStream(a *conn.Answer) (decision, fleet.Outcome) {
