gate: a server whose answers say that it leaves gets no new requests

What callers could see (DRAIN): the list of backend servers lags, and a server that leaves says so in its answers at once; requests sent to it later than the drain timeout may be cut.

Cause: the header was passed on but not read, as with the limits of servers.

After a minute a server that is still listed as ready has restarted under its ID. What the head of a 421 says of its server is no longer recorded for the server that was asked for.

--- a/gate/fleet/fleet.go
+++ b/gate/fleet/fleet.go
@@ -30,11 +30,32 @@
 	health      health
 	peerLoads   map[string]*peerLoad // by source
 	limit       limit
+	saidLeaving time.Time // when its answers last said that it leaves; zero if it stays
 }
 
 // Conns returns the connections to the server.
 func (s *Server) Conns() *conn.Pool { return s.conns }
 
+// leavingMemory is how long a server is believed to leave because its answers
+// said so. One that is still listed as ready has restarted under its ID.
+const leavingMemory = time.Minute
+
+// isLeaving reports whether the server takes no new attempts, by the list or by
+// its own answers.
+func (s *Server) isLeaving(now time.Time) bool {
+	return s.Leaving || !s.saidLeaving.IsZero() && now.Sub(s.saidLeaving) < leavingMemory
+}
+
+// RecordLeaving records an answer that says that the server leaves.
+func (g *Assignment) RecordLeaving(now time.Time) {
+	g.fleet.mu.Lock()
+	defer g.fleet.mu.Unlock()
+	if !g.isLeaving(now) {
+		klog.InfoS("Backend server says that it leaves", "backend", g.ID)
+	}
+	g.saidLeaving = now
+}
+
 // loadReport is the load that the server reported last.
 type loadReport struct {
 	receivedAt  time.Time
@@ -89,6 +110,9 @@
 		} else if s.Leaving != l.Leaving {
 			klog.InfoS("Backend server changed", "backend", l.ID, "leaving", l.Leaving)
 		}
+		if s.Leaving && !l.Leaving {
+			s.saidLeaving = time.Time{}
+		}
 		s.Leaving, s.Slots = l.Leaving, l.Slots
 		next[l.ID] = s
 		services[l.Service] = append(services[l.Service], s)
@@ -127,9 +151,9 @@
 func (f *Fleet) CountByVersion(service ident.Service) map[ident.Version]int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	counts := map[ident.Version]int{}
+	counts, now := map[ident.Version]int{}, time.Now()
 	for _, s := range f.services[service] {
-		if !s.Leaving {
+		if !s.isLeaving(now) {
 			counts[s.Version]++
 		}
 	}
--- a/gate/fleet/limit.go
+++ b/gate/fleet/limit.go
@@ -156,7 +156,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, s := range f.services[criteria.Service] {
-		if !criteria.matches(s) {
+		if !criteria.matches(s, now) {
 			continue
 		}
 		if wait := s.limit.untilAllowed(now); !ok || wait < least {
--- a/gate/fleet/pick.go
+++ b/gate/fleet/pick.go
@@ -28,8 +28,8 @@
 }
 
 // matches reports whether a server may get the attempt.
-func (c *Criteria) matches(s *Server) bool {
-	return !s.Leaving && (c.AllowsVersion == nil || c.AllowsVersion(s.Version)) && !slices.Contains(c.Exclude, s.ID)
+func (c *Criteria) matches(s *Server, now time.Time) bool {
+	return !s.isLeaving(now) && (c.AllowsVersion == nil || c.AllowsVersion(s.Version)) && !slices.Contains(c.Exclude, s.ID)
 }
 
 // Assignment is an attempt at a server. Release must be called exactly once.
@@ -50,7 +50,7 @@
 	candidates := make([]policy.DirectCandidate, 0, len(f.services[criteria.Service]))
 	servers := make([]*Server, 0, len(f.services[criteria.Service]))
 	for _, s := range f.services[criteria.Service] {
-		if !criteria.matches(s) || s.limit.untilAllowed(now) > 0 {
+		if !criteria.matches(s, now) || s.limit.untilAllowed(now) > 0 {
 			continue
 		}
 		servers = append(servers, s)
@@ -103,7 +103,7 @@
 	defer f.mu.Unlock()
 	least := -1.0
 	for _, s := range f.services[service] {
-		if s.Leaving || s.health.isEjected(now) {
+		if s.isLeaving(now) || s.health.isEjected(now) {
 			continue
 		}
 		if _, pending := s.peerTotals(now); least < 0 || s.pendingWork+pending < least {
--- a/gate/relay/attempt.go
+++ b/gate/relay/attempt.go
@@ -278,11 +278,8 @@
 	if p := x.promptWork(x.model); p.Work > 0 && !verdict.NotRun {
 		x.expectedPrefill = x.r.recordFirstToken(x.service, p, p.Tokens(x.assignment.Reason == policy.ReasonPrefix), x.assignment.QueuedWork, x.headLatency)
 	}
-	if l := verdict.Load; l.Known {
-		x.assignment.RecordLoad(l.Running, l.Queued, l.Slots, time.Now())
-	}
-	if verdict.Limit.Named || verdict.Signed {
-		x.assignment.RecordLimit(verdict.Limit, time.Now())
+	if !verdict.Misdirected {
+		x.recordState(verdict, time.Now())
 	}
 	switch {
 	case verdict.Misdirected:
@@ -327,6 +324,19 @@
 	return x.relayBody(a)
 }
 
+// recordState records what the head of an answer says of its server.
+func (x *attempt) recordState(head platform.AnswerHead, now time.Time) {
+	if l := head.Load; l.Known {
+		x.assignment.RecordLoad(l.Running, l.Queued, l.Slots, now)
+	}
+	if head.Leaving {
+		x.assignment.RecordLeaving(now)
+	}
+	if head.Limit.Named || head.Signed {
+		x.assignment.RecordLimit(head.Limit, now)
+	}
+}
+
 // noAnswer decides what follows an attempt without an answer.
 func (x *attempt) noAnswer(ctx context.Context, err error) (decision, fleet.Outcome) {
 	x.detail = err.Error()
