--- a/gate/fleet/fleet.go
+++ b/gate/fleet/fleet.go
@@ -30,6 +30,7 @@
 	health      health
 	peerLoads   map[string]*peerLoad // by source
 	limit       limit
+	pausedUntil time.Time // when the server takes requests of this gate again
 	saidLeaving time.Time // when its answers last said that it leaves; zero if it stays
 }
 
--- a/gate/fleet/limit.go
+++ b/gate/fleet/limit.go
@@ -150,6 +150,23 @@
 	return !x.Ended && (!l.inUse || x.Rate < l.rate)
 }
 
+// RecordPause records that the server wants no requests of this gate until a
+// time.
+func (g *Assignment) RecordPause(until time.Time) {
+	g.fleet.mu.Lock()
+	defer g.fleet.mu.Unlock()
+	if until.After(g.pausedUntil) {
+		g.pausedUntil = until
+		klog.InfoS("Backend server asks for a pause", "backend", g.ID, "for", time.Until(until))
+	}
+}
+
+// untilOpen returns how long the server takes no request of this gate, by its
+// limit or its pause.
+func (s *Server) untilOpen(now time.Time) time.Duration {
+	return max(s.limit.untilAllowed(now), s.pausedUntil.Sub(now))
+}
+
 // UntilOpen returns how long until a server that meets the criteria may take an
 // attempt, and false if there is no such server.
 func (f *Fleet) UntilOpen(criteria Criteria, now time.Time) (least time.Duration, ok bool) {
@@ -159,7 +176,7 @@
 		if !criteria.matches(s, now) {
 			continue
 		}
-		if wait := s.limit.untilAllowed(now); !ok || wait < least {
+		if wait := s.untilOpen(now); !ok || wait < least {
 			least, ok = wait, true
 		}
 	}
--- a/gate/fleet/pick.go
+++ b/gate/fleet/pick.go
@@ -50,7 +50,7 @@
 	candidates := make([]policy.DirectCandidate, 0, len(f.services[criteria.Service]))
 	servers := make([]*Server, 0, len(f.services[criteria.Service]))
 	for _, s := range f.services[criteria.Service] {
-		if !criteria.matches(s, now) || s.limit.untilAllowed(now) > 0 {
+		if !criteria.matches(s, now) || s.untilOpen(now) > 0 {
 			continue
 		}
 		servers = append(servers, s)
--- a/gate/relay/attempt.go
+++ b/gate/relay/attempt.go
@@ -146,7 +146,7 @@
 	// Another gate may send at once what this one may not.
 	c.retryAfter = min(retryAfter, wait)
 	c.r.metrics.limited.Inc()
-	return giveUp{"all backend servers limit their requests"}
+	return giveUp{"all backend servers limit their requests or pause"}
 }
 
 // speedCheckEvents is the number of events after which the speed of a stream is
@@ -332,6 +332,9 @@
 	if head.Leaving {
 		x.assignment.RecordLeaving(now)
 	}
+	if head.Pause > 0 {
+		x.assignment.RecordPause(now.Add(head.Pause))
+	}
 	if head.Limit.Named || head.Signed {
 		x.assignment.RecordLimit(head.Limit, now)
 	}
--- a/gate/relay/metrics.go
+++ b/gate/relay/metrics.go
@@ -27,7 +27,7 @@
 		running:        prometheus.NewGauge(prometheus.GaugeOpts{Name: "relay_running_requests", Help: "Requests under way."}),
 		streamReads:    prometheus.NewCounter(prometheus.CounterOpts{Name: "relay_stream_reads_total", Help: "Parts of streams passed on."}),
 		quarantined:    prometheus.NewCounter(prometheus.CounterOpts{Name: "relay_quarantined_requests_total", Help: "Requests ended because a part of their prompts crashes backend servers."}),
-		limited:        prometheus.NewCounter(prometheus.CounterOpts{Name: "relay_limited_attempts_total", Help: "Attempts that were not made because all backend servers limit their requests."}),
+		limited:        prometheus.NewCounter(prometheus.CounterOpts{Name: "relay_limited_attempts_total", Help: "Attempts that were not made because all backend servers limit their requests or pause."}),
 	}
 }
 
