state/node: each process with a disk votes

Change: learners become voters up to nine as long as all voters are live, so that most of the processes with a disk are a quorum however they are cut. Silent voters are replaced first, as before.

TestNextMembershipChange: "learner, voter back" and "learner asks again" expected that a caught-up learner stays one, which is the fault; they now expect its promotion. New: none above nine. Before: "got "", want promote d".

--- a/state/node/join.go
+++ b/state/node/join.go
@@ -25,6 +25,9 @@
 	// removed.
 	learnerRemoveAfter      = 15 * time.Second
 	membershipCheckInterval = 250 * time.Millisecond
+	// maxVoters limits the voters. Up to it, each process with a disk votes:
+	// wherever the network is cut, most of the processes are then a quorum.
+	maxVoters = 9
 )
 
 // WithJoiningVoters lets the leader add processes that ask to join, up to a
@@ -122,13 +125,15 @@
 // reason; act is nil if nothing is to change. A member whose address is used by
 // a process with another disk has failed for good, since that process never
 // returns under the old name. Other voters are removed only when a learner can
-// replace them.
+// replace them. A learner becomes a voter while there are fewer than
+// targetVoters, and up to maxVoters as long as no voter has to be replaced.
 func nextMembershipChange(members []raft.MemberStatus, joining []raft.Member, silentSince map[string]time.Time, self string, targetVoters int, now time.Time) (name, why string, act membershipChange) {
 	remove := func(name, why string) (string, string, membershipChange) {
 		return name, why, func(ctx context.Context, r MembershipChanger) error { return r.Remove(ctx, name) }
 	}
 	known := map[string]bool{}
 	voters := 0
+	allLive := true
 	var learner, silentVoter string
 	for _, m := range members {
 		known[m.Name] = true
@@ -136,6 +141,7 @@
 		switch {
 		case m.Voter:
 			voters++
+			allLive = allLive && (m.Live || m.Name == self)
 			if silent && now.Sub(since) >= voterReplaceAfter {
 				silentVoter = m.Name
 			}
@@ -164,6 +170,8 @@
 		return learner, "a seat is free", func(ctx context.Context, r MembershipChanger) error { return r.Promote(ctx, learner) }
 	case silentVoter != "":
 		return remove(silentVoter, "it is silent and a learner can take its seat")
+	case voters < maxVoters && allLive:
+		return learner, "each disk votes", func(ctx context.Context, r MembershipChanger) error { return r.Promote(ctx, learner) }
 	}
 	return "", "", nil
 }
--- a/state/node/join_test.go
+++ b/state/node/join_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"testing"
 	"time"
 
@@ -44,6 +45,10 @@
 		return []raft.Member{{Name: name, Addr: addr, DiskID: "d" + name}}
 	}
 	three := []raft.MemberStatus{voter("a", true), voter("b", true), voter("c", true)}
+	var nine []raft.MemberStatus
+	for i := range maxVoters {
+		nine = append(nine, voter(fmt.Sprint("v", i), true))
+	}
 	unreachable := []raft.MemberStatus{voter("a", true), voter("b", true), voter("c", false)}
 	silent := func(d time.Duration) map[string]time.Time { return map[string]time.Time{"c": now.Add(-d)} }
 	with := func(list []raft.MemberStatus, more ...raft.MemberStatus) []raft.MemberStatus {
@@ -61,14 +66,15 @@
 		"disk replaced":                 {unreachable, request("c/1", "c"), silent(time.Second), 3, "remove c"},
 		"too few voters":                {unreachable[:2], request("c/1", "c"), nil, 3, "add c/1"},
 		"another process asks":          {unreachable, request("d", "d"), silent(time.Second), 3, "add d"},
-		"learner, voter back":           {with(three, learner("d", "d", true)), nil, nil, 3, ""},
+		"learner, all voters live":      {with(three, learner("d", "d", true)), nil, nil, 3, "promote d"},
+		"learner, most voters possible": {with(nine, learner("d", "d", true)), nil, nil, 5, ""},
 		"learner, voter shortly silent": {with(unreachable, learner("d", "d", true)), nil, silent(time.Second), 3, ""},
 		"learner, voter long silent":    {with(unreachable, learner("d", "d", true)), nil, silent(time.Minute), 3, "remove c"},
 		"learner that is behind":        {with(unreachable, learner("d", "d", false)), nil, silent(time.Minute), 3, ""},
 		"learner caught up":             {with(unreachable[:2], learner("d", "d", true)), nil, nil, 3, "promote d"},
 		"more voters wanted":            {with(three, learner("d", "d", true)), nil, nil, 5, "promote d"},
 		"learner long silent":           {with(three, learner("d", "d", false)), nil, map[string]time.Time{"d": now.Add(-time.Minute)}, 3, "remove d"},
-		"learner asks again":            {with(three, learner("d", "d", true)), request("d", "d"), nil, 3, ""},
+		"learner asks again":            {with(three, learner("d", "d", true)), request("d", "d"), nil, 3, "promote d"},
 		"old process still answers":     {three, request("c/1", "c"), nil, 3, "add c/1"},
 		"voter asks":                    {three, request("c", "c"), nil, 3, ""},
 		"the leader's own address":      {three, request("a/1", "a"), nil, 3, "add a/1"},
