gate/relay: wait for a slow answer if no retry is allowed

Change: the budget is asked first; without it, the attempt goes on.

TestSlowAnswerWithoutBudget before: 502, the whole answer wanted.

--- a/gate/relay/attempt.go
+++ b/gate/relay/attempt.go
@@ -42,6 +42,8 @@
 		reason string
 		// mayHaveRun is set if the backend server may have run the attempt.
 		mayHaveRun bool
+		// paid is set if the retry budget has paid for the next attempt.
+		paid bool
 	}
 	// escalate: the answer was dropped for that of a larger model, whose run
 	// the retry budget has paid for.
@@ -78,7 +80,7 @@
 			c.mayHaveRun = true
 			c.modelIndex, paid = x.modelIndex, true
 		case retry:
-			c.reason = x.reason
+			c.reason, paid = x.reason, x.paid
 			if x.mayHaveRun {
 				c.runs++
 				c.mayHaveRun = true
@@ -241,6 +243,21 @@
 	return limit
 }
 
+// afterHeadTimeout calls abandon after the head timeout, if the retry budget pays
+// for another attempt; without one, a late answer is better than none. It returns
+// a function that stops the timer.
+func (x *attempt) afterHeadTimeout(abandon func()) (stop func() bool) {
+	limit := x.headTimeout()
+	if limit == 0 {
+		return func() bool { return false }
+	}
+	return time.AfterFunc(limit, func() {
+		if x.r.spendRetry(x.service, time.Now()) {
+			abandon()
+		}
+	}).Stop
+}
+
 // exchange sends the request to the assigned server and passes on the answer.
 func (x *attempt) exchange(ctx context.Context) (decision, fleet.Outcome) {
 	q := x.encodeAttempt(x.assignment.ID, x.model)
@@ -258,16 +275,14 @@
 	x.abandon = cancel
 	x.awaitFirstEvent()
 	defer x.answerBegun()
-	var timer *time.Timer
-	if limit := x.headTimeout(); limit > 0 {
-		timer = time.AfterFunc(limit, cancel)
-	}
+	var timedOut atomic.Bool
+	stopTimer := x.afterHeadTimeout(func() { timedOut.Store(true); cancel() })
 	a, err := x.assignment.Conns().Do(exchangeCtx, q)
-	timedOut := timer != nil && !timer.Stop()
+	stopTimer()
 	if err != nil {
-		if timedOut && ctx.Err() == nil {
+		if timedOut.Load() && ctx.Err() == nil {
 			x.detail = "no answer for far longer than usual"
-			return retry{reason: x.detail, mayHaveRun: true}, fleet.Broke
+			return retry{reason: x.detail, mayHaveRun: true, paid: true}, fleet.Broke
 		}
 		return x.noAnswer(ctx, err)
 	}
--- a/gate/relay/relay_test.go
+++ b/gate/relay/relay_test.go
@@ -365,12 +365,7 @@
 	r := newRig(t, func(c net.Conn, q *runner.Request) bool {
 		return runner.Events(1, 2, 0, "Confidence: 10\r\nX-Model: "+q.Header.Get("Model")+"\r\n")(c, q)
 	})
-	lean := relay.New(relay.WithFleet(r.fleet), relay.WithSettings(relay.Settings{RetryWindow: 10 * time.Second}))
-	r.relay = lean
-	r.plan(1, nil)
-	srv := httptest.NewServer(lean)
-	defer srv.Close()
-	r.url = srv.URL
+	r.withoutRetryBudget()
 	got := r.send(http.MethodPost, "/sized/x", "1", map[string]string{"Model": "*", "Token-Usage": "100,10"})
 	if got.status != 200 || got.header.Get("X-Model") != "small" || got.body != events(1, 2) {
 		t.Errorf("got %d from model %q with %q, want the small model's whole answer", got.status, got.header.Get("X-Model"), got.body)
@@ -761,3 +756,29 @@
 		})
 	}
 }
+
+// withoutRetryBudget replaces the relay by one that allows no retries.
+func (r *rig) withoutRetryBudget() {
+	r.relay = relay.New(relay.WithFleet(r.fleet), relay.WithSettings(relay.Settings{RetryWindow: 10 * time.Second}))
+	r.plan(1, nil)
+	srv := httptest.NewServer(r.relay)
+	r.t.Cleanup(srv.Close)
+	r.url = srv.URL
+}
+
+// A slow answer is waited for if no other server may be asked: without it, the
+// work of the server is lost and the caller gets a failure.
+func TestSlowAnswerWithoutBudget(t *testing.T) {
+	const latency = 900 * time.Millisecond // longer than a stream's head usually takes
+	r := newRig(t, func(c net.Conn, q *runner.Request) bool {
+		<-time.After(latency)
+		return runner.Events(1, 2, 0, "")(c, q)
+	})
+	r.withoutRetryBudget()
+	if got := r.send(http.MethodPost, "/stream/x", "1", nil); got.status != 200 || got.body != events(1, 2) {
+		t.Errorf("got status %d with %q, want the whole answer", got.status, got.body)
+	}
+	if got := r.runs(); got != 1 {
+		t.Errorf("got %d runs, want 1", got)
+	}
+}
