gate/fleet: a server that takes no request now does not look idle

What callers saw (capped): late answers of the servers without a limit, which were overloaded.

Cause: whether a larger model is asked depends on the least queued work of any server. A server out of its limit has none, so larger models were asked for as if the service were idle, and their attempts went to the overloaded servers.

Change: servers that take no request now, by limit or pause, are not counted.

Late requests remain: two servers of nine carry what seven may not.

--- a/gate/fleet/fleet_test.go
+++ b/gate/fleet/fleet_test.go
@@ -323,3 +323,28 @@
 		t.Errorf("the list is due %v after its reading, want 3 s after a later confirmation", due.Sub(now))
 	}
 }
+
+// A server that may get no request now must not look idle: a larger model would
+// be asked for in vain.
+func TestQueuedWorkWithoutClosedServers(t *testing.T) {
+	now := time.Now()
+	for name, close := range map[string]func(*Assignment){
+		"limit": func(a *Assignment) { a.RecordLimit(platform.RateLimit{Named: true}, now) },
+		"pause": func(a *Assignment) { a.RecordPause(now.Add(time.Minute)) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(2)
+			one, two := f.Pick(Criteria{Service: "pool"}, now), f.Pick(Criteria{Service: "pool", Prompt: policy.Prompt{Work: 5000}}, now)
+			if one.ID == two.ID {
+				t.Fatal("one server got both attempts")
+			}
+			close(one)
+			for one.fleet.servers[one.ID].untilOpen(now) == 0 {
+				one.limit.spend(now)
+			}
+			if got := f.LeastQueuedWork("pool", now); got != 5000 {
+				t.Errorf("got %v queued at the server that takes requests, want 5000", got)
+			}
+		})
+	}
+}
--- a/gate/fleet/pick.go
+++ b/gate/fleet/pick.go
@@ -103,7 +103,7 @@
 	defer f.mu.Unlock()
 	least := -1.0
 	for _, s := range f.services[service] {
-		if s.isLeaving(now) || s.health.isEjected(now) {
+		if s.isLeaving(now) || s.health.isEjected(now) || s.untilOpen(now) > 0 {
 			continue
 		}
 		if _, pending := s.peerTotals(now); least < 0 || s.pendingWork+pending < least {
