gate/relay: split long files and a long function

Moved without change: the rig of the tests, tests of drains, rollouts and streams, and the loop over attempts (retry.go). exchange is divided into sending, what the head says of the server, the larger model, and the use of the answer.

--- a/gate/fleet/fleet_test.go
+++ b/gate/fleet/fleet_test.go
@@ -328,7 +328,7 @@
 // be asked for in vain.
 func TestQueuedWorkWithoutClosedServers(t *testing.T) {
 	now := time.Now()
-	for name, close := range map[string]func(*Assignment){
+	for name, shut := range map[string]func(*Assignment){
 		"limit": func(a *Assignment) { a.RecordLimit(platform.RateLimit{Named: true}, now) },
 		"pause": func(a *Assignment) { a.RecordPause(now.Add(time.Minute)) },
 	} {
@@ -338,7 +338,7 @@
 			if one.ID == two.ID {
 				t.Fatal("one server got both attempts")
 			}
-			close(one)
+			shut(one)
 			for one.fleet.servers[one.ID].untilOpen(now) == 0 {
 				one.limit.spend(now)
 			}
--- a/gate/relay/attempt.go
+++ b/gate/relay/attempt.go
@@ -8,8 +8,6 @@
 	"sync/atomic"
 	"time"
 
-	"k8s.io/klog/v2"
-
 	"citronledge.example/core/ident"
 	"citronledge.example/core/plan"
 	"citronledge.example/core/policy"
@@ -31,126 +29,6 @@
 	onceMaxIdle = 400 * time.Millisecond
 )
 
-// decision is what to do after an attempt.
-type decision interface{ isDecision() }
-
-type (
-	// answered: the caller has the whole answer.
-	answered struct{}
-	// retry: another attempt may serve the request.
-	retry struct {
-		reason string
-		// mayHaveRun is set if the backend server may have run the attempt.
-		mayHaveRun bool
-		// paid is set if the retry budget has paid for the next attempt.
-		paid bool
-	}
-	// escalate: the answer was dropped for that of a larger model, whose run
-	// the retry budget has paid for.
-	escalate struct{ modelIndex int }
-	// giveUp: no further attempt is made.
-	giveUp struct{ reason string }
-)
-
-func (answered) isDecision() {}
-func (retry) isDecision()    {}
-func (escalate) isDecision() {}
-func (giveUp) isDecision()   {}
-
-// runAttempts makes attempts until the request is answered or no more are
-// allowed.
-func (c *call) runAttempts(ctx context.Context) {
-	c.lastEventID = ""
-	paid := true // from the retry budget; the first attempt is not a retry
-	for {
-		if !paid && !c.r.spendRetry(c.service, time.Now()) {
-			c.reason += "; no retry budget"
-			c.finishUnserved(ctx)
-			return
-		}
-		c.attempts++
-		paid = false
-		switch x := c.tryServer(ctx).(type) {
-		case answered:
-			return
-		case escalate:
-			// The dropped attempt has run, so the request can no longer be
-			// refused as not run.
-			c.runs++
-			c.mayHaveRun = true
-			c.modelIndex, paid = x.modelIndex, true
-		case retry:
-			c.reason, paid = x.reason, x.paid
-			if x.mayHaveRun {
-				c.runs++
-				c.mayHaveRun = true
-			}
-			if ctx.Err() != nil || c.attempts >= maxAttempts || c.runs >= c.route.MaxRuns || x.mayHaveRun && !c.route.Repeatable() || c.crashes >= maxRequestCrashes {
-				c.finishUnserved(ctx)
-				return
-			}
-			if _, blocked := c.quarantined(); blocked {
-				c.finishUnserved(ctx)
-				return
-			}
-		case giveUp:
-			c.reason = x.reason
-			c.finishUnserved(ctx)
-			return
-		}
-	}
-}
-
-// tryServer makes one attempt at a backend server.
-func (c *call) tryServer(ctx context.Context) decision {
-	model := c.nextModel()
-	version, required := c.chooseVersion(c.service)
-	now := time.Now()
-	criteria := fleet.Criteria{
-		Service: c.service, AffinityKey: c.affinityKey(model), Prompt: c.promptWork(model), Exclude: c.excluded, TieBreak: uint64(now.UnixNano()),
-		AllowsVersion: func(v ident.Version) bool { return v == version },
-	}
-	if _, ok := c.r.fleet.UntilOpen(criteria, now); !ok && !required {
-		criteria.AllowsVersion = nil
-	}
-	assignment := c.r.fleet.Pick(criteria, now)
-	if assignment == nil {
-		return c.noServer(criteria, now)
-	}
-	c.recordSession(assignment.Version, now)
-	c.r.tallies.countAttempt(tallyKey{c.service, c.route.Name, assignment.Version})
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	x := &attempt{call: c, assignment: assignment, model: model, attemptStart: now}
-	next, outcome := x.exchange(ctx)
-	if x.quarantinedOff.Load() && outcome == fleet.Broke {
-		outcome = fleet.Neutral // the server is not to blame
-	}
-	end := time.Now()
-	assignment.Release(outcome, end)
-	x.recordOutcome(outcome)
-	x.recordCrash()
-	c.r.metrics.attempts.WithLabelValues(c.route.Type.String(), outcome.String()).Inc()
-	if outcome != fleet.Good && outcome != fleet.Neutral {
-		c.excluded = append(c.excluded, assignment.ID)
-	}
-	klog.InfoS("Attempt", "id", c.head.AttemptID, "try", c.attempts, "backend", assignment.ID, "version", assignment.Version, "session", c.head.Session, "model", model, "input", c.head.Input, "output", c.head.MaxOutput, "chosen", assignment.Reason,
-		"load", assignment.Load, "waiting", assignment.QueuedWork, "loss", assignment.PacketLoss, "work", criteria.Prompt.Work, "outcome", outcome, "why", x.detail, "opinion", x.confidence, "status", x.status, "head", x.headLatency, "expected", x.expectedPrefill, "events", x.eventsSent, "pause", x.longestPause, "took", end.Sub(now))
-	return next
-}
-
-// noServer decides what follows when no server may take the attempt.
-func (c *call) noServer(criteria fleet.Criteria, now time.Time) decision {
-	wait, ok := c.r.fleet.UntilOpen(criteria, now)
-	if !ok {
-		return giveUp{"no backend server"}
-	}
-	// Another gate may send at once what this one may not.
-	c.retryAfter = min(retryAfter, wait)
-	c.r.metrics.limited.Inc()
-	return giveUp{"all backend servers limit their requests or pause"}
-}
-
 // speedCheckEvents is the number of events after which the speed of a stream is
 // recorded. If it were recorded at the end of the stream, slow streams would
 // show last.
@@ -296,6 +174,12 @@
 	if !verdict.Misdirected {
 		x.recordState(verdict, time.Now())
 	}
+	return x.useAnswer(a, verdict)
+}
+
+// useAnswer passes on an answer, or decides what follows one that is not passed
+// on.
+func (x *attempt) useAnswer(a *conn.Answer, verdict platform.AnswerHead) (decision, fleet.Outcome) {
 	switch {
 	case verdict.Misdirected:
 		x.discard(a)
@@ -317,21 +201,8 @@
 		x.detail = "success without a signature"
 		return retry{reason: x.detail, mayHaveRun: true}, fleet.Broke
 	}
-	if !x.headSent && x.head.AnyModel && len(x.route.Models) > 0 {
-		next, reason := policy.Escalation{
-			Confidence: verdict.Confidence, Step: x.modelIndex, StepCount: len(x.route.Models), RunsLeft: x.route.MaxRuns - x.runs - 1,
-			UntilDeadline: time.Until(x.deadline), UntilTarget: time.Until(x.start.Add(x.route.TargetLatency)),
-			TimeToFirstToken: func(step int) time.Duration {
-				return x.r.leastFirstTokenTime(x.service, x.promptWork(x.route.Models[step]))
-			},
-		}.NextStep()
-		x.detail = string(reason)
-		if next != x.modelIndex {
-			if x.r.spendRetry(x.service, time.Now()) {
-				return escalate{next}, fleet.Good
-			}
-			x.detail = "kept: no budget for a larger model"
-		}
+	if next, ok := x.largerModel(verdict.Confidence); ok {
+		return next, fleet.Good
 	}
 	if x.route.Type == plan.RouteStream {
 		return x.relayStream(a)
@@ -339,6 +210,30 @@
 	return x.relayBody(a)
 }
 
+// largerModel reports whether the answer is to be dropped for that of a larger
+// model, and pays for its run.
+func (x *attempt) largerModel(confidence int) (escalate, bool) {
+	if x.headSent || !x.head.AnyModel || len(x.route.Models) == 0 {
+		return escalate{}, false
+	}
+	next, reason := policy.Escalation{
+		Confidence: confidence, Step: x.modelIndex, StepCount: len(x.route.Models), RunsLeft: x.route.MaxRuns - x.runs - 1,
+		UntilDeadline: time.Until(x.deadline), UntilTarget: time.Until(x.start.Add(x.route.TargetLatency)),
+		TimeToFirstToken: func(step int) time.Duration {
+			return x.r.leastFirstTokenTime(x.service, x.promptWork(x.route.Models[step]))
+		},
+	}.NextStep()
+	x.detail = string(reason)
+	if next == x.modelIndex {
+		return escalate{}, false
+	}
+	if !x.r.spendRetry(x.service, time.Now()) {
+		x.detail = "kept: no budget for a larger model"
+		return escalate{}, false
+	}
+	return escalate{next}, true
+}
+
 // recordState records what the head of an answer says of its server.
 func (x *attempt) recordState(head platform.AnswerHead, now time.Time) {
 	if l := head.Load; l.Known {
--- /dev/null
+++ b/gate/relay/drain_test.go
@@ -0,0 +1,95 @@
+package relay_test
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"citronledge.example/core/ident"
+	"citronledge.example/core/plan"
+	"citronledge.example/stub/runner"
+)
+
+// While the gate stops, answers close their connections, and streams that would
+// outlast the stop are refused. Other requests are still served.
+func TestDrain(t *testing.T) {
+	r := newRig(t, runner.Events(1, 3, 5*time.Millisecond, ""))
+	for i := range 25 { // the gate learns how long streams take
+		r.send(http.MethodPost, "/stream/x", fmt.Sprint(i), map[string]string{"Token-Usage": "10,10"})
+	}
+	r.relay.Drain(time.Now().Add(time.Second))
+	if r.relay.Ready() {
+		t.Error("a gate that stops is ready")
+	}
+	for name, x := range map[string]struct {
+		tokens string
+		want   int
+	}{"short": {"10,10", 200}, "long": {"10,100000", 503}} {
+		got := r.send(http.MethodPost, "/stream/x", "d"+name, map[string]string{"Token-Usage": x.tokens})
+		if got.status != x.want {
+			t.Errorf("%s: got %d, want %d", name, got.status, x.want)
+		}
+	}
+	if got := r.raw("GET /stream/x HTTP/1.1\r\nHost: h.example\r\nKey: " + key + "\r\nAttempt-Id: z\r\n\r\n"); !got.Close {
+		t.Error("an answer of a gate that stops keeps its connection")
+	}
+}
+
+// A stream may need most of its time before its first event: it waits for its
+// server, or an answer is dropped for that of a larger model. A gate that stops
+// must count this, or it cuts the stream that it accepted.
+func TestDrainCountsFirstEvent(t *testing.T) {
+	const wait = 40 * time.Millisecond
+	r := newRig(t, func(c net.Conn, q *runner.Request) bool {
+		time.Sleep(wait)
+		return runner.Events(1, 3, 0, "")(c, q)
+	})
+	for i := range 25 {
+		r.send(http.MethodPost, "/stream/x", fmt.Sprint(i), map[string]string{"Token-Usage": "10,10"})
+	}
+	r.relay.Drain(time.Now().Add(wait))
+	if got := r.send(http.MethodPost, "/stream/x", "d", map[string]string{"Token-Usage": "10,10"}); got.status != 503 {
+		t.Errorf("got %d for a stream that needs longer than the stop to begin, want 503", got.status)
+	}
+}
+
+// The wait for the first event grows with the prompt. A gate that stops must not
+// accept a long prompt by what short ones took.
+func TestDrainCountsPrompt(t *testing.T) {
+	r := newRig(t, func(c net.Conn, q *runner.Request) bool {
+		var tokens int
+		_, _ = fmt.Sscanf(q.Header.Get("Token-Usage"), "%d", &tokens)
+		time.Sleep(time.Duration(tokens) * 10 * time.Microsecond) // the time to read the prompt
+		return runner.Events(1, 3, 0, "")(c, q)
+	})
+	r.engine = &plan.Engine{Slots: 8, KVCapacity: 1e6, CostPer1000Tokens: map[ident.Model]float64{"small": 1}}
+	r.longRoutes(20 * time.Second)
+	send := func(id, tokens string) int {
+		return r.send(http.MethodPost, "/stream/x", id, map[string]string{"Model": "small", "Token-Usage": tokens, "Deadline-Ms": "9000"}).status
+	}
+	for i := range 25 {
+		send(fmt.Sprint(i), "3000,10")
+	}
+	r.relay.Drain(time.Now().Add(3 * time.Second))
+	if got := send("long", "600000,10"); got != 503 {
+		t.Errorf("got %d for a prompt that takes 6 s to read, with 3 s left, want 503", got)
+	}
+	if got := send("short", "3000,10"); got != 200 {
+		t.Errorf("got %d for a prompt that takes 30 ms to read, with 3 s left, want 200", got)
+	}
+}
+
+// A gate that stops soon after its start does not know how long streams take.
+// It must not begin a stream that the end of the stop would cut.
+func TestDrainAfterStart(t *testing.T) {
+	r := newRig(t, runner.Events(1, 3, 5*time.Millisecond, ""))
+	r.relay.Drain(time.Now().Add(time.Second))
+	if got := r.send(http.MethodPost, "/stream/x", "s", map[string]string{"Token-Usage": "10,10"}); got.status != 503 || r.runs() != 0 {
+		t.Errorf("got %d and %d runs for a stream of unknown length, want 503 and none", got.status, r.runs())
+	}
+	if got := r.send(http.MethodGet, "/safe/x", "u", nil).status; got != 200 {
+		t.Errorf("got %d for a request that is no stream, want 200", got)
+	}
+}
--- a/gate/relay/relay.go
+++ b/gate/relay/relay.go
@@ -76,7 +76,6 @@
 	plan     *plan.Config
 	rollouts map[ident.Service]conf.ServiceRollout
 	revision ident.Revision
-	since    time.Time
 }
 
 // Option configures a Relay.
@@ -101,9 +100,16 @@
 // SetPlan is called.
 func New(opts ...Option) *Relay {
 	r := &Relay{
-		started:      time.Now(),
-		retryBudgets: map[ident.Service]*policy.WindowBudget{}, firstTokenEstimators: map[ident.Service]*policy.FirstTokenEstimator{}, baselines: map[baselineKey]*policy.PaceEstimator{}, hasLease: func() bool { return true },
-		sessions: sessions{byHash: map[uint32]sessionEntry{}}, quarantine: policy.NewQuarantine(), unanswered: map[*attempt]bool{}, metrics: newMetrics(), tallies: newTallies(),
+		started:              time.Now(),
+		hasLease:             func() bool { return true },
+		metrics:              newMetrics(),
+		tallies:              newTallies(),
+		retryBudgets:         map[ident.Service]*policy.WindowBudget{},
+		sessions:             sessions{byHash: map[uint32]sessionEntry{}},
+		quarantine:           policy.NewQuarantine(),
+		unanswered:           map[*attempt]bool{},
+		firstTokenEstimators: map[ident.Service]*policy.FirstTokenEstimator{},
+		baselines:            map[baselineKey]*policy.PaceEstimator{},
 	}
 	for _, o := range opts {
 		o(r)
@@ -119,7 +125,7 @@
 		klog.InfoS("Older configuration ignored", "revision", revision, "held", old.revision)
 		return
 	}
-	r.config.Store(&activeConfig{plan: p, rollouts: rollouts, revision: revision, since: time.Now()})
+	r.config.Store(&activeConfig{plan: p, rollouts: rollouts, revision: revision})
 	r.tallies.resetForRollouts(rollouts)
 	for service, s := range rollouts {
 		if s.Stage == conf.StageComplete {
