--- a/gate/fleet/pick.go
+++ b/gate/fleet/pick.go
@@ -150,6 +150,8 @@
 	return load / float64(slots)
 }
 
+// mixBits is the finalizer of murmur3: every bit of the result depends on every
+// bit of x.
 func mixBits(x uint64) uint64 {
 	x ^= x >> 33
 	x *= 0xff51afd7ed558ccd
