platform, core/policy: bound the numbers of a limit

Cause: a limit beyond the range of integers was converted to one; the result differs between x86-64 and arm64 (one gate instead of all, or the other way round).

--- a/core/policy/limit.go
+++ b/core/policy/limit.go
@@ -11,11 +11,13 @@
 	// gatesPerLimit is how many gates share a server's limit for each request per
 	// second of it. Each of them may send a request at the same moment.
 	gatesPerLimit = 0.75
+	maxSharing    = 1 << 20 // gates
 	// limitBurst is the time whose share of the limit may be sent at once, and
 	// minLimitBurst the least number of requests: the requests of one gate come at
 	// uneven intervals.
 	limitBurst    = time.Second
 	minLimitBurst = 2
+	maxBurst      = 1 << 30
 	// MinLimitRate is the rate at which a server is tried whatever its limit:
 	// only its answers show that the limit has ended.
 	MinLimitRate ident.Rate = 0.25
@@ -33,10 +35,10 @@
 // send without asking each other, so only as many share a limit as do not exceed
 // it together, in equal parts; the others leave the server to them.
 func ShareLimit(limit ident.Rate, rank, gates int) LimitShare {
-	sharing := max(1, min(gates, int(gatesPerLimit*limit)))
+	sharing := max(1, min(gates, int(min(maxSharing, gatesPerLimit*limit))))
 	if rank >= sharing {
 		return LimitShare{}
 	}
 	own := max(limit/ident.Rate(sharing), MinLimitRate)
-	return LimitShare{own, max(minLimitBurst, int(math.Round(float64(own)*limitBurst.Seconds())))}
+	return LimitShare{own, max(minLimitBurst, int(math.Round(min(maxBurst, float64(own)*limitBurst.Seconds()))))}
 }
--- a/core/policy/limit_test.go
+++ b/core/policy/limit_test.go
@@ -10,7 +10,7 @@
 // exceed it by more than half and a few requests.
 func TestSharesExceedLimit(t *testing.T) {
 	const window = 4.0 // seconds
-	for _, limit := range []ident.Rate{0, 0.1, 0.3, 1, 1.3, 2, 4.5, 7, 20, 33, 250} {
+	for _, limit := range []ident.Rate{0, 0.1, 0.3, 1, 1.3, 2, 4.5, 7, 20, 33, 250, 1e9, 1e30} {
 		for _, gates := range []int{1, 2, 3, 8, 28, 100, 430} {
 			sum, rate := 0.0, ident.Rate(0)
 			for rank := range gates {
