state/raft: a node that steps down no longer counts as the leader for a while

Cause, read from the code: when a node steps down, its proposals end at once, but what others read of it (lease, time of its election, leader) changes only at the end of the round, after the log has been synced to the disk. Whoever waits for a proposal can see a leader that is none for that long. The lease itself had run out by the clock.

Change: the view is published before the proposals end.

TestStepDownIsSeenAtOnce before: "the node counts as the leader after its proposals have ended".

--- a/state/raft/elect.go
+++ b/state/raft/elect.go
@@ -93,14 +93,18 @@
 
 // becomeFollower makes the node a follower in a term that is already durable.
 func (n *Node) becomeFollower(term uint64, leader string) {
-	if n.role == Leader {
-		n.endLeadership()
-	}
+	wasLeader := n.role == Leader
 	if n.role != Follower || term != n.term {
 		n.resetElectionTimer()
 	}
 	n.role, n.term, n.leader = Follower, term, leader
 	n.electedAt, n.votes = time.Time{}, nil
+	if wasLeader {
+		// Whoever learns that a proposal has ended must see that this node no
+		// longer leads.
+		n.publishView()
+		n.endLeadership()
+	}
 }
 
 // endLeadership releases the state of a leader. Its pending proposals end with
--- a/state/raft/raft_test.go
+++ b/state/raft/raft_test.go
@@ -80,6 +80,24 @@
 	}
 }
 
+// Guards against a leader that has ended its proposals but still counts as the
+// leader for those who wait for them.
+func TestStepDownIsSeenAtOnce(t *testing.T) {
+	simulate(t, 4, 3, func(t *testing.T, w *world) {
+		w.commitCommands("a", 1)
+		leader := w.waitForLeader().node
+		err := leader.runInLoop(t.Context(), func() {
+			leader.becomeFollower(leader.term, "")
+			if leader.HoldsLease() || !leader.ElectedAt().IsZero() {
+				t.Error("the node counts as the leader after its proposals have ended")
+			}
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+	})
+}
+
 // Guards against counting the vote or the log of a disk that was replaced by
 // an empty one under the same name.
 func TestEmptyDiskIsNoVoter(t *testing.T) {
