--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -27,6 +27,7 @@
 	"twice": playTwice,
 	"lost":  playLost,
 	"stale": playStale,
+	"order": playOrder,
 }
 
 func main() { os.Exit(run()) }
