--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 # for clients, servers and the infrastructure. It needs no network.
 set -eu
 cd "$(dirname "$0")/rig"
-GOWORK=off GOTOOLCHAIN=local go build -o ../bin/rig .
+GOWORK=off GOTOOLCHAIN=local go build -buildvcs=false -o ../bin/rig .
--- a/review/rig/site.go
+++ b/review/rig/site.go
@@ -14,8 +14,8 @@
 )
 
 // Ports are the same on all machines. Each machine has a loopback address of
-// its own, so that they are free on it.
-const (
+// its own; newSite moves the ports until they are free there.
+var (
 	portCallers   = 8227
 	portReadiness = 8220
 	portOperator  = 8229
@@ -24,6 +24,26 @@
 	portLast      = 7355
 )
 
+const portStep = 20 // by which newSite moves the ports
+
+// portsFree reports whether the ports can be used at an address.
+func portsFree(ip string) bool {
+	for _, port := range []int{portCallers, portReadiness, portOperator, portFirst, portFirst + 1} {
+		ln, err := net.Listen("tcp", net.JoinHostPort(ip, fmt.Sprint(port)))
+		if err != nil {
+			return false
+		}
+		_ = ln.Close()
+	}
+	return true
+}
+
+func movePorts() {
+	for _, port := range []*int{&portCallers, &portReadiness, &portOperator, &portList, &portFirst, &portLast} {
+		*port += portStep
+	}
+}
+
 // Bounds of the deployment aten-citron, as its sheet gives them.
 const (
 	contact     = 3 * time.Second
@@ -73,7 +93,11 @@
 		b := (os.Getpid() + n*37) % 60000
 		subnet := fmt.Sprintf("127.%d.%d.", 16+b/250%200, 1+b%250)
 		ln, err := net.Listen("tcp", net.JoinHostPort(subnet+"1", fmt.Sprint(portList)))
-		if err != nil {
+		if err != nil || !portsFree(subnet+"1") {
+			if err == nil {
+				_ = ln.Close()
+			}
+			movePorts()
 			continue
 		}
 		s := &site{dir: dir, subnet: subnet, rec: rec, lastHost: 10}
--- a/review/rig/stand.go
+++ b/review/rig/stand.go
@@ -69,7 +69,7 @@
 	s.lastHost++
 	host := s.subnet + fmt.Sprint(s.lastHost)
 	s.mu.Unlock()
-	ln, err := net.Listen("tcp", net.JoinHostPort(host, "8080"))
+	ln, err := net.Listen("tcp", net.JoinHostPort(host, "0"))
 	if err != nil {
 		return nil, err
 	}
