state/node: voters that stay silent are given up where the live ones need it

Cause: since each disk votes, the new process becomes the fourth voter while the old one still lives. When that one ends it stays a voter: a silent voter was removed only while a learner waits for its seat, and the learner had its seat already. One lost disk then leaves two of four.

Change: a silent voter is removed without a learner when the live voters are as many as the losses to be borne need and dead ones keep them from bearing these: from an even number after 4 s, from an odd one after 15 s.

Why it works: a cluster of 2f+1 live voters or more bears f lost disks again. Voters that are only cut off ask to join as soon as they are back; one vote less than an even number leaves every side with more than half of the processes a quorum.

--- a/state/node/join.go
+++ b/state/node/join.go
@@ -21,6 +21,10 @@
 	// voterReplaceAfter is how long a voter must be unreachable before a
 	// learner replaces it. A restart or a pause of a VM is usually shorter.
 	voterReplaceAfter = 4 * time.Second
+	// deadVoterAfter is how long a voter must be unreachable to be given up
+	// without a learner in its place where that lets fewer processes form a
+	// quorum. A network partition is usually shorter.
+	deadVoterAfter = 15 * time.Second
 	// learnerRemoveAfter is how long a learner may be unreachable before it is
 	// removed.
 	learnerRemoveAfter      = 15 * time.Second
@@ -32,7 +36,8 @@
 
 // WithJoiningVoters lets the leader add processes that ask to join, up to a
 // number of voters. A voter is replaced when its disk was replaced, or when it
-// has long been unreachable and a learner has caught up.
+// has long been unreachable and a learner has caught up or enough other voters
+// are live.
 func WithJoiningVoters(m MembershipChanger, voters int) Option {
 	return func(n *Node) { n.membership, n.targetVoters = m, voters }
 }
@@ -125,25 +130,28 @@
 // reason; act is nil if nothing is to change. A member whose address is used by
 // a process with another disk has failed for good, since that process never
 // returns under the old name. Other voters are removed only when a learner can
-// replace them. A learner becomes a voter while there are fewer than
-// targetVoters, and up to maxVoters as long as no voter has to be replaced.
+// replace them, or when the live voters tolerate more losses without them. A
+// learner becomes a voter while there are fewer than targetVoters, and up to
+// maxVoters as long as no voter has to be replaced.
 func nextMembershipChange(members []raft.MemberStatus, joining []raft.Member, silentSince map[string]time.Time, self string, targetVoters int, now time.Time) (name, why string, act membershipChange) {
 	remove := func(name, why string) (string, string, membershipChange) {
 		return name, why, func(ctx context.Context, r MembershipChanger) error { return r.Remove(ctx, name) }
 	}
 	known := map[string]bool{}
-	voters := 0
-	allLive := true
+	var voters, liveVoters int
 	var learner, silentVoter string
+	var silence time.Duration // of silentVoter
 	for _, m := range members {
 		known[m.Name] = true
 		since, silent := silentSince[m.Name]
 		switch {
 		case m.Voter:
 			voters++
-			allLive = allLive && (m.Live || m.Name == self)
-			if silent && now.Sub(since) >= voterReplaceAfter {
-				silentVoter = m.Name
+			if m.Live || m.Name == self {
+				liveVoters++
+			}
+			if d := now.Sub(since); silent && d >= voterReplaceAfter && d > silence {
+				silentVoter, silence = m.Name, d
 			}
 		case m.Live && learner == "":
 			learner = m.Name
@@ -163,15 +171,28 @@
 			return w.Name, "it asked to join", func(ctx context.Context, r MembershipChanger) error { return r.AddLearner(ctx, w) }
 		}
 	}
+	promote := func(why string) (string, string, membershipChange) {
+		return learner, why, func(ctx context.Context, r MembershipChanger) error { return r.Promote(ctx, learner) }
+	}
 	switch {
-	case learner == "":
-		return "", "", nil
-	case voters < targetVoters:
-		return learner, "a seat is free", func(ctx context.Context, r MembershipChanger) error { return r.Promote(ctx, learner) }
-	case silentVoter != "":
+	case learner != "" && voters < targetVoters:
+		return promote("a seat is free")
+	case learner != "" && silentVoter != "":
 		return remove(silentVoter, "it is silent and a learner can take its seat")
-	case voters < maxVoters && allLive:
-		return learner, "each disk votes", func(ctx context.Context, r MembershipChanger) error { return r.Promote(ctx, learner) }
+	case silentVoter != "" && (voters%2 == 0 || silence >= deadVoterAfter) && deadVotersWeaken(voters, liveVoters, targetVoters):
+		return remove(silentVoter, "it is silent and the other voters are enough")
+	case learner != "" && voters < maxVoters && liveVoters == voters:
+		return promote("each disk votes")
 	}
 	return "", "", nil
 }
+
+// deadVotersWeaken reports whether the cluster would stop after fewer losses
+// than targetVoters tolerate because voters that do not answer count for its
+// quorum, and whether the live ones are enough without them. To remove one from
+// an even number of voters is safe even if it is only cut off: each side of a
+// partition with more than half of all processes still has a quorum.
+func deadVotersWeaken(voters, liveVoters, targetVoters int) bool {
+	quorum := voters/2 + 1
+	return liveVoters >= targetVoters && liveVoters-quorum < targetVoters/2
+}
