gate/relay: a stream that ends inside an event is not whole, however it is framed

Cause: relayStream looked for an incomplete event at the end only in answers that end with their connection. Where chunks or a length end the body, the rest of the buffer was passed on and the stream counted as whole.

Change: an answer of events is whole only if nothing of a further event follows the last blank line. Event streams with CR LF or CR are split into events too: they were delivered at their end before, and would count as broken off now.

Why it works: what decides is the content, so no framing, length or proxy can make a part of an event look complete. Answers of other types and failures are passed on as before.

Test, before: TestFramedEndInEvent failed in 7 of 13 cases and for the stream that cannot be resumed ("id: 3\ndata: ev" without an error).

--- a/gate/relay/attempt.go
+++ b/gate/relay/attempt.go
@@ -194,7 +194,7 @@
 		return retry{reason: "backend servers are full"}, fleet.Declined
 	case a.Status >= http.StatusInternalServerError || a.Status >= 300 && !verdict.Signed || platform.PromisesNotRun(a.Status):
 		return x.errorAnswer(a)
-	case x.headSent && !continuesStream(a):
+	case x.headSent && !isEventStream(a):
 		x.detail = "the answer does not continue the stream: " + http.StatusText(a.Status)
 		return retry{reason: x.detail, mayHaveRun: true}, fleet.Failed
 	case a.Status < 300 && !verdict.Signed:
--- a/gate/relay/rig_test.go
+++ b/gate/relay/rig_test.go
@@ -32,6 +32,8 @@
 	// routeTimeout is that of all routes, and engine describes the service.
 	routeTimeout time.Duration
 	engine       *plan.Engine
+	// runOnce leaves out that streams may be resumed.
+	runOnce bool
 }
 
 const (
@@ -70,7 +72,7 @@
 	route := func(name string, repeat plan.RouteType) plan.Route {
 		return plan.Route{
 			Name: ident.Route(name), Host: "h.example", PathPrefix: "/" + name + "/", Type: repeat, Timeout: r.routeTimeout,
-			TargetLatency: time.Second, Splits: []plan.Split{{Service: service, Weight: 1}}, MaxRuns: 3, Resumable: repeat == plan.RouteStream,
+			TargetLatency: time.Second, Splits: []plan.Split{{Service: service, Weight: 1}}, MaxRuns: 3, Resumable: repeat == plan.RouteStream && !r.runOnce,
 		}
 	}
 	sized, public := route("sized", plan.RouteStream), route("public", plan.RouteSafe)
@@ -94,6 +96,13 @@
 	r.plan(2, nil)
 }
 
+// onceStreams lets streams run once at most.
+func (r *rig) onceStreams() {
+	r.t.Helper()
+	r.runOnce = true
+	r.plan(2, nil)
+}
+
 // answer is what a caller received.
 type answer struct {
 	status int
--- a/gate/relay/stream.go
+++ b/gate/relay/stream.go
@@ -26,9 +26,12 @@
 )
 
 var (
-	eventSeparator = []byte("\n\n")
-	idField        = []byte("id:")
-	dataField      = []byte("data:")
+	// eventSeparators end an event: a blank line, with each line ending that event
+	// streams may have.
+	eventSeparators = [][]byte{[]byte("\n\n"), []byte("\n\r\n"), []byte("\r\r")}
+	idField         = []byte("id:")
+	dataField       = []byte("data:")
+	comment         = []byte(":")
 )
 
 var errStalled = errors.New("the stream stalled")
@@ -36,7 +39,7 @@
 // isProgress reports whether whole events have an ID or data. Comments, which a
 // server may send without end, have neither.
 func isProgress(events []byte) bool {
-	for line := range bytes.Lines(events) {
+	for line := range bytes.FieldsFuncSeq(events, isLineEnd) {
 		if bytes.HasPrefix(line, idField) || bytes.HasPrefix(line, dataField) {
 			return true
 		}
@@ -44,13 +47,60 @@
 	return false
 }
 
-// continuesStream reports whether an answer may follow the events of an earlier
-// one that broke off. Servers may leave out the content type.
-func continuesStream(a *conn.Answer) bool {
+func isLineEnd(c rune) bool { return c == '\n' || c == '\r' }
+
+// isEventStream reports whether an answer consists of events. Servers may leave
+// out the content type.
+func isEventStream(a *conn.Answer) bool {
 	contentType, _, err := mime.ParseMediaType(a.Header.Get("Content-Type"))
 	return a.Status == http.StatusOK && (err != nil || contentType == eventStreamType)
 }
 
+// wholeEvents returns how many bytes of a stream are whole events.
+func wholeEvents(b []byte) int {
+	end := 0
+	for _, sep := range eventSeparators {
+		if i := bytes.LastIndex(b, sep); i >= 0 {
+			end = max(end, i+len(sep))
+		}
+	}
+	return end
+}
+
+// countEvents returns how many whole events a part of a stream has.
+func countEvents(events []byte) int {
+	n := 0
+	for _, sep := range eventSeparators {
+		n += bytes.Count(events, sep)
+	}
+	return n
+}
+
+// endsInEvent reports whether a stream ended in the middle of an event, given
+// what followed the last whole one. Blank lines and whole comments are no event.
+func endsInEvent(rest []byte) bool {
+	for line := range bytes.FieldsFuncSeq(rest, isLineEnd) {
+		if !bytes.HasPrefix(line, comment) {
+			return true
+		}
+	}
+	return len(rest) > 0 && !isLineEnd(rune(rest[len(rest)-1]))
+}
+
+// isWhole reports whether an answer that has ended is complete, given what
+// followed its last whole event and whether the caller has or gets events. Its
+// framing doesn't tell: a proxy in front of a server that has failed may end the
+// last chunk properly.
+func isWhole(a *conn.Answer, rest []byte, begun bool) bool {
+	switch {
+	case isEventStream(a) && endsInEvent(rest):
+		return false
+	case a.EndsWithConnection():
+		return len(rest) == 0 && begun
+	}
+	return true
+}
+
 // relayStream passes on whole events as they arrive. If the backend server
 // breaks off, an incomplete event is dropped: the next run sends it again.
 func (x *attempt) relayStream(a *conn.Answer) (decision, fleet.Outcome) {
@@ -76,19 +126,12 @@
 		now := time.Now()
 		x.longestPause, lastRead = max(x.longestPause, now.Sub(lastRead)), now
 		buf = buf[:len(buf)+n]
-		complete := bytes.LastIndex(buf, eventSeparator)
-		if complete >= 0 {
-			complete += len(eventSeparator)
-		} else {
-			complete = 0
-		}
+		complete := wholeEvents(buf)
 		if errors.Is(err, io.EOF) {
-			if a.EndsWithConnection() && (complete < len(buf) || complete == 0 && !x.headSent) {
-				// Only the end of the connection says that this is all, and it came
-				// in the middle of an event or before the first one.
-				err = io.ErrUnexpectedEOF
-			} else {
+			if isWhole(a, buf[complete:], complete > 0 || x.headSent) {
 				complete = len(buf)
+			} else {
+				err = io.ErrUnexpectedEOF
 			}
 		}
 		if isProgress(buf[:complete]) && stall.Stop() {
@@ -135,7 +178,7 @@
 	if id := lastEventIDOf(events); id != "" {
 		x.lastEventID = id
 	}
-	x.eventsSent += bytes.Count(events, eventSeparator)
+	x.eventsSent += countEvents(events)
 	if x.eventsSent >= speedCheckEvents {
 		x.recordSpeed()
 	}
@@ -165,12 +208,15 @@
 // lastEventIDOf returns the ID of the last event.
 func lastEventIDOf(events []byte) string {
 	i := bytes.LastIndex(events, idField)
-	for i > 0 && events[i-1] != '\n' {
+	for i > 0 && !isLineEnd(rune(events[i-1])) {
 		i = bytes.LastIndex(events[:i], idField)
 	}
 	if i < 0 {
 		return ""
 	}
-	line, _, _ := bytes.Cut(events[i+len(idField):], []byte("\n"))
+	line := events[i+len(idField):]
+	if end := bytes.IndexFunc(line, isLineEnd); end >= 0 {
+		line = line[:end]
+	}
 	return string(bytes.TrimSpace(line))
 }
--- a/gate/relay/stream_test.go
+++ b/gate/relay/stream_test.go
@@ -57,6 +57,61 @@
 	}
 }
 
+// TestFramedEndInEvent guards against a stream that ends inside an event in a
+// proper frame, as by a proxy whose server has failed: callers got a part of an
+// event as the end of a complete answer.
+func TestFramedEndInEvent(t *testing.T) {
+	chunks := func(body string) string {
+		if body != "" {
+			body = runner.Chunk(body)
+		}
+		return "Transfer-Encoding: chunked\r\n\r\n" + body + "0\r\n\r\n"
+	}
+	length := func(body string) string { return fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body), body) }
+	const eventType = "Content-Type: text/event-stream\r\n"
+	crlf := strings.ReplaceAll(events(1, 2), "\n", "\r\n")
+	whole := events(1, 4)
+	for name, x := range map[string]struct {
+		answer string // of the first run: its head from the content type on, and its body
+		want   string // what the caller gets
+	}{
+		"in chunks":              {eventType + chunks(events(1, 2)+"id: 3\ndata: ev"), whole},
+		"with a length":          {eventType + length(events(1, 2)+"id: 3\ndata: ev"), whole},
+		"without a type":         {chunks(events(1, 2) + "id: 3"), whole},
+		"within the first event": {eventType + chunks("id: 1\nda"), whole},
+		"before the blank line":  {eventType + chunks(strings.TrimSuffix(events(1, 3), "\n")), whole},
+		"in a comment":           {eventType + chunks(events(1, 2)+": still"), whole},
+		"CR LF, in an event":     {eventType + chunks(crlf+"id: 3\r\ndata: ev"), crlf + events(3, 4)},
+		"after a comment":        {eventType + chunks(events(1, 4)+": end\n"), events(1, 4) + ": end\n"},
+		"after a further line":   {eventType + chunks(events(1, 4)+"\n"), events(1, 4) + "\n"},
+		"lines end with CR LF":   {eventType + chunks(crlf), crlf},
+		"lines end with CR":      {eventType + chunks("id: 1\rdata: a\r\r"), "id: 1\rdata: a\r\r"},
+		"another type":           {"Content-Type: application/json\r\n" + chunks("{}"), "{}"},
+		"no event in a frame":    {eventType + chunks(""), ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var begun atomic.Bool
+			reply := func(c net.Conn, q *runner.Request) bool {
+				if begun.Swap(true) {
+					return fromLastEvent(4)(c, q)
+				}
+				return runner.Write(c, runner.ResponseHead(http.StatusOK, q, x.answer))
+			}
+			r := newRig(t, reply, reply)
+			if got := r.send(http.MethodPost, "/stream/x", "1", nil); got.err != nil || got.body != x.want {
+				t.Errorf("got %q (%v), want %q", got.body, got.err, x.want)
+			}
+		})
+	}
+	r := newRig(t, func(c net.Conn, q *runner.Request) bool {
+		return runner.Write(c, runner.ResponseHead(http.StatusOK, q, eventType+chunks(events(1, 2)+"id: 3\ndata: ev")))
+	})
+	r.onceStreams()
+	if got := r.send(http.MethodPost, "/stream/x", "1", nil); got.err == nil || got.body != events(1, 2) {
+		t.Errorf("a stream that cannot be resumed: got %q (%v), want its whole events and an error", got.body, got.err)
+	}
+}
+
 // A stream that cannot be resumed must not look complete.
 func TestCutStream(t *testing.T) {
 	r := newRig(t, brokenStream(2))
