gate/relay: a request that may run once is not run again at a larger model

Cause: largerModel drops the answer of an unsure model, which has run, and asked only for runs left of max-attempts, not whether the request may run again.

Change: attempt.runsLeft says how many runs may follow, none where the request may not be repeated; the cascade and the timeout of the head both ask it.

Why it works: an answer is dropped, by choice or for its silence, only where another run is allowed. Retries after failures were guarded before.

Test, before: TestEscalationRunsOnce got 2 runs of a stream that cannot be resumed and 2 of a once-only route with models, 1 wanted.

--- a/gate/relay/attempt.go
+++ b/gate/relay/attempt.go
@@ -97,11 +97,20 @@
 	headTimeoutFactor = 5
 )
 
+// runsLeft returns how many more runs the request may have once this attempt has
+// run.
+func (x *attempt) runsLeft() int {
+	if !x.route.Repeatable() {
+		return 0
+	}
+	return max(0, x.route.MaxRuns-x.runs-1)
+}
+
 // headTimeout returns how long to wait for the head of an answer before another
 // server is asked; 0 means until the deadline. A server may disappear without
 // closing its connections; then only its silence shows it.
 func (x *attempt) headTimeout() time.Duration {
-	if !x.route.Repeatable() || x.runs+1 >= x.route.MaxRuns {
+	if x.runsLeft() == 0 {
 		return 0
 	}
 	var limit time.Duration
@@ -217,7 +226,7 @@
 		return escalate{}, false
 	}
 	next, reason := policy.Escalation{
-		Confidence: confidence, Step: x.modelIndex, StepCount: len(x.route.Models), RunsLeft: x.route.MaxRuns - x.runs - 1,
+		Confidence: confidence, Step: x.modelIndex, StepCount: len(x.route.Models), RunsLeft: x.runsLeft(),
 		UntilDeadline: time.Until(x.deadline), UntilTarget: time.Until(x.start.Add(x.route.TargetLatency)),
 		TimeToFirstToken: func(step int) time.Duration {
 			return x.r.leastFirstTokenTime(x.service, x.promptWork(x.route.Models[step]))
--- a/gate/relay/relay_test.go
+++ b/gate/relay/relay_test.go
@@ -171,6 +171,22 @@
 	}
 }
 
+// TestEscalationRunsOnce guards against a request that may run once at most and
+// runs at a small model and again at a larger one.
+func TestEscalationRunsOnce(t *testing.T) {
+	r := newRig(t, func(c net.Conn, q *runner.Request) bool {
+		return runner.Events(1, 2, 0, "Confidence: 10\r\nX-Model: "+q.Header.Get("Model")+"\r\n")(c, q)
+	})
+	r.onceStreams()
+	for _, target := range []string{"/sized/x", "/sizedonce/x"} {
+		before := r.runs()
+		got := r.send(http.MethodPost, target, "1", map[string]string{"Model": "*", "Token-Usage": "100,10"})
+		if runs := r.runs() - before; runs != 1 || got.status != 200 || got.body != events(1, 2) {
+			t.Errorf("%s: got %d runs and status %d with %q, want one run and its whole answer", target, runs, got.status, got.body)
+		}
+	}
+}
+
 // When a caller leaves, its backend server must not go on working.
 func TestCallerLeaves(t *testing.T) {
 	r := newRig(t, runner.NeverReply)
--- a/gate/relay/rig_test.go
+++ b/gate/relay/rig_test.go
@@ -66,7 +66,7 @@
 }
 
 // plan puts a configuration in force with the routes /safe/, /once/, /stream/,
-// /sized/ and /public/ of host h.example.
+// /sized/, /sizedonce/ and /public/ of host h.example.
 func (r *rig) plan(revision ident.Revision, rollouts map[ident.Service]conf.ServiceRollout) {
 	r.t.Helper()
 	route := func(name string, repeat plan.RouteType) plan.Route {
@@ -76,11 +76,13 @@
 		}
 	}
 	sized, public := route("sized", plan.RouteStream), route("public", plan.RouteSafe)
+	sizedOnce := route("sizedonce", plan.RouteOnce)
 	sized.Models = []ident.Model{"small", "middle", "large"}
+	sizedOnce.Models = sized.Models
 	public.Public = true
 	p := &plan.Config{
 		Version: uint64(revision), Services: map[ident.Service]plan.Service{service: {Name: service, Engine: r.engine}},
-		Routes:    []plan.Route{route("safe", plan.RouteSafe), route("once", plan.RouteOnce), route("stream", plan.RouteStream), sized, public},
+		Routes:    []plan.Route{route("safe", plan.RouteSafe), route("once", plan.RouteOnce), route("stream", plan.RouteStream), sized, sizedOnce, public},
 		Customers: []plan.Customer{{Name: "acme", Keys: []string{key}}},
 	}
 	if err := p.Index(); err != nil {
