gate/relay: late in a planned stop, requests that may outlast it are refused

What operators reported: in a planned stop, in calm, requests that came late in the grace were taken and passed on, and cut with no answer at its end, among them requests that may not be repeated. It happens here: the check for the end of the stop was for streams only.

Cause: the duration of other requests was not known to the gate, so it took each of them until its process ended.

Change: the gate learns how long the requests of each route take (the estimator that streams have, now named DurationEstimator). Where the duration is not known, requests that may be sent again are still taken.

Test, before: TestLateRequestInStop failed in three of six cases (200 and one run, 503 and none wanted). After: passes.

--- a/core/policy/direct_test.go
+++ b/core/policy/direct_test.go
@@ -100,9 +100,9 @@
 	}
 }
 
-func TestStreamDurationEstimator(t *testing.T) {
-	var e StreamDurationEstimator
-	for range minStreams - 1 {
+func TestDurationEstimator(t *testing.T) {
+	var e DurationEstimator
+	for range minRequests - 1 {
 		observe(&e, time.Second, 100)
 	}
 	if got := e.UpperBound(100, now); got != 0 {
--- a/core/policy/streamtime_test.go
+++ b/core/policy/duration_test.go
@@ -10,7 +10,7 @@
 var now = time.Unix(1e9, 0)
 
 // observe counts a whole stream.
-func observe(e *StreamDurationEstimator, took time.Duration, tokens int64) {
+func observe(e *DurationEstimator, took time.Duration, tokens int64) {
 	e.End(e.Begin(tokens, now.Add(-took)), true, now)
 }
 
@@ -35,11 +35,11 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			r := rand.New(rand.NewPCG(1, 2))
-			var e StreamDurationEstimator
+			var e DurationEstimator
 			over := 0
 			for i := range streams {
 				took := time.Duration(perToken(r) * tokens * float64(time.Millisecond))
-				if bound := e.UpperBound(tokens, now); (bound == 0) != (i < minStreams) {
+				if bound := e.UpperBound(tokens, now); (bound == 0) != (i < minRequests) {
 					t.Fatalf("got bound %v after %d streams", bound, i)
 				} else if bound > 0 && took > bound {
 					over++
@@ -56,11 +56,11 @@
 // The bound follows a change of speed within the streams that are kept, and a
 // stream without a limit says nothing.
 func TestStreamUpperBoundFollows(t *testing.T) {
-	var e StreamDurationEstimator
-	for range recentStreams {
+	var e DurationEstimator
+	for range recentRequests {
 		observe(&e, 10*time.Second, 100)
 	}
-	for range recentStreams {
+	for range recentRequests {
 		observe(&e, time.Second, 100)
 		observe(&e, time.Hour, 0)
 	}
@@ -72,7 +72,7 @@
 // Soon after the start of a gate, only short streams have ended. The long ones
 // that still run must count, or the bound is that of the short ones alone.
 func TestStreamUpperBoundOfYoungGate(t *testing.T) {
-	var e StreamDurationEstimator
+	var e DurationEstimator
 	for range 50 {
 		observe(&e, time.Second, 1000)
 	}
--- a/gate/relay/call.go
+++ b/gate/relay/call.go
@@ -66,7 +66,7 @@
 	modelIndex   int             // position in the route's models
 	lastEventID  string          // ID of the last event passed on
 	headSent     bool            // the caller has the head of the answer
-	streamWhole  bool            // the caller has a whole stream
+	whole        bool            // the caller has a whole answer of a backend server
 	streamTimer  *streamTimer    // nil for other requests
 	reason       string          // why the last attempt ended
 	retryAfter   time.Duration   // suggested if the request is refused
@@ -116,15 +116,18 @@
 	if c.refuseQuarantined() {
 		return
 	}
-	if c.route.Type == plan.RouteStream && c.r.mayOutlastStop(c.head.MaxOutput, c.readingTime(), c.start) {
-		c.refuse(http.StatusServiceUnavailable, stoppingRetryAfter, "this gate stops before the stream would end")
+	if c.mayOutlastStop(time.Now()) {
+		c.refuse(http.StatusServiceUnavailable, stoppingRetryAfter, "this gate stops before the request would end")
 		return
 	}
 	c.r.recordRequest(c.service, c.start)
 
 	if c.route.Type == plan.RouteStream {
 		c.streamTimer = c.r.startStreamTimer(c.head.MaxOutput, c.start)
-		defer func() { c.streamTimer.end(c.streamWhole) }()
+		defer func() { c.streamTimer.end(c.whole) }()
+	} else {
+		end := c.r.timeAnswer(c.route.Name, c.start)
+		defer func() { end(c.whole) }()
 	}
 	control := http.NewResponseController(c.w)
 	// A caller that stops reading must not hold the request any longer. The error
--- a/gate/relay/drain_test.go
+++ b/gate/relay/drain_test.go
@@ -93,3 +93,47 @@
 		t.Errorf("got %d for a request that is no stream, want 200", got)
 	}
 }
+
+// TestLateRequestInStop guards against requests that a gate takes late in a
+// planned stop and cuts off at its end, among them some that may run once only.
+func TestLateRequestInStop(t *testing.T) {
+	slow := func(wait time.Duration) runner.Reply {
+		return func(c net.Conn, q *runner.Request) bool {
+			time.Sleep(wait)
+			return runner.OK("ok")(c, q)
+		}
+	}
+	for name, x := range map[string]struct {
+		wait     time.Duration // of the server
+		learn    int           // requests before the stop
+		left     time.Duration // of the stop
+		target   string
+		deadline string // ms
+		want     int
+		wantRuns int
+	}{
+		"once, ends in time":       {5 * time.Millisecond, 25, time.Second, "/once/x", "2000", 200, 1},
+		"once, known to be slow":   {60 * time.Millisecond, 25, 60 * time.Millisecond, "/once/x", "2000", 503, 0},
+		"once, duration unknown":   {time.Millisecond, 0, time.Second, "/once/x", "2000", 503, 0},
+		"once, deadline before it": {time.Millisecond, 0, time.Second, "/once/x", "800", 200, 1},
+		"safe, known to be slow":   {60 * time.Millisecond, 25, 60 * time.Millisecond, "/safe/x", "2000", 503, 0},
+		"safe, duration unknown":   {time.Millisecond, 0, time.Second, "/safe/x", "2000", 200, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			r := newRig(t, slow(x.wait))
+			for i := range x.learn {
+				r.send(http.MethodPost, x.target, fmt.Sprint(i), nil)
+			}
+			before := r.runs()
+			r.relay.Drain(time.Now().Add(x.left))
+			got := r.send(http.MethodPost, x.target, "late", map[string]string{"Deadline-Ms": x.deadline})
+			if runs := r.runs() - before; got.status != x.want || runs != x.wantRuns {
+				t.Errorf("got %d and %d runs, want %d and %d", got.status, runs, x.want, x.wantRuns)
+			}
+			if got.status == 503 && got.header.Get("Retry-After") == "" {
+				t.Error("a refusal has no Retry-After")
+			}
+		})
+	}
+}
--- a/gate/relay/duration.go
+++ b/gate/relay/duration.go
@@ -11,8 +11,8 @@
 // event includes retries and dropped answers and does not depend on the length
 // of the stream; the rest does. Relay.mu guards it.
 type streamTimes struct {
-	waits policy.StreamDurationEstimator // of one token each
-	rest  policy.StreamDurationEstimator
+	waits policy.DurationEstimator // of one token each
+	rest  policy.DurationEstimator
 }
 
 // upperBound returns a time that hardly any request for a stream exceeds; 0 if
@@ -29,8 +29,8 @@
 type streamTimer struct {
 	r       *Relay
 	tokens  ident.Tokens
-	waiting *policy.RunningStream // until the first event
-	running *policy.RunningStream // from then on; nil before
+	waiting *policy.Running // until the first event
+	running *policy.Running // from then on; nil before
 }
 
 func (r *Relay) startStreamTimer(tokens ident.Tokens, start time.Time) *streamTimer {
@@ -59,3 +59,42 @@
 	}
 	t.r.streamTimes.rest.End(t.running, whole, now)
 }
+
+// streamUpperBound returns a time that hardly any request for a stream exceeds;
+// 0 if it is not known. reading is the time that its prompt needs, at all models
+// that may be asked one after the other.
+func (r *Relay) streamUpperBound(tokens ident.Tokens, reading time.Duration, now time.Time) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.streamTimes.upperBound(tokens, reading, now)
+}
+
+// answerUpperBound returns a time that hardly any request of a route that is no
+// stream exceeds; 0 if it is not known.
+func (r *Relay) answerUpperBound(route ident.Route, now time.Time) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if e := r.answerTimes[route]; e != nil {
+		return e.UpperBound(1, now)
+	}
+	return 0
+}
+
+// timeAnswer counts a request that is no stream from its acceptance until the
+// returned function is called, which says whether the caller has a whole answer.
+func (r *Relay) timeAnswer(route ident.Route, start time.Time) (end func(whole bool)) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e := r.answerTimes[route]
+	if e == nil {
+		e = &policy.DurationEstimator{}
+		r.answerTimes[route] = e
+	}
+	running := e.Begin(1, start)
+	return func(whole bool) {
+		now := time.Now()
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		e.End(running, whole, now)
+	}
+}
--- a/gate/relay/relay.go
+++ b/gate/relay/relay.go
@@ -59,6 +59,7 @@
 	quarantine           *policy.Quarantine
 	unanswered           map[*attempt]bool // with parts in their prompts, before the first event
 	streamTimes          streamTimes
+	answerTimes          map[ident.Route]*policy.DurationEstimator // of requests that are no streams
 	firstTokenEstimators map[ident.Service]*policy.FirstTokenEstimator
 	baselines            map[baselineKey]*policy.PaceEstimator
 }
@@ -108,6 +109,7 @@
 		sessions:             sessions{byHash: map[uint32]sessionEntry{}},
 		quarantine:           policy.NewQuarantine(),
 		unanswered:           map[*attempt]bool{},
+		answerTimes:          map[ident.Route]*policy.DurationEstimator{},
 		firstTokenEstimators: map[ident.Service]*policy.FirstTokenEstimator{},
 		baselines:            map[baselineKey]*policy.PaceEstimator{},
 	}
@@ -140,30 +142,6 @@
 	return r.config.Load() != nil && !r.fleet.ListReadAt().IsZero() && r.stopEnd.Load() == nil
 }
 
-// Drain begins a planned stop that lasts until end. Each answer then closes its
-// connection, and streams that would not end by then are refused.
-func (r *Relay) Drain(end time.Time) { r.stopEnd.CompareAndSwap(nil, &end) }
-
-// mayOutlastStop reports whether a new stream would probably last longer than
-// the planned stop under way, if there is one. reading is the time that its
-// prompt needs, at all models that may be asked one after the other.
-func (r *Relay) mayOutlastStop(tokens ident.Tokens, reading time.Duration, now time.Time) bool {
-	end := r.stopEnd.Load()
-	if end == nil {
-		return false
-	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	duration := r.streamTimes.upperBound(tokens, reading, now)
-	// Right after the start the duration of streams is not known yet. Other gates
-	// can serve the stream to its end.
-	return duration == 0 || now.Add(time.Duration(outlastFactor*float64(duration))).After(*end)
-}
-
-// outlastFactor allows for streams that become slower while other gates stop
-// too.
-const outlastFactor = 1.5
-
 // leastFirstTokenTime returns the expected time to the first token of a prompt
 // at the server with the least queued work.
 func (r *Relay) leastFirstTokenTime(service ident.Service, p policy.Prompt) time.Duration {
--- a/gate/relay/retry.go
+++ b/gate/relay/retry.go
@@ -51,6 +51,7 @@
 		paid = false
 		switch x := c.tryServer(ctx).(type) {
 		case answered:
+			c.whole = true
 			return
 		case escalate:
 			// The dropped attempt has run, so the request can no longer be
--- a/gate/relay/stream.go
+++ b/gate/relay/stream.go
@@ -147,7 +147,6 @@
 		switch {
 		case errors.Is(err, io.EOF):
 			a.Close()
-			x.streamWhole = true
 			x.recordEnd("served", a.Status)
 			return answered{}, fleet.Good
 		case err != nil && stalled.Load():
