gate/relay: requests without an answer get one just before a planned stop ends

Seen beside the report on late requests: whoever still waited for a server when the gate's planned stop ended had its connection cut, which tells callers nothing.

Cause: requests knew their own deadline only, not the end of the process.

Change: 100 ms before the end, requests that have no head of an answer yet are given up as at their deadline: 504 if they may have run, a refusal if not. Answers that have begun go on to the end. The servers are not blamed.

--- a/gate/relay/body.go
+++ b/gate/relay/body.go
@@ -75,7 +75,7 @@
 		x.w.Header()["Content-Length"] = a.Header["Content-Length"]
 	}
 	x.w.WriteHeader(a.Status)
-	x.headSent = true
+	x.beginAnswer()
 	n := int64(len(first))
 	_, err := x.w.Write(first)
 	if err == nil {
--- a/gate/relay/call.go
+++ b/gate/relay/call.go
@@ -67,6 +67,7 @@
 	lastEventID  string          // ID of the last event passed on
 	headSent     bool            // the caller has the head of the answer
 	whole        bool            // the caller has a whole answer of a backend server
+	keepPastStop func() bool     // lets the request run until the process ends
 	streamTimer  *streamTimer    // nil for other requests
 	reason       string          // why the last attempt ended
 	retryAfter   time.Duration   // suggested if the request is refused
@@ -144,9 +145,20 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, c.deadline)
 	defer cancel()
+	ctx, abandon := context.WithCancelCause(ctx)
+	defer abandon(nil)
+	c.keepPastStop = context.AfterFunc(c.r.stopping, func() { abandon(errStopping) })
+	defer c.keepPastStop()
 	c.runAttempts(ctx)
 }
 
+// beginAnswer records that the caller has the head of the answer: the rest of it
+// may arrive until the process ends, also in a planned stop.
+func (c *call) beginAnswer() {
+	c.headSent = true
+	c.keepPastStop()
+}
+
 // readBody reads the whole body before the first attempt, so that a refusal can
 // say that nothing ran. It reports whether the request is accepted.
 func (c *call) readBody() bool {
--- a/gate/relay/drain_test.go
+++ b/gate/relay/drain_test.go
@@ -137,3 +137,34 @@
 		})
 	}
 }
+
+// TestAnswerAtEndOfStop guards against connections that are cut without an
+// answer at the end of a planned stop, while their requests wait for a server.
+func TestAnswerAtEndOfStop(t *testing.T) {
+	const left, deadline = 400 * time.Millisecond, 9 * time.Second
+	for _, target := range []string{"/safe/x", "/once/x", "/stream/x"} {
+		t.Run(target, func(t *testing.T) {
+			t.Parallel()
+			r := newRig(t, runner.NeverReply)
+			r.longRoutes(20 * time.Second)
+			start := time.Now()
+			time.AfterFunc(50*time.Millisecond, func() { r.relay.Drain(start.Add(left)) })
+			got := r.send(http.MethodPost, target, "1", map[string]string{"Deadline-Ms": fmt.Sprint(deadline.Milliseconds())})
+			if took := time.Since(start); got.err != nil || got.status != 504 || took > deadline/2 {
+				t.Errorf("got %d (%v) after %v, want 504 at the end of the stop after %v", got.status, got.err, took, left)
+			}
+		})
+	}
+}
+
+// TestStreamAtEndOfStop guards against an answer that has begun and is cut
+// before the end of a planned stop.
+func TestStreamAtEndOfStop(t *testing.T) {
+	const left = 600 * time.Millisecond
+	r := newRig(t, runner.Events(1, 8, left/9, "")) // within the last 100 ms
+	start := time.Now()
+	time.AfterFunc(100*time.Millisecond, func() { r.relay.Drain(start.Add(left)) })
+	if got := r.send(http.MethodPost, "/stream/x", "1", nil); got.err != nil || got.body != events(1, 8) {
+		t.Errorf("got %q (%v), want the whole stream", got.body, got.err)
+	}
+}
--- a/gate/relay/relay.go
+++ b/gate/relay/relay.go
@@ -52,6 +52,9 @@
 	config  atomic.Pointer[activeConfig]
 	stopEnd atomic.Pointer[time.Time] // end of the planned stop under way; nil without one
 
+	stopping    context.Context // ends just before the end of a planned stop
+	endRequests context.CancelCauseFunc
+
 	mu                   sync.Mutex // guards the fields below
 	retryBudgets         map[ident.Service]*policy.WindowBudget
 	gates                int // that share the slack of the retry budgets
@@ -113,6 +116,7 @@
 		firstTokenEstimators: map[ident.Service]*policy.FirstTokenEstimator{},
 		baselines:            map[baselineKey]*policy.PaceEstimator{},
 	}
+	r.stopping, r.endRequests = context.WithCancelCause(context.Background())
 	for _, o := range opts {
 		o(r)
 	}
--- a/gate/relay/retry.go
+++ b/gate/relay/retry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -103,7 +104,7 @@
 	defer cancel()
 	x := &attempt{call: c, assignment: assignment, model: model, attemptStart: now}
 	next, outcome := x.exchange(ctx)
-	if x.quarantinedOff.Load() && outcome == fleet.Broke {
+	if outcome == fleet.Broke && (x.quarantinedOff.Load() || errors.Is(context.Cause(ctx), errStopping)) {
 		outcome = fleet.Neutral // the server is not to blame
 	}
 	end := time.Now()
--- a/gate/relay/stream.go
+++ b/gate/relay/stream.go
@@ -167,7 +167,7 @@
 		// may resume the stream.
 		platform.CopyAnswerHeaders(a.Header, x.w.Header())
 		x.w.WriteHeader(a.Status)
-		x.headSent = true
+		x.beginAnswer()
 		x.streamTimer.firstEvent()
 	}
 	if x.eventsSent == 0 {
