gate/route: limit the answers of the rating service

What operators reported: bytes that are no answer, without end, filled the memory of the machine that had called.

Cause: limits were added for backend servers only.

Change: 16 KB for the head and for the body of a rating.

Test, before: TestEndlessRating, a text without end in the body: still reading after 5 s. After: given up at the limit. Its other two cases passed before as well (net/http limits heads to 10 MB; a value after spaces fails early).

--- a/gate/route/rating.go
+++ b/gate/route/rating.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"io"
 	"net/http"
 	"time"
 
@@ -27,6 +28,13 @@
 	// maxBackgroundRatingCalls is the bound for answers delivered without waiting
 	// for their rating. It leaves free calls for the checks and probes of cascades.
 	maxBackgroundRatingCalls = maxRatingCalls / 2
+	// maxRatingBytes limits the head and the body of an answer of the rating
+	// service, which holds one number.
+	maxRatingBytes = 16 << 10
+	// maxIdleRatingConns and ratingIdleTimeout bound the idle connections to the
+	// rating service.
+	maxIdleRatingConns = 16
+	ratingIdleTimeout  = 90 * time.Second
 )
 
 // RatingRequest is the body of a request to the rating service.
@@ -45,7 +53,10 @@
 
 // NewHTTPRater returns a Rater that posts to a rating service at the URL.
 func NewHTTPRater(url string) Rater {
-	return &httpRater{url: url, client: &http.Client{Timeout: ratingTimeout}}
+	return &httpRater{url: url, client: &http.Client{
+		Timeout:   ratingTimeout,
+		Transport: &http.Transport{MaxResponseHeaderBytes: maxRatingBytes, MaxIdleConnsPerHost: maxIdleRatingConns, IdleConnTimeout: ratingIdleTimeout},
+	}}
 }
 
 type httpRater struct {
@@ -72,10 +83,17 @@
 	if res.StatusCode != http.StatusOK {
 		return 0, eris.Errorf("rating service answered %d", res.StatusCode)
 	}
+	data, err := io.ReadAll(io.LimitReader(res.Body, maxRatingBytes+1))
+	if err != nil {
+		return 0, err
+	}
+	if len(data) > maxRatingBytes {
+		return 0, eris.Errorf("rating service sent more than %d bytes", maxRatingBytes)
+	}
 	var answer struct {
 		Rating *ident.Quality `json:"rating"`
 	}
-	if err := json.NewDecoder(res.Body).Decode(&answer); err != nil {
+	if err := json.Unmarshal(data, &answer); err != nil {
 		return 0, err
 	}
 	if answer.Rating == nil {
