--- a/side/caller/caller_test.go
+++ b/side/caller/caller_test.go
@@ -149,6 +149,38 @@
 	}
 }
 
+// TestCutHead guards against a service that stops in the middle of its answer's
+// head and closes: a call must not get a success with an empty body, and an
+// operation has an unknown outcome.
+func TestCutHead(t *testing.T) {
+	for _, head := range []string{
+		"HTTP/1.1 200 OK\r\nContent-Length: 12\r\nDate: now\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nDate: now\r\nTransfer-Encoding: chunked\r\n\r\n",
+		"HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 200 OK\nContent-Length: 12\n\n",
+		"HTTP/1.0 200 OK\r\nDate: now\r\n\r\n",
+	} {
+		for cut := range len(head) {
+			dial := func(context.Context, string, string) (net.Conn, error) {
+				client, server := net.Pipe()
+				go func() {
+					_, _ = http.ReadRequest(bufio.NewReader(server))
+					_, _ = io.WriteString(server, head[:cut])
+					_ = server.Close()
+				}()
+				return client, nil
+			}
+			c := New("pay", &url.URL{Scheme: "http", Host: "service"}, 0, dial)
+			_, out := c.CallOnce(t.Context(), &wire.Work{Method: "POST", Path: "/p", Operation: "c/pay/k", Fence: 1}, func() *fault.Fault { return nil })
+			if !out.Ran || out.Fault == nil || out.Fault.Kind != fault.Unknown {
+				t.Errorf("cut after %q: got %+v of an operation, want unknown", head[:cut], out)
+			}
+			if out := c.Call(t.Context(), &wire.Work{Method: "GET", Path: "/p"}, nil); out.Fault == nil {
+				t.Errorf("cut after %q: got %+v of a call", head[:cut], out)
+			}
+		}
+	}
+}
+
 // sendEndless answers one request with head and then rest again and again,
 // until the connection is closed. It returns the number of bytes sent.
 func sendEndless(c net.Conn, head, rest string) int {
