core/client: a full list of addresses gives up the one named longest ago

Cause: a client kept the first 32 addresses of state processes that it had heard of, gave up none and ignored new ones. When all 32 were gone it tried them in turn.

Evidence: record of the case; no "State process added" after the 32nd address.

A new address replaces the one that was named longest ago, by the cluster, the settings or the process itself, members last. Members are tried before others, one other after each round of them; what was tried last comes last.

Why it works: what the cluster and the settings name now is always in the list, and no entry waits for ever. State processes that join, and those without a disk, use the same client.

Test, before: TestLearnsAddressesForever, both cases: the three addresses learnt last are not tried in 8 attempts.

--- a/core/client/client.go
+++ b/core/client/client.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -43,7 +42,9 @@
 type Option func(*Client)
 
 // WithAddresses sets the addresses of the state processes.
-func WithAddresses(addrs ...string) Option { return func(c *Client) { c.addrs = addrs } }
+func WithAddresses(addrs ...string) Option {
+	return func(c *Client) { c.addrs = newAddressBook(addrs) }
+}
 
 // WithLink sets the name of this process and its session keys.
 func WithLink(cfg link.Config) Option { return func(c *Client) { c.linkConfig = cfg } }
@@ -107,7 +108,6 @@
 // Client finds the leader of the state cluster, talks to it and holds the
 // lease. It is safe for concurrent use.
 type Client struct {
-	addrs        []string
 	linkConfig   link.Config
 	zone         ident.Zone
 	tallies      func() []*wire.Tally
@@ -121,11 +121,10 @@
 	onGates      func([]*wire.Gate)
 	gatesDigest  atomic.Uint64 // of the last list of gates
 
-	mu            sync.Mutex // guards the fields below and addrs; held while dialling
-	session       *session
-	nextAddr      int    // index of the address to try next
-	leaderHint    string // address of the leader, as reported by a follower
-	abandonedAddr string // address of the session that was dropped last
+	mu         sync.Mutex // guards the fields below; held while dialling
+	addrs      addressBook
+	session    *session
+	leaderHint string // address of the leader, as reported by a follower
 
 	view          atomic.Pointer[conf.View]
 	needFullDelta atomic.Bool // a delta could not be applied: request a full one
@@ -162,7 +161,7 @@
 	for _, o := range opts {
 		o(c)
 	}
-	if len(c.addrs) == 0 || c.linkConfig.Name == "" {
+	if len(c.addrs.list) == 0 || c.linkConfig.Name == "" {
 		return nil, eris.New("the client needs a name and at least one address of a state process")
 	}
 	c.view.Store(conf.EmptyView())
@@ -197,7 +196,7 @@
 	addr := c.leaderHint
 	c.leaderHint = ""
 	if addr == "" {
-		addr = c.nextAddress()
+		addr = c.addrs.next()
 	}
 	raw, err := c.dialWithTimeout(ctx, addr)
 	if err != nil {
@@ -207,34 +206,31 @@
 	return c.session, nil
 }
 
-// maxAddresses bounds the number of addresses of state processes that a client
-// keeps.
-const maxAddresses = 32
-
-// AddAddress adds the address of a state process to those that the client
-// tries. The initial addresses are kept, since they may be the only ones left
-// later.
+// AddAddress names the address of a state process, as the settings or the process
+// itself give it. Addresses that were named longest ago are given up for new ones.
 func (c *Client) AddAddress(addr string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if addr == "" || len(c.addrs) >= maxAddresses || slices.Contains(c.addrs, addr) {
-		return
+	c.addAddress(addr)
+}
+
+// SetMembers names the addresses of the state processes that are members of the
+// cluster, as one of them gives them.
+func (c *Client) SetMembers(peers []*wire.Peer) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var addrs []string
+	for _, p := range peers {
+		c.addAddress(p.GetAddr())
+		addrs = append(addrs, p.GetAddr())
 	}
-	c.addrs = append(slices.Clone(c.addrs), addr)
-	klog.InfoS("State process added to the known addresses", "addr", addr)
+	c.addrs.setMembers(addrs)
 }
 
-// nextAddress returns the next address in turn, skipping the one that was
-// dropped last: an unresponsive process would cost another dialTimeout.
-func (c *Client) nextAddress() string {
-	addr := c.addrs[c.nextAddr%len(c.addrs)]
-	c.nextAddr++
-	if addr == c.abandonedAddr {
-		addr = c.addrs[c.nextAddr%len(c.addrs)]
-		c.nextAddr++
+func (c *Client) addAddress(addr string) {
+	if added, replaced := c.addrs.add(addr); added {
+		klog.InfoS("State process added to the known addresses", "addr", addr, "replaced", replaced)
 	}
-	c.abandonedAddr = ""
-	return addr
 }
 
 // dialWithTimeout dials with a timeout that also covers the handshake.
@@ -274,7 +270,8 @@
 	if leader == s.addr {
 		return // the process has become leader in the meantime
 	}
-	c.session, c.leaderHint, c.abandonedAddr = nil, leader, s.addr
+	c.session, c.leaderHint = nil, leader
+	c.addrs.markTried(s.addr) // an unresponsive process would cost another dialTimeout
 	_ = s.Close()
 }
 
--- a/gate/cmd/gate/platform.go
+++ b/gate/cmd/gate/platform.go
@@ -305,9 +305,7 @@
 			h.reloadSeeds()
 			continue
 		}
-		for _, m := range a.GetStatus().GetPeers() {
-			h.client.AddAddress(m.GetAddr())
-		}
+		h.client.SetMembers(a.GetStatus().GetPeers())
 	}
 }
 
--- a/state/cmd/state/platform.go
+++ b/state/cmd/state/platform.go
@@ -156,9 +156,7 @@
 			}
 			continue
 		}
-		for _, m := range a.GetStatus().GetPeers() {
-			c.AddAddress(m.GetAddr())
-		}
+		c.SetMembers(a.GetStatus().GetPeers())
 	}
 }
 
--- a/state/redir/redir.go
+++ b/state/redir/redir.go
@@ -108,9 +108,11 @@
 	ctx, cancel := context.WithTimeout(ctx, statusQueryTimeout)
 	defer cancel()
 	a, err := r.client.Query(ctx, &wire.Query{Kind: &wire.Query_Status{Status: &wire.StatusQuery{Lead: true}}})
+	if err == nil {
+		r.client.SetMembers(a.GetStatus().GetPeers())
+	}
 	var leader raft.Member
 	for _, m := range a.GetStatus().GetPeers() {
-		r.client.AddAddress(m.GetAddr())
 		if m.GetName() == a.GetStatus().GetLeader() {
 			leader = raft.Member{Name: m.GetName(), Addr: m.GetAddr(), Voter: m.GetVoter()}
 		}
