gate/relay: a stalled stream is ended only where another attempt may go on with it

Cause: the timeout of stalled streams ended the attempt whether or not another one may follow, and a stream that can't be resumed, or on its last run, was given up then.

Evidence: record of the case, the channels close 3.6 s into the pause of 4.5 s; the same happens without a SIGTERM.

Change: a stall ends an attempt only if another run is allowed and the retry budget pays for it, as the timeout of the head asks already (gate/relay/stall.go).

Why it works: where nothing can go on elsewhere, the answer ends with its server, the deadline or its caller.

Test, before: TestSilentStream, all three cases cut after 3 s.

--- a/gate/relay/stall_test.go
+++ b/gate/relay/stall_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -93,6 +94,48 @@
 	}
 }
 
+// TestSilentStream guards against a stream that is cut off for its server's
+// silence though no other attempt may go on with it.
+func TestSilentStream(t *testing.T) {
+	const silence = 4 * time.Second // beyond the timeout of a stalled stream
+	pausing := func(c net.Conn, q *runner.Request) bool {
+		head := runner.ResponseHead(http.StatusOK, q, "Transfer-Encoding: chunked\r\n\r\n")
+		if !runner.Write(c, head+runner.Chunk(events(q.LastEventID()+1, 3))) {
+			return false
+		}
+		time.Sleep(silence)
+		return runner.Write(c, runner.Chunk(events(4, 5))+"0\r\n\r\n")
+	}
+	for name, prepare := range map[string]func(r *rig){
+		"cannot be resumed": func(r *rig) { r.onceStreams() },
+		"no retry budget":   func(r *rig) { r.withoutRetryBudget() },
+		"last run": func(r *rig) {
+			var runs atomic.Int32
+			for _, b := range r.runners {
+				b.SetReply(func(c net.Conn, q *runner.Request) bool {
+					if runs.Add(1) == 3 {
+						return pausing(c, q)
+					}
+					head := runner.ResponseHead(http.StatusOK, q, "Transfer-Encoding: chunked\r\n\r\n")
+					runner.Write(c, head+runner.Chunk(runner.Event(q.LastEventID()+1)))
+					return false // without the last chunk
+				})
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			r := newRig(t, pausing, pausing, pausing)
+			prepare(r)
+			r.longRoutes(20 * time.Second)
+			got := r.send(http.MethodPost, "/stream/x", "1", map[string]string{"Deadline-Ms": "20000"})
+			if want := events(1, 5); got.err != nil || got.body != want {
+				t.Errorf("got %q (%v), want %q", got.body, got.err, want)
+			}
+		})
+	}
+}
+
 // If only the end of the connection delimits a stream, an end in the middle of an
 // event shows that it broke off.
 func TestEndInEvent(t *testing.T) {
--- a/gate/relay/stream.go
+++ b/gate/relay/stream.go
@@ -6,7 +6,6 @@
 	"io"
 	"mime"
 	"net/http"
-	"sync/atomic"
 	"time"
 
 	"citronledge.example/core/plan"
@@ -34,8 +33,6 @@
 	comment         = []byte(":")
 )
 
-var errStalled = errors.New("the stream stalled")
-
 // isProgress reports whether whole events have an ID or data. Comments, which a
 // server may send without end, have neither.
 func isProgress(events []byte) bool {
@@ -105,13 +102,8 @@
 // breaks off, an incomplete event is dropped: the next run sends it again.
 func (x *attempt) relayStream(a *conn.Answer) (decision, fleet.Outcome) {
 	control := http.NewResponseController(x.w)
-	limit := x.r.stallTimeout(x.route, x.model, x.assignment.Load)
-	var stalled atomic.Bool
-	stall := time.AfterFunc(limit, func() {
-		stalled.Store(true)
-		x.abandon() // ends the read below
-	})
-	defer stall.Stop()
+	stall := x.watchStall()
+	defer stall.stop()
 	buf := make([]byte, 0, initialBufferBytes)
 	lastRead := time.Now()
 	for {
@@ -134,8 +126,8 @@
 				err = io.ErrUnexpectedEOF
 			}
 		}
-		if isProgress(buf[:complete]) && stall.Stop() {
-			stall.Reset(limit)
+		if isProgress(buf[:complete]) {
+			stall.progress()
 		}
 		if complete > 0 || errors.Is(err, io.EOF) && !x.headSent {
 			if e := x.writeEvents(control, a, buf[:complete]); e != nil {
@@ -149,8 +141,8 @@
 			a.Close()
 			x.recordEnd("served", a.Status)
 			return answered{}, fleet.Good
-		case err != nil && stalled.Load():
-			x.detail = "no event for " + limit.String()
+		case err != nil && stall.stalled.Load():
+			x.detail = "no event for " + stall.limit.String()
 			return x.streamBroken(errStalled)
 		case err != nil:
 			x.detail, x.brokenOff = "broke off: "+err.Error(), x.req.Context().Err() == nil
@@ -199,7 +191,7 @@
 	case x.headSent && x.route.Type == plan.RouteStream && !x.route.Resumable:
 		return giveUp{"the stream broke off and cannot be resumed"}, fleet.Broke
 	case errors.Is(err, errStalled):
-		return retry{reason: errStalled.Error(), mayHaveRun: true}, fleet.Broke
+		return retry{reason: errStalled.Error(), mayHaveRun: true, paid: true}, fleet.Broke
 	}
 	return retry{reason: "the stream broke off", mayHaveRun: true}, fleet.Broke
 }
