state: a process that stops gives up its vote where the others don't need it

Cause: a planned stop transferred the leadership only; the leader learnt of the end of a voter by its silence, as of a crash.

Change: at SIGTERM a process asks the leader to remove its vote (query Leave, at most 1.5 s). The leader does so where the live voters are enough and bear more losses without it, so not from three voters, nor from eight that have to bear two losses. When the process is back, it asks to join with its name and disk as they are.

Why it works: the smaller quorum is committed before the process ends.

Tests, before: TestPlatformReplacedVoter, real processes, SIGTERM of the replaced one and at once the loss of another one's disk: no leader for 20 s.

--- a/state/cmd/state/main.go
+++ b/state/cmd/state/main.go
@@ -6,6 +6,7 @@
 	"net"
 	"os"
 	"runtime/debug"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -52,6 +53,7 @@
 	ln            net.Listener
 	link          link.Config
 	lastAnnounced time.Time // used by seekMembership only, without a lock
+	stopping      atomic.Bool
 }
 
 func newProcess(set *settings) (*process, error) {
@@ -139,13 +141,18 @@
 }
 
 // Drain implements server.Part. It transfers leadership, so that a planned stop
-// does not have to wait for an election.
+// does not have to wait for an election, and gives up the vote of this process
+// where the others bear more losses without it: the process may never return.
 func (p *process) Drain(ctx context.Context) []string {
-	if !p.raft.HoldsLease() {
-		return nil
+	p.stopping.Store(true)
+	if p.raft.HoldsLease() {
+		if err := p.raft.TransferLeadership(ctx); err != nil {
+			klog.InfoS("Leadership not transferred; the other voters elect a leader", "err", err)
+			return nil
+		}
 	}
-	if err := p.raft.TransferLeadership(ctx); err != nil {
-		klog.InfoS("Leadership not transferred; the other voters elect a leader", "err", err)
+	if p.settings.onPlatform {
+		p.giveUpVote(ctx)
 	}
 	return nil
 }
--- a/state/cmd/state/platform.go
+++ b/state/cmd/state/platform.go
@@ -135,6 +135,9 @@
 			return nil
 		case <-tick.C:
 		}
+		if p.stopping.Load() {
+			continue
+		}
 		if p.isVoter() {
 			if !joined {
 				klog.InfoS("Voter of the state cluster", "member", p.settings.Name)
@@ -182,24 +185,32 @@
 	}
 }
 
-// sendAnnouncement announces a member to one process.
+// sendAnnouncement announces a member to one process, which refuses to add it
+// but learns its address.
 func sendAnnouncement(ctx context.Context, addr string, cfg link.Config, j *wire.Join) error {
-	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
+	_, err := ask(ctx, addr, cfg, &wire.Query{Kind: &wire.Query_Join{Join: j}}, announceTimeout)
+	return err
+}
+
+// ask sends a query to one process and returns its answer.
+func ask(ctx context.Context, addr string, cfg link.Config, q *wire.Query, timeout time.Duration) (*wire.Answer, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	s, err := link.Dial(ctx, addr, cfg)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	defer func() { _ = s.Close() }()
 	st, err := s.Open(wire.Kind_QUERY)
 	if err != nil {
-		return err
+		return nil, err
 	}
-	_ = st.SetDeadline(time.Now().Add(announceTimeout))
-	if err := st.Send(&wire.Query{Kind: &wire.Query_Join{Join: j}}); err != nil {
-		return err
+	_ = st.SetDeadline(time.Now().Add(timeout))
+	if err := st.Send(q); err != nil {
+		return nil, err
 	}
-	return st.Recv(&wire.Answer{})
+	a := &wire.Answer{}
+	return a, st.Recv(a)
 }
 
 // otherSeedAddrs returns the addresses of the state processes on the seeds
--- a/state/cmd/state/platform_test.go
+++ b/state/cmd/state/platform_test.go
@@ -221,6 +221,33 @@
 	h.awaitVersion(a, 11)
 }
 
+// TestPlatformReplacedVoter guards against a process that is replaced as planned
+// work and stays a voter: a disk lost right after it would stop the cluster.
+func TestPlatformReplacedVoter(t *testing.T) {
+	a, b, c, d := "127.0.81.1", "127.0.81.2", "127.0.81.3", "127.0.81.4"
+	h := newPlatformCluster(t, a, b, c)
+	for _, ip := range []string{a, b, c} {
+		h.start(ip, true)
+	}
+	h.replaceUntilAcked(a, 4)
+	h.start(d, false)
+	h.awaitVoter(d)
+	_ = h.procs[a].Process.Signal(syscall.SIGTERM) // gone for good
+	if err := h.procs[a].Wait(); err != nil {
+		t.Errorf("got %v from a planned stop, want no error", err)
+	}
+	delete(h.procs, a)
+	h.kill(b)
+	if err := os.RemoveAll(h.data(b)); err != nil {
+		t.Fatal(err)
+	}
+	h.replaceUntilAcked(d, 7)
+	h.start(b, false)
+	h.awaitVersion(b, 7)
+	h.awaitVoter(b)
+	h.awaitVersion(c, 7)
+}
+
 // awaitVoter waits until the log of a process says that it is a voter.
 func (h *platformCluster) awaitVoter(ip string) {
 	h.t.Helper()
--- a/state/node/join_test.go
+++ b/state/node/join_test.go
@@ -152,6 +152,39 @@
 	}
 }
 
+// TestMayRelease guards against a voter that stops and stays a voter though the
+// others bear more losses without it, and against the release of one that they
+// need.
+func TestMayRelease(t *testing.T) {
+	members := func(live, dead, learners int) (list []raft.MemberStatus) {
+		for i := range live + dead + learners {
+			list = append(list, raft.MemberStatus{Member: raft.Member{Name: fmt.Sprint("m", i), Voter: i < live+dead}, Live: i < live || i >= live+dead})
+		}
+		return list
+	}
+	for name, x := range map[string]struct {
+		members []raft.MemberStatus
+		stops   string
+		target  int
+		want    bool
+	}{
+		"all are needed":          {members(3, 0, 0), "m1", 3, false},
+		"fourth voter":            {members(4, 0, 0), "m1", 3, true},
+		"fourth, one is lost":     {members(3, 1, 0), "m1", 3, false},
+		"fifth voter":             {members(5, 0, 0), "m1", 3, false},
+		"fifth, one is lost":      {members(4, 1, 0), "m1", 3, true},
+		"sixth of five":           {members(6, 0, 0), "m1", 5, true},
+		"eighth of five":          {members(8, 0, 0), "m1", 5, false},
+		"learner":                 {members(4, 0, 1), "m4", 3, false},
+		"unknown":                 {members(4, 0, 0), "x", 3, false},
+		"the leader does not ask": {members(4, 0, 0), "m0", 3, false},
+	} {
+		if got := mayRelease(x.members, x.stops, "m0", x.target); got != x.want {
+			t.Errorf("%s: got %v, want %v", name, got, x.want)
+		}
+	}
+}
+
 // modelCluster is a cluster whose leader, the last member that joined, makes the
 // changes of nextMembershipChange.
 type modelCluster struct {
--- a/state/node/query.go
+++ b/state/node/query.go
@@ -39,7 +39,7 @@
 }
 
 // handleQuery answers a query. Only the leader answers wait queries, requests
-// to join and status queries for the leader; any state process answers the
+// to join or leave and status queries for the leader; any state process answers the
 // others. Answers from the ledger are never older than an acknowledged command.
 func (n *Node) handleQuery(ctx context.Context, q *wire.Query) (*wire.Answer, error) {
 	if s := q.GetStatus(); s != nil {
@@ -51,6 +51,9 @@
 	if j := q.GetJoin(); j != nil {
 		return &wire.Answer{Status: n.Status()}, n.recordJoinRequest(j)
 	}
+	if l := q.GetLeave(); l != nil {
+		return &wire.Answer{}, n.releaseVoter(ctx, l.GetName())
+	}
 	if w := q.GetWait(); w != nil {
 		w.Timeout = min(w.GetTimeout(), uint32(maxWait/time.Millisecond))
 		waited, err := n.waitInForce(ctx, w)
