state/raft: answers to packets of an earlier term carry no stamp

What callers could see: a configuration older than an acknowledged one, read from a leader that was cut off.

Cause: stamps count from the start of a process. A follower answered a late packet of an earlier run with the current term and the packet's stamp; the sender, which leads again since its restart, took the follower for live for as long as the earlier run had lasted.

Change: such an answer carries no stamp.

Why it works: stamps then come only from packets of the current term, which the current run has sent, as each run leads in a later term.

--- a/state/raft/packet.go
+++ b/state/raft/packet.go
@@ -104,7 +104,9 @@
 func (n *Node) acceptLeader(p *Packet, kind Kind) bool {
 	if p.Term < n.term {
 		a := n.newAnswer(kind, p)
-		a.Reject = true
+		// The sender may lead again since a restart. Its clock began anew then, so
+		// a stamp of before would extend its lease.
+		a.Reject, a.Stamp = true, neverStamp
 		n.reply(p, a)
 		return false
 	}
--- a/state/raft/raft_test.go
+++ b/state/raft/raft_test.go
@@ -378,6 +378,35 @@
 	})
 }
 
+// TestLatePacketOfEarlierRun guards against a leader that takes the answer to a
+// packet of its run before a restart for a recent one: its lease would hold for
+// as long as that run had lasted, also beside the next leader's.
+func TestLatePacketOfEarlierRun(t *testing.T) {
+	simulate(t, 15, 3, func(t *testing.T, w *world) {
+		w.commitCommands("a", 5)
+		time.Sleep(time.Minute) // the length of the earlier run
+		leader := w.waitForLeader()
+		follower, other := w.others(leader)[0], w.others(leader)[1]
+		late := leader.forge(Kind_APPEND, follower)
+		w.setIsolated(other.name, true)
+		leader = w.restart(leader.name)
+		if h := w.waitForLeader(); h != leader {
+			if err := h.node.TransferLeadership(t.Context()); err != nil {
+				t.Fatal(err)
+			}
+		}
+		w.waitFor("the restarted member leads", leader.node.HoldsLease)
+		follower.inbox <- late
+		time.Sleep(100 * time.Millisecond)
+		w.healNetwork()
+		w.setIsolated(leader.name, true)
+		time.Sleep(2 * time.Second)
+		if leader.node.HoldsLease() {
+			t.Error("the leader holds its lease 2 s after it was cut off")
+		}
+	})
+}
+
 // Guards against a follower that receives packets from the other members but
 // not from the leader, and ends the leader's term again and again.
 func TestFollowerCutOffFromLeader(t *testing.T) {
