--- a/state/raft/option.go
+++ b/state/raft/option.go
@@ -35,6 +35,7 @@
 	snapshotEntries uint64
 	snapshotBytes   int64
 	retainedEntries uint64
+	retainedBytes   int
 }
 
 // Option configures a node.
@@ -79,8 +80,8 @@
 // number of entries was applied since the last snapshot, with at least as many
 // bytes as that snapshot has; or once at least the given number of bytes was
 // applied, if that is also at least the size of the last snapshot. The last
-// retain entries before a snapshot stay in the log for followers that lag
-// slightly.
+// retain entries before a snapshot, of 4 MiB at most, stay in the log for followers
+// that lag slightly.
 func WithSnapshotPolicy(entries uint64, bytes int64, retain uint64) Option {
 	return func(o *options) { o.snapshotEntries, o.snapshotBytes, o.retainedEntries = entries, bytes, retain }
 }
@@ -88,7 +89,7 @@
 func newOptions(opts []Option) (options, error) {
 	// 10,000 entries replay in well under a second, so a restart stays short
 	// while the cost of encoding the state is spread over many commands.
-	o := options{timings: DefaultTimings, snapshotEntries: 10_000, snapshotBytes: 16 << 20, retainedEntries: 1000}
+	o := options{timings: DefaultTimings, snapshotEntries: 10_000, snapshotBytes: 16 << 20, retainedEntries: 1000, retainedBytes: 4 << 20}
 	for _, f := range opts {
 		f(&o)
 	}
--- a/state/raft/snap.go
+++ b/state/raft/snap.go
@@ -181,7 +181,7 @@
 func (n *Node) finishSnapshotSave(snap store.Snapshot, err error) {
 	n.savingSnapshot = false
 	if err == nil {
-		err = n.store.Compact(snap.Index, snap.Term, n.retainedEntries)
+		err = n.store.Compact(snap.Index, snap.Term, n.retainedEntries, n.retainedBytes)
 	}
 	if err != nil {
 		klog.ErrorS(err, "Failed to save a snapshot", "member", n.name)
--- a/state/store/snapshot.go
+++ b/state/store/snapshot.go
@@ -98,16 +98,17 @@
 }
 
 // Compact makes a snapshot that WriteSnapshot wrote the one in use, removes
-// older ones, and drops the log up to retain entries before its index.
-func (s *Store) Compact(index, term uint64, retain uint64) error {
+// older ones, and drops the log before its index but for the last retain entries
+// with at most retainBytes bytes together.
+func (s *Store) Compact(index, term uint64, retain uint64, retainBytes int) error {
 	if index <= s.snapIndex {
 		// A snapshot received meanwhile is newer.
 		return s.dropSnapshots()
 	}
 	s.snapIndex, s.snapTerm = index, term
 	s.snapSize = s.fileSize(snapName(index, term))
-	if index > retain && index-retain > s.baseIndex {
-		s.dropEntries(index - retain)
+	if to := s.retainedAfter(index, retain, retainBytes); to > s.baseIndex {
+		s.dropEntries(to)
 	}
 	if err := s.dropSnapshots(); err != nil {
 		return err
@@ -115,6 +116,19 @@
 	return s.dropSegments()
 }
 
+// retainedAfter returns the index after which entries up to index stay in the log.
+func (s *Store) retainedAfter(index, retain uint64, retainBytes int) uint64 {
+	to := index
+	for to > s.baseIndex && index-to < retain {
+		retainBytes -= len(s.entries[to-s.baseIndex-1].Data)
+		if retainBytes < 0 {
+			break
+		}
+		to--
+	}
+	return to
+}
+
 // dropEntries removes the entries up to and including index to from memory.
 func (s *Store) dropEntries(to uint64) {
 	i := to - s.baseIndex
--- a/state/store/store_test.go
+++ b/state/store/store_test.go
@@ -1,6 +1,7 @@
 package store
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"math/rand/v2"
@@ -56,7 +57,7 @@
 	if err := s.WriteSnapshot(Snapshot{Index: 5, Term: 2, Roster: []byte("r"), Data: []byte("state")}); err != nil {
 		t.Fatal(err)
 	}
-	if err := s.Compact(5, 2, 2); err != nil {
+	if err := s.Compact(5, 2, 2, 1<<20); err != nil {
 		t.Fatal(err)
 	}
 	var locked *Locked
@@ -218,7 +219,7 @@
 						t.Fatal(err)
 					}
 					if rng.IntN(3) > 0 { // else the crash comes before Compact
-						if err := s.Compact(at, snapshotTerm, uint64(rng.IntN(4))); err != nil {
+						if err := s.Compact(at, snapshotTerm, uint64(rng.IntN(4)), 1<<20); err != nil {
 							t.Fatal(err)
 						}
 					}
@@ -307,3 +308,53 @@
 		})
 	}
 }
+
+// TestLargeEntriesFitOnDisk guards against a log that keeps many large entries
+// after a snapshot until the disk is full and no entry is accepted any more.
+func TestLargeEntriesFitOnDisk(t *testing.T) {
+	const (
+		diskBytes     = 64 << 20
+		entryBytes    = 283 << 10
+		snapshotBytes = 16 << 20 // of entries between two snapshots
+		entries       = 600
+	)
+	s := mustOpen(t, NewMemoryFolder())
+	data := bytes.Repeat([]byte("x"), entryBytes)
+	since := 0
+	for i := uint64(1); i <= entries; i++ {
+		if err := s.Append([]Entry{{Index: i, Term: 1, Data: data}}); err != nil {
+			t.Fatalf("entry %d: %v", i, err)
+		}
+		if err := s.Sync(); err != nil {
+			t.Fatal(err)
+		}
+		if used := usedBytes(t, s); used > diskBytes {
+			t.Fatalf("got %d bytes on the disk after %d entries, want at most %d", used, i, diskBytes)
+		}
+		if since += entryBytes; since < snapshotBytes {
+			continue
+		}
+		since = 0
+		if err := s.WriteSnapshot(Snapshot{Index: i, Term: 1, Data: data}); err != nil {
+			t.Fatalf("snapshot at %d: %v", i, err)
+		}
+		if err := s.Compact(i, 1, 1000, 4<<20); err != nil {
+			t.Fatal(err)
+		}
+		if kept := int(s.LastIndex() - s.FirstIndex() + 1); kept > 4<<20/entryBytes {
+			t.Errorf("got %d entries kept after the snapshot at %d, want at most 4 MiB", kept, i)
+		}
+	}
+}
+
+// usedBytes returns the bytes of all files in the folder of a store.
+func usedBytes(t *testing.T, s *Store) (sum int64) {
+	names, err := s.dir.List()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, name := range names {
+		sum += s.fileSize(name)
+	}
+	return sum
+}
