gate/relay: in a planned stop, a young gate takes only streams shorter than it has observed

Cause: the gate had served for 2.7 s. Of the streams of these seconds only short ones had ended, so its bound on the duration of a longer one was too low: under 4.1 s for one that ran over 6.2 s.

Change: what a stream needs (the bound and half as much again) must also lie within the time for which streams were observed; otherwise its duration counts as unknown, and other gates serve it.

Test, before: TestDrainOfYoungGate took the long stream.

--- a/core/policy/duration.go
+++ b/core/policy/duration.go
@@ -15,6 +15,8 @@
 	recent  []float64 // ns for a token
 	next    int       // index in recent that is replaced next
 	running map[*Running]bool
+	// firstBegin is when the first request began; zero before.
+	firstBegin time.Time
 }
 
 // Running is a request that has begun.
@@ -38,6 +40,9 @@
 	if e.running == nil {
 		e.running = map[*Running]bool{}
 	}
+	if e.firstBegin.IsZero() || now.Before(e.firstBegin) {
+		e.firstBegin = now
+	}
 	s := &Running{now, tokens}
 	if tokens > 0 {
 		e.running[s] = true
@@ -80,3 +85,12 @@
 	i := len(sorted) - 1 - int(slowShare*float64(len(sorted)))
 	return time.Duration(sorted[i] * float64(tokens))
 }
+
+// ObservedFor returns the time since the first request began; 0 if there was
+// none. Longer requests were not seen to end.
+func (e *DurationEstimator) ObservedFor(now time.Time) time.Duration {
+	if e.firstBegin.IsZero() {
+		return 0
+	}
+	return now.Sub(e.firstBegin)
+}
--- a/core/policy/duration_test.go
+++ b/core/policy/duration_test.go
@@ -85,3 +85,17 @@
 		t.Errorf("got %v after the stream broke off, want 1 s", got)
 	}
 }
+
+// The time of observation counts from the request that began first, which need
+// not be the one that was counted first.
+func TestObservedFor(t *testing.T) {
+	var e DurationEstimator
+	if got := e.ObservedFor(now); got != 0 {
+		t.Errorf("got %v before the first request, want 0", got)
+	}
+	e.Begin(1, now.Add(-time.Second))
+	e.Begin(1, now.Add(-3*time.Second))
+	if got, want := e.ObservedFor(now), 3*time.Second; got != want {
+		t.Errorf("got %v, want %v", got, want)
+	}
+}
--- a/gate/relay/drain_test.go
+++ b/gate/relay/drain_test.go
@@ -94,6 +94,23 @@
 	}
 }
 
+// TestDrainOfYoungGate guards against a gate that stops soon after its start and
+// takes long streams by what the first short ones took: the end of the stop cuts
+// those that are slower.
+func TestDrainOfYoungGate(t *testing.T) {
+	r := newRig(t, runner.Events(1, 3, 5*time.Millisecond, ""))
+	r.longRoutes(20 * time.Second)
+	for i := range 25 {
+		r.send(http.MethodPost, "/stream/x", fmt.Sprint(i), map[string]string{"Token-Usage": "10,10"})
+	}
+	r.relay.Drain(time.Now().Add(20 * time.Second))
+	for tokens, want := range map[string]int{"10,10": 200, "10,2000": 503} {
+		if got := r.send(http.MethodPost, "/stream/x", "d"+tokens, map[string]string{"Token-Usage": tokens}); got.status != want {
+			t.Errorf("%s: got %d, want %d", tokens, got.status, want)
+		}
+	}
+}
+
 // TestLateRequestInStop guards against requests that a gate takes late in a
 // planned stop and cuts off at its end, among them some that may run once only.
 func TestLateRequestInStop(t *testing.T) {
--- a/gate/relay/duration.go
+++ b/gate/relay/duration.go
@@ -62,22 +62,22 @@
 
 // streamUpperBound returns a time that hardly any request for a stream exceeds;
 // 0 if it is not known. reading is the time that its prompt needs, at all models
-// that may be asked one after the other.
-func (r *Relay) streamUpperBound(tokens ident.Tokens, reading time.Duration, now time.Time) time.Duration {
+// that may be asked one after the other. observed is how long streams have been
+// observed.
+func (r *Relay) streamUpperBound(tokens ident.Tokens, reading time.Duration, now time.Time) (bound, observed time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.streamTimes.upperBound(tokens, reading, now)
+	return r.streamTimes.upperBound(tokens, reading, now), r.streamTimes.rest.ObservedFor(now)
 }
 
-// answerUpperBound returns a time that hardly any request of a route that is no
-// stream exceeds; 0 if it is not known.
-func (r *Relay) answerUpperBound(route ident.Route, now time.Time) time.Duration {
+// answerUpperBound returns the same for a route that is no stream.
+func (r *Relay) answerUpperBound(route ident.Route, now time.Time) (bound, observed time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if e := r.answerTimes[route]; e != nil {
-		return e.UpperBound(1, now)
+		return e.UpperBound(1, now), e.ObservedFor(now)
 	}
-	return 0
+	return 0, 0
 }
 
 // timeAnswer counts a request that is no stream from its acceptance until the
--- a/gate/relay/stop.go
+++ b/gate/relay/stop.go
@@ -41,20 +41,22 @@
 	if stop == nil {
 		return false
 	}
-	end, bound := *stop, time.Duration(0)
+	end := *stop
+	var bound, observed time.Duration
 	if c.route.Type == plan.RouteStream {
-		bound = c.r.streamUpperBound(c.head.MaxOutput, c.readingTime(), now)
+		bound, observed = c.r.streamUpperBound(c.head.MaxOutput, c.readingTime(), now)
 	} else {
 		end = end.Add(-stopAnswerTime)
-		bound = c.r.answerUpperBound(c.route.Name, now)
+		bound, observed = c.r.answerUpperBound(c.route.Name, now)
 	}
+	needed := time.Duration(outlastFactor * float64(bound))
 	switch {
 	case c.route.Type != plan.RouteStream && !c.deadline.After(end):
 		return false
-	case bound == 0:
-		// Right after the start it is not known how long requests take. Only those
-		// that may be sent again are worth the risk.
+	case bound == 0 || needed > observed:
+		// Soon after the start it is not known how long requests take: only short
+		// ones have ended. Those that may be sent again are worth the risk.
 		return c.route.Type != plan.RouteSafe
 	}
-	return now.Add(time.Duration(outlastFactor * float64(bound))).After(end)
+	return now.Add(needed).After(end)
 }
