gate/relay: a stalled stream is ended only if another server is open for it

Cause: the watch asked whether another run is allowed and paid for, not whether a server can take it.

Test, before: TestSilentStream, "no other server", cut after 3 s. After: whole.

--- a/gate/relay/stall.go
+++ b/gate/relay/stall.go
@@ -2,13 +2,16 @@
 
 import (
 	"errors"
+	"slices"
 	"sync/atomic"
 	"time"
+
+	"citronledge.example/gate/fleet"
 )
 
 var errStalled = errors.New("the stream stalled")
 
-// stallWatch ends an attempt whose stream stalls, if another one may go on with
+// stallWatch ends an attempt whose stream stalls, if another server may go on with
 // it and the retry budget pays for that. Otherwise the silence is borne: a server
 // may pause a sound stream, and its caller would get nothing instead.
 type stallWatch struct {
@@ -24,8 +27,11 @@
 		return w
 	}
 	w.limit = x.r.stallTimeout(x.route, x.model, x.assignment.Load)
+	others := fleet.Criteria{Service: x.service, Exclude: append(slices.Clone(x.excluded), x.assignment.ID)}
 	w.timer = time.AfterFunc(w.limit, func() {
-		if w.stalled.Load() || !x.r.spendRetry(x.service, time.Now()) {
+		now := time.Now()
+		wait, ok := x.r.fleet.UntilOpen(others, now)
+		if w.stalled.Load() || !ok || wait > 0 || !x.r.spendRetry(x.service, now) {
 			return
 		}
 		w.stalled.Store(true)
--- a/gate/relay/stall_test.go
+++ b/gate/relay/stall_test.go
@@ -109,6 +109,7 @@
 	for name, prepare := range map[string]func(r *rig){
 		"cannot be resumed": func(r *rig) { r.onceStreams() },
 		"no retry budget":   func(r *rig) { r.withoutRetryBudget() },
+		"no other server":   func(r *rig) { r.fleet.Update(r.list[:1]) },
 		"last run": func(r *rig) {
 			var runs atomic.Int32
 			for _, b := range r.runners {
