gate/relay: a silent server is given up before its answer only if another one is open

Change: the timeouts of the head and of stalled streams share payForOtherServer.

Test, before: TestSlowAnswer, "no other server": 502 after 0.9 s. After: the whole answer. Its other case is TestSlowAnswerWithoutBudget of before, with the same checks.

--- a/gate/relay/attempt.go
+++ b/gate/relay/attempt.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -130,16 +131,25 @@
 	return limit
 }
 
-// afterHeadTimeout calls abandon after the head timeout, if the retry budget pays
-// for another attempt; without one, a late answer is better than none. It returns
-// a function that stops the timer.
+// payForOtherServer reports whether another server is open for the request and
+// the retry budget pays for its attempt. Without one, a late answer is better
+// than none.
+func (x *attempt) payForOtherServer() bool {
+	now := time.Now()
+	others := fleet.Criteria{Service: x.service, Exclude: append(slices.Clone(x.excluded), x.assignment.ID)}
+	wait, ok := x.r.fleet.UntilOpen(others, now)
+	return ok && wait <= 0 && x.r.spendRetry(x.service, now)
+}
+
+// afterHeadTimeout calls abandon after the head timeout, if another server may
+// take the request. It returns a function that stops the timer.
 func (x *attempt) afterHeadTimeout(abandon func()) (stop func() bool) {
 	limit := x.headTimeout()
 	if limit == 0 {
 		return func() bool { return false }
 	}
 	return time.AfterFunc(limit, func() {
-		if x.r.spendRetry(x.service, time.Now()) {
+		if x.payForOtherServer() {
 			abandon()
 		}
 	}).Stop
--- a/gate/relay/relay_test.go
+++ b/gate/relay/relay_test.go
@@ -318,19 +318,29 @@
 	}
 }
 
-// A slow answer is waited for if no other server may be asked: without it, the
-// work of the server is lost and the caller gets a failure.
-func TestSlowAnswerWithoutBudget(t *testing.T) {
+// TestSlowAnswer guards against an answer that is given up for its lateness though
+// no other server can be asked: the work of the server is lost and the caller
+// gets a failure.
+func TestSlowAnswer(t *testing.T) {
 	const latency = 900 * time.Millisecond // longer than a stream's head usually takes
-	r := newRig(t, func(c net.Conn, q *runner.Request) bool {
+	slow := func(c net.Conn, q *runner.Request) bool {
 		<-time.After(latency)
 		return runner.Events(1, 2, 0, "")(c, q)
-	})
-	r.withoutRetryBudget()
-	if got := r.send(http.MethodPost, "/stream/x", "1", nil); got.status != 200 || got.body != events(1, 2) {
-		t.Errorf("got status %d with %q, want the whole answer", got.status, got.body)
 	}
-	if got := r.runs(); got != 1 {
-		t.Errorf("got %d runs, want 1", got)
+	for name, prepare := range map[string]func(r *rig){
+		"no retry budget": func(r *rig) { r.withoutRetryBudget() },
+		"no other server": func(r *rig) { r.fleet.Update(r.list[:1]) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			r := newRig(t, slow, slow)
+			prepare(r)
+			if got := r.send(http.MethodPost, "/stream/x", "1", nil); got.status != 200 || got.body != events(1, 2) {
+				t.Errorf("got status %d with %q, want the whole answer", got.status, got.body)
+			}
+			if got := r.runs(); got != 1 {
+				t.Errorf("got %d runs, want 1", got)
+			}
+		})
 	}
 }
--- a/gate/relay/stall.go
+++ b/gate/relay/stall.go
@@ -2,11 +2,8 @@
 
 import (
 	"errors"
-	"slices"
 	"sync/atomic"
 	"time"
-
-	"citronledge.example/gate/fleet"
 )
 
 var errStalled = errors.New("the stream stalled")
@@ -27,11 +24,8 @@
 		return w
 	}
 	w.limit = x.r.stallTimeout(x.route, x.model, x.assignment.Load)
-	others := fleet.Criteria{Service: x.service, Exclude: append(slices.Clone(x.excluded), x.assignment.ID)}
 	w.timer = time.AfterFunc(w.limit, func() {
-		now := time.Now()
-		wait, ok := x.r.fleet.UntilOpen(others, now)
-		if w.stalled.Load() || !ok || wait > 0 || !x.r.spendRetry(x.service, now) {
+		if w.stalled.Load() || !x.payForOtherServer() {
 			return
 		}
 		w.stalled.Store(true)
