gate/relay: in a planned stop, a known lack of time refuses requests of young gates too

Cause: the check whether enough was observed came before the check whether the time that is left is enough, so a young gate took repeatable requests that all it had seen said would not end in time.

Test, before: TestSlowRequestsOfYoungGate, 504 in 3 of 3 runs, 503 wanted. After: 3 of 3.

--- a/gate/relay/drain_test.go
+++ b/gate/relay/drain_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 
@@ -155,6 +156,25 @@
 	}
 }
 
+// A young gate does not know how long requests take at most, but those that it
+// has seen may be enough to know that there is no time left for another.
+func TestSlowRequestsOfYoungGate(t *testing.T) {
+	const wait = 300 * time.Millisecond
+	r := newRig(t, func(c net.Conn, q *runner.Request) bool {
+		time.Sleep(wait)
+		return runner.OK("ok")(c, q)
+	})
+	var wg sync.WaitGroup
+	for i := range 25 {
+		wg.Go(func() { r.send(http.MethodGet, "/safe/x", fmt.Sprint(i), nil) })
+	}
+	wg.Wait()
+	r.relay.Drain(time.Now().Add(wait))
+	if got := r.send(http.MethodGet, "/safe/x", "late", nil).status; got != 503 {
+		t.Errorf("got %d for a request that needs as long as is left, want 503", got)
+	}
+}
+
 // TestAnswerAtEndOfStop guards against connections that are cut without an
 // answer at the end of a planned stop, while their requests wait for a server.
 func TestAnswerAtEndOfStop(t *testing.T) {
--- a/gate/relay/stop.go
+++ b/gate/relay/stop.go
@@ -53,10 +53,12 @@
 	switch {
 	case c.route.Type != plan.RouteStream && !c.deadline.After(end):
 		return false
+	case now.Add(needed).After(end):
+		return true
 	case bound == 0 || needed > observed:
 		// Soon after the start it is not known how long requests take: only short
 		// ones have ended. Those that may be sent again are worth the risk.
 		return c.route.Type != plan.RouteSafe
 	}
-	return now.Add(needed).After(end)
+	return false
 }
