--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -3,8 +3,6 @@
 import (
 	"fmt"
 	"os"
-	"os/exec"
-	"path/filepath"
 	"strings"
 	"testing"
 	"time"
@@ -22,13 +20,7 @@
 // Short runs of the real programs under faults check the promises that the
 // package comment names. A seed determines the events, not their exact timing.
 func TestSeeds(t *testing.T) {
-	bin := t.TempDir()
-	for _, program := range []string{"gate", "state"} {
-		cmd := exec.Command("go", "build", "-o", filepath.Join(bin, program), fmt.Sprintf("citronledge.example/%s/cmd/%s", program, program))
-		if out, err := cmd.CombinedOutput(); err != nil {
-			t.Fatalf("go build %s: %v\n%s", program, err, out)
-		}
-	}
+	bin := buildPrograms(t)
 	for seed, cause := range seeds {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
