gate/relay: recognise requests that crash servers by the end of their processes

Callers saw: servers went on crashing for as long as deadly requests came, and sound requests failed at their first attempt beside them. Cause: only a closed connection counted as a crash, parts of prompts were blamed only once a head had come, and a retry that was sent right after a crash fell into the window in which crashes count once. Real processes reset their connections if bytes are unread, and may end before the head. Change: the end of a connection without an answer is a crash if no process listens at the server any more, which a connection without a request shows; parts are blamed for such crashes with less weight; a crash counts apart from another one if its request was sent after that. Gates tell each other when a crash was. Tests of the quarantine name the fields of a crash, and those of a loss of power say how long the requests had run.

--- a/core/policy/quarantine.go
+++ b/core/policy/quarantine.go
@@ -14,8 +14,14 @@
 	// the one that is to blame.
 	minCrashes          = 3
 	minCrashingRequests = 2
+	// minUnansweredCrashes and minUnansweredRequests are the same for a part if
+	// servers ended before they began to answer: the requests that waited there
+	// beside the one that is to blame look the same.
+	minUnansweredCrashes  = 4
+	minUnansweredRequests = 3
 	// crashBurst is the time within which crashes count as one: a loss of power
-	// ends many servers at once, whatever they were doing.
+	// ends many servers at once, whatever they were doing. A request that was sent
+	// after the other crash was not part of it.
 	crashBurst = 200 * time.Millisecond
 	// sameCrash is the time within which the reports of a server are about one
 	// crash. A server takes longer to start again.
@@ -44,9 +50,13 @@
 	// Request is a hash of the content of the request, which its repeats share; 0
 	// if it is not known.
 	Request uint64
-	// Parts are those that may have caused it. Without an answer they are not to
-	// blame: the request may have waited beside the one that is.
+	// Parts are those that may have caused it.
 	Parts []ident.PromptPart
+	// Unanswered is set if the server ended before it began to answer. The request
+	// may then have waited beside the one that is to blame.
+	Unanswered bool
+	At         time.Time     // of the crash; RecordCrash takes the zero time as now
+	Ran        time.Duration // from sending the request to the crash
 }
 
 // Suspects returns what may be quarantined of a request: the parts of its prompt
@@ -73,8 +83,8 @@
 
 // Quarantine finds the requests and the parts of prompts that crash each server
 // that begins to answer them, and blocks them. A request is blamed for each crash
-// of a server that had it, and blocked by itself. A part is blamed for a crash if a server broke off
-// the answer to a prompt with it before the first event. It is cleared by each
+// of a server that had it, and blocked by itself. A part is blamed for each crash of a server that
+// had a prompt with it and had not sent the first event; crashes before the head of the answer weigh less. It is cleared by each
 // answer that begins at any gate. Parts that were only seen together are blocked
 // together, so that prompts with some of them show which one is to blame. It
 // answers the load of requests that share a deadly part, come at many gates, and
@@ -118,8 +128,9 @@
 }
 
 type crashMark struct {
-	server uint32
-	at     time.Time
+	server     uint32
+	at         time.Time
+	unanswered bool
 }
 
 // soundPart says when an answer to a prompt with the part last began, and when
@@ -151,6 +162,9 @@
 // RecordCrash records a crash that this gate has seen, and returns the blocks
 // that follow. Parts known to be sound are not blamed while there are others.
 func (q *Quarantine) RecordCrash(c Crash, now time.Time) []Block {
+	if c.At.IsZero() {
+		c.At = now
+	}
 	isSound := func(part ident.PromptPart) bool { return q.isSound(part, now) }
 	if others := slices.DeleteFunc(slices.Clone(c.Parts), isSound); len(others) > 0 {
 		c.Parts = others
@@ -184,7 +198,11 @@
 func (q *Quarantine) blame(c Crash, now time.Time) (blocks []Block) {
 	var proven []ident.PromptPart
 	for _, part := range c.Parts {
-		if s := q.suspect(part); s != nil && s.add(c, now) && len(s.requests) >= minCrashingRequests {
+		s := q.suspect(part)
+		if s == nil {
+			continue
+		}
+		if s.add(c); s.isPartProven() {
 			proven = append(proven, part)
 		}
 	}
@@ -195,7 +213,10 @@
 		return blocks
 	}
 	s := q.suspect(ident.PromptPart(c.Request))
-	if s != nil && s.add(c, now) && q.findBlock(Suspects(c.Parts, c.Request), now) == nil {
+	if s == nil {
+		return blocks
+	}
+	if s.add(c); len(s.crashes) >= minCrashes && q.findBlock(Suspects(c.Parts, c.Request), now) == nil {
 		blocks = append(blocks, q.block([]ident.PromptPart{ident.PromptPart(c.Request)}, now))
 	}
 	return blocks
@@ -211,18 +232,38 @@
 	return s
 }
 
-// add adds a crash and reports whether there are enough.
-func (s *suspect) add(c Crash, now time.Time) (enough bool) {
-	if !slices.Contains(s.requests, c.Request) && len(s.requests) < minCrashingRequests {
+// add adds a crash, unless it is one of those before.
+func (s *suspect) add(c Crash) {
+	if !slices.Contains(s.requests, c.Request) && len(s.requests) < minUnansweredRequests {
 		s.requests = append(s.requests, c.Request)
 	}
+	for i := range s.crashes {
+		if m := &s.crashes[i]; m.isSame(c) {
+			m.unanswered = m.unanswered && c.Unanswered
+			return
+		}
+	}
+	s.crashes = append(s.crashes, crashMark{c.Server, c.At, c.Unanswered})
+}
+
+// isSame reports whether a crash is the one of the mark, or has the same cause
+// outside the servers.
+func (m *crashMark) isSame(c Crash) bool {
+	since := c.At.Sub(m.at).Abs()
+	return m.server == c.Server && since < sameCrash || since < crashBurst && c.Ran >= since
+}
+
+// isPartProven reports whether there are enough crashes to blame a part of
+// prompts.
+func (s *suspect) isPartProven() bool {
+	begun := 0
 	for _, m := range s.crashes {
-		if since := now.Sub(m.at); since < crashBurst || m.server == c.Server && since < sameCrash {
-			return len(s.crashes) >= minCrashes
+		if !m.unanswered {
+			begun++
 		}
 	}
-	s.crashes = append(s.crashes, crashMark{c.Server, now})
-	return len(s.crashes) >= minCrashes
+	return begun >= minCrashes && len(s.requests) >= minCrashingRequests ||
+		len(s.crashes) >= minUnansweredCrashes && len(s.requests) >= minUnansweredRequests
 }
 
 // block blocks prompts with all the given suspects. When the block ends, one more
@@ -237,7 +278,7 @@
 	for _, part := range parts {
 		s := q.suspects[part]
 		s.blocks, s.blockedEnd = b.times, b.until
-		s.crashes = slices.Clone(s.crashes[len(s.crashes)-minCrashes+1:])
+		s.crashes = slices.Clone(s.crashes[1:])
 	}
 	return b.export(now)
 }
--- a/core/policy/quarantine_test.go
+++ b/core/policy/quarantine_test.go
@@ -24,13 +24,22 @@
 // requests hold; a sound part that shared their fate must not.
 func TestQuarantineBlame(t *testing.T) {
 	type step struct {
-		after   time.Duration
-		server  uint32 // that crashes; 0 for a sound answer
-		request uint64
-		parts   []ident.PromptPart
-	}
+		after      time.Duration
+		server     uint32 // that crashes; 0 for a sound answer
+		request    uint64
+		parts      []ident.PromptPart
+		unanswered bool          // the answer had not begun
+		ran        time.Duration // before the crash
+	}
+	const runTime = 100 * time.Millisecond
 	crash := func(after time.Duration, server uint32, request uint64, parts ...ident.PromptPart) step {
-		return step{after, server, requestHash + request, parts}
+		return step{after, server, requestHash + request, parts, false, runTime}
+	}
+	silent := func(after time.Duration, server uint32, request uint64, parts ...ident.PromptPart) step {
+		return step{after, server, requestHash + request, parts, true, runTime}
+	}
+	atOnce := func(after time.Duration, server uint32, request uint64, parts ...ident.PromptPart) step {
+		return step{after, server, requestHash + request, parts, false, after / 2}
 	}
 	sound := func(after time.Duration, parts ...ident.PromptPart) step {
 		return step{after: after, parts: parts}
@@ -70,6 +79,18 @@
 		"one crash reported by many gates": {[]step{
 			crash(0, 1, 1, base), crash(pause, 1, 2, base), crash(pause, 1, 3, base), crash(pause, 1, 4, base),
 		}, nil},
+		"without answers": {[]step{
+			sound(0, base), silent(pause, 1, 1, base, deadly), silent(pause, 2, 1, base, deadly), silent(pause, 3, 2, base, deadly), silent(pause, 4, 3, base, deadly),
+		}, [][]ident.PromptPart{{deadly}}},
+		"without answers, fewer": {[]step{
+			sound(0, base), silent(pause, 1, 1, base, deadly), silent(pause, 2, 2, base, deadly), silent(pause, 3, 3, base, deadly),
+		}, nil},
+		"waiting beside others": {[]step{
+			silent(0, 1, 1, base, rare), sound(0, base, rare), silent(pause, 2, 2, base, rare), silent(pause, 3, 3, base, rare), sound(0, rare), silent(pause, 4, 4, base, rare), silent(pause, 5, 5, base, rare),
+		}, [][]ident.PromptPart{{base}}},
+		"each sent after the crash before": {[]step{
+			sound(0, base), crash(pause, 1, 1, base, deadly), atOnce(time.Millisecond, 2, 1, base, deadly), atOnce(time.Millisecond, 3, 2, base, deadly),
+		}, [][]ident.PromptPart{{deadly}}},
 		"an answer under way ends a quarantine": {[]step{
 			crash(0, 1, 1, rare), crash(pause, 2, 2, rare), crash(pause, 3, 3, rare), sound(0, rare),
 		}, nil},
@@ -81,7 +102,7 @@
 				if s.server == 0 {
 					q.RecordSound(s.parts, s.request, now)
 				} else {
-					q.RecordCrash(Crash{s.server, s.request, s.parts}, now)
+					q.RecordCrash(Crash{Server: s.server, Request: s.request, Parts: s.parts, Unanswered: s.unanswered, Ran: s.ran}, now)
 				}
 			}
 			for _, prompt := range [][]ident.PromptPart{{base}, {deadly}, {rare}, {base, deadly}, {base, rare}, {deadly, rare}, {base, deadly, rare}} {
@@ -123,7 +144,7 @@
 			q, peer, now := NewQuarantine(), NewQuarantine(), time.Unix(1_000_000, 0)
 			for _, x := range c.crashes {
 				now = now.Add(pause)
-				q.RecordCrash(Crash{x.server, x.request, x.parts}, now)
+				q.RecordCrash(Crash{Server: x.server, Request: x.request, Parts: x.parts, Unanswered: x.parts == nil}, now)
 			}
 			if c.answered {
 				q.RecordSound(nil, deadlyRequest, now)
@@ -152,7 +173,7 @@
 			t.Fatalf("the part is not blocked after %d crashes", crashes)
 		}
 		now = now.Add(time.Second)
-		q.RecordCrash(Crash{server, uint64(server), []ident.PromptPart{part}}, now)
+		q.RecordCrash(Crash{Server: server, Request: uint64(server), Parts: []ident.PromptPart{part}}, now)
 	}
 }
 
@@ -207,7 +228,7 @@
 func TestQuarantineIsBounded(t *testing.T) {
 	q, now := NewQuarantine(), time.Unix(1_000_000, 0)
 	for i := range ident.PromptPart(3 * maxParts) {
-		q.RecordCrash(Crash{1, 1, []ident.PromptPart{2 * i}}, now)
+		q.RecordCrash(Crash{Server: 1, Request: 1, Parts: []ident.PromptPart{2 * i}}, now)
 		q.RecordSound([]ident.PromptPart{2*i + 1}, 0, now)
 	}
 	news := q.TakeNews(now)
--- a/gate/conn/conn.go
+++ b/gate/conn/conn.go
@@ -75,7 +75,11 @@
 
 // UnansweredError reports that the request was sent, at least in part, and its
 // answer did not arrive: it may have run.
-type UnansweredError struct{ Cause error }
+type UnansweredError struct {
+	Cause error
+	// Reused reports whether the connection had carried a request before.
+	Reused bool
+}
 
 // Error implements error.
 func (e UnansweredError) Error() string { return "sent without an answer: " + e.Cause.Error() }
@@ -83,6 +87,16 @@
 // Unwrap returns the cause.
 func (e UnansweredError) Unwrap() error { return e.Cause }
 
+// Closed reports whether the server closed the connection.
+func (e UnansweredError) Closed() bool {
+	return errors.Is(e.Cause, io.EOF) || errors.Is(e.Cause, io.ErrUnexpectedEOF)
+}
+
+// Reset reports whether the server reset the connection.
+func (e UnansweredError) Reset() bool {
+	return errors.Is(e.Cause, syscall.ECONNRESET) || errors.Is(e.Cause, syscall.EPIPE)
+}
+
 var errForeign = errors.New("the connection carries answers to other requests")
 
 // Pool keeps idle connections to one backend server.
@@ -93,6 +107,10 @@
 	mu     sync.Mutex
 	idle   []*pooledConn
 	closed bool
+
+	probeMu  sync.Mutex // held during a probe
+	probedAt time.Time
+	probed   ProbeResult
 }
 
 // pooledConn is a connection that the pool may reuse.
@@ -268,7 +286,7 @@
 			if n == 0 && !a.Reused {
 				return NotSentError{err}
 			}
-			return UnansweredError{err}
+			return UnansweredError{err, a.Reused}
 		}
 	} else {
 		a.writeDone = make(chan error, 1)
@@ -281,7 +299,7 @@
 	for skipped := range maxForeignAnswers + 1 {
 		resp, err := a.conn.readHead(q.Method)
 		if err != nil {
-			return UnansweredError{err}
+			return UnansweredError{err, a.Reused}
 		}
 		if q.Matches == nil || q.Matches(resp.StatusCode, resp.Header, !a.Reused && skipped == 0) {
 			a.resp, a.Status, a.Header, a.Length = resp, resp.StatusCode, resp.Header, resp.ContentLength
@@ -289,10 +307,10 @@
 		}
 		a.notReusable = true
 		if err := a.conn.skipBody(resp); err != nil {
-			return UnansweredError{err}
+			return UnansweredError{err, a.Reused}
 		}
 	}
-	return UnansweredError{errForeign}
+	return UnansweredError{errForeign, a.Reused}
 }
 
 // Read reads the body; io.EOF means that it is complete.
--- a/gate/relay/attempt.go
+++ b/gate/relay/attempt.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"slices"
 	"sync/atomic"
@@ -80,7 +79,7 @@
 	longestPause  time.Duration
 	speedRecorded bool // counted for the rollout of its version
 	brokenOff     bool // the server ended its connection in the middle of the answer
-	cutOff        bool // the server ended its connection before the answer
+	cutOff        bool // the server's process ended before the answer
 	// quarantinedOff is set when the gate ends the attempt because of its prompt.
 	quarantinedOff atomic.Bool
 	detail         string
@@ -281,8 +280,7 @@
 	case errors.As(err, &notSent):
 		return retry{reason: "no connection"}, fleet.Unreached
 	}
-	// A reset is no sign of a crash: a server with too many connections resets
-	// new ones.
-	x.cutOff = ctx.Err() == nil && (errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF))
+	var unanswered conn.UnansweredError
+	x.cutOff = ctx.Err() == nil && errors.As(err, &unanswered) && x.hasCrashed(ctx, unanswered)
 	return retry{reason: "no answer", mayHaveRun: true}, fleet.Broke
 }
--- a/gate/relay/call.go
+++ b/gate/relay/call.go
@@ -58,7 +58,7 @@
 	// State of the attempts so far.
 	partHashes   []ident.PromptPart
 	content      uint64          // hash of the content; 0 until it is needed
-	crashes      int             // servers that broke off their answers as they began
+	crashes      int             // servers whose processes ended as they had the request
 	runs         int             // attempts that a backend server may have run
 	attempts     int             // attempts of any outcome
 	excluded     []ident.Backend // servers of failed attempts
--- a/gate/relay/crash.go
+++ b/gate/relay/crash.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"slices"
@@ -13,6 +14,7 @@
 	"citronledge.example/core/ident"
 	"citronledge.example/core/plan"
 	"citronledge.example/core/policy"
+	"citronledge.example/gate/conn"
 	"citronledge.example/gate/fleet"
 )
 
@@ -78,27 +80,86 @@
 	return block, blocked
 }
 
-// recordCrash records a server that ended the connection without an answer, or
-// as its answer began, as one does that the request crashes.
+// minRunTime is the time from which the end of a connection without an answer
+// shows that the request had begun to run. A server that has too many connections
+// or closes an idle one ends it as soon as the request arrives.
+const minRunTime = 20 * time.Millisecond
+
+// confirmPauses are the pauses before a server is probed again that has ended a
+// connection and then another one: the process may just be ending, or have too
+// many connections.
+var confirmPauses = []time.Duration{30 * time.Millisecond, 120 * time.Millisecond}
+
+// hasCrashed reports whether the server's process ended while it had the request.
+// If that does not show yet, the crash is recorded once it does.
+func (x *attempt) hasCrashed(ctx context.Context, end conn.UnansweredError) bool {
+	if !end.Closed() && !end.Reset() {
+		return false
+	}
+	ran := time.Since(x.attemptStart)
+	probe := x.assignment.Conns().Probe(ctx)
+	klog.InfoS("Backend server ended a connection without an answer", "id", x.head.AttemptID, "backend", x.assignment.ID, "ran", ran, "reused", end.Reused, "probe", probe, "err", end.Cause)
+	switch {
+	case probe == conn.Refused:
+		x.crashes++
+		return true
+	case probe != conn.Ended && (ran >= minRunTime || !end.Reused):
+		return true // another process may listen for the one that has ended
+	}
+	x.r.confirmCrash(x.crash(true, time.Now()), x.assignment, confirmPauses)
+	return false
+}
+
+// confirmCrash records a crash if no process listens at the server after one of
+// the pauses.
+func (r *Relay) confirmCrash(c policy.Crash, server *fleet.Assignment, pauses []time.Duration) {
+	if len(pauses) == 0 {
+		return
+	}
+	time.AfterFunc(pauses[0], func() {
+		if server.Conns().Probe(context.Background()) != conn.Refused {
+			r.confirmCrash(c, server, pauses[1:])
+			return
+		}
+		r.blame(c, server.ID)
+	})
+}
+
+// crash describes a crash of the server that has the request.
+func (x *attempt) crash(unanswered bool, now time.Time) policy.Crash {
+	return policy.Crash{
+		Server: fleet.HashBackend(x.assignment.ID), Request: x.contentHash(), Parts: x.promptParts(),
+		Unanswered: unanswered, At: now, Ran: now.Sub(x.attemptStart),
+	}
+}
+
+// recordCrash records a server whose process ended without an answer, or as its
+// answer began, as one does that the request crashes.
 func (x *attempt) recordCrash() {
 	if !x.cutOff && !x.brokenOff || x.quarantinedOff.Load() || x.eventsSent > 0 {
 		return
 	}
-	c := policy.Crash{Server: fleet.HashBackend(x.assignment.ID), Request: x.contentHash()}
+	c := x.crash(x.cutOff, time.Now())
 	if x.brokenOff {
-		if c.Parts = x.promptParts(); len(c.Parts) == 0 && x.route.Type != plan.RouteStream {
+		if len(c.Parts) == 0 && x.route.Type != plan.RouteStream {
 			return // a short answer alone is no sign of a crash
 		}
 		x.crashes++
 	}
+	klog.InfoS("Backend server ended as it had the request", "id", x.head.AttemptID, "try", x.attempts, "backend", x.assignment.ID, "head", x.headLatency, "events", x.eventsSent, "parts", partIDs(x.call))
+	x.r.blame(c, x.assignment.ID)
+}
+
+// blame records a crash and ends the attempts that must not crash further servers.
+func (r *Relay) blame(c policy.Crash, server ident.Backend) {
 	now := time.Now()
-	x.r.mu.Lock()
-	blocks := x.r.quarantine.RecordCrash(c, now)
+	r.mu.Lock()
+	blocks := r.quarantine.RecordCrash(c, now)
 	if len(blocks) > 0 {
-		x.r.abandonQuarantined(now)
+		r.abandonQuarantined(now)
 	}
-	x.r.mu.Unlock()
-	klog.InfoS("Answer broke off as it began", "id", x.head.AttemptID, "try", x.attempts, "backend", x.assignment.ID, "head", x.headLatency, "events", x.eventsSent, "content", fmt.Sprintf("%016x", c.Request), "parts", partIDs(x.call), "hashes", hashList(c.Parts))
+	r.mu.Unlock()
+	klog.InfoS("Crash of a backend server recorded", "backend", server, "unanswered", c.Unanswered, "ran", c.Ran, "content", fmt.Sprintf("%016x", c.Request), "hashes", hashList(c.Parts))
 	for _, b := range blocks {
 		logBlock(b, "this gate")
 	}
--- a/gate/relay/crash_test.go
+++ b/gate/relay/crash_test.go
@@ -78,6 +78,47 @@
 	}
 }
 
+// A part of a prompt must be found that ends the connections of servers before
+// they begin to answer, whether these are closed or reset, at once or later.
+func TestPromptPartEndsConnections(t *testing.T) {
+	const (
+		requests = 20
+		maxRuns  = 8 // three after the fifth crash
+	)
+	for name, x := range map[string]struct {
+		reset bool
+		after time.Duration
+	}{
+		"closed": {false, 250 * time.Millisecond}, "reset": {true, 250 * time.Millisecond},
+		"closed at once": {false, 0}, "reset at once": {true, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			reply := func(c net.Conn, r *runner.Request) bool {
+				if !strings.Contains(r.Header.Get("Prefix-Hash"), "dead:") {
+					return runner.Events(1, 3, 0, "")(c, r)
+				}
+				<-time.After(x.after)
+				if x.reset {
+					_ = c.(*net.TCPConn).SetLinger(0)
+				}
+				return false
+			}
+			r := newRig(t, reply, reply, reply, reply, reply, reply)
+			for i := range requests {
+				r.sendBody(http.MethodPost, "/stream/x", fmt.Sprint("sound", i), fmt.Sprint("sound", i), map[string]string{"Prefix-Hash": fmt.Sprintf(soundPrompt, i)})
+				r.sendBody(http.MethodPost, "/stream/x", fmt.Sprint("deadly", i), fmt.Sprint("deadly", i), map[string]string{"Prefix-Hash": fmt.Sprintf(deadlyPrompt, i)})
+			}
+			if got := r.deadlyRuns(); got > maxRuns {
+				t.Errorf("%d requests with the deadly part reached servers, want at most %d", got, maxRuns)
+			}
+			if got := r.runs() - r.deadlyRuns(); got != requests {
+				t.Errorf("the %d sound requests reached servers %d times, want once each", requests, got)
+			}
+		})
+	}
+}
+
 // A request that waits at a server when its prompt is found to crash servers must
 // not be left to crash this one too.
 func TestWaitingPromptLeavesServer(t *testing.T) {
--- a/gate/share/news.go
+++ b/gate/share/news.go
@@ -72,8 +72,8 @@
 
 // receiveNews stores the events of another gate, and keeps those that a relay
 // passes on.
-func (n *Node) receiveNews(l *wire.Loads) {
-	w := getNews(l)
+func (n *Node) receiveNews(l *wire.Loads, now time.Time) {
+	w := getNews(l, now)
 	if n.cfg.Sessions != nil && len(w.sessions) > 0 {
 		n.cfg.Sessions.MergeSessions(w.sessions)
 	}
@@ -91,18 +91,24 @@
 }
 
 // putNews writes events to a message.
-func putNews(l *wire.Loads, w news) {
+func putNews(l *wire.Loads, w news, now time.Time) {
 	l.Sessions = putSessions(w.sessions)
 	for _, c := range w.crashes {
-		l.Crashes = append(l.Crashes, &wire.Crash{Server: c.Server, Request: c.Request, Parts: putParts(c.Parts)})
+		l.Crashes = append(l.Crashes, &wire.Crash{
+			Server: c.Server, Request: c.Request, Parts: putParts(c.Parts), Unanswered: c.Unanswered,
+			Age: uint32(max(0, now.Sub(c.At)) / time.Microsecond), Ran: uint32(max(0, c.Ran) / time.Microsecond),
+		})
 	}
 	l.Sound = putParts(w.sound)
 }
 
-func getNews(l *wire.Loads) news {
+func getNews(l *wire.Loads, now time.Time) news {
 	w := news{sessions: getSessions(l.GetSessions()), sound: getParts(l.GetSound())}
 	for _, c := range l.GetCrashes() {
-		w.crashes = append(w.crashes, policy.Crash{Server: c.GetServer(), Request: c.GetRequest(), Parts: getParts(c.GetParts())})
+		w.crashes = append(w.crashes, policy.Crash{
+			Server: c.GetServer(), Request: c.GetRequest(), Parts: getParts(c.GetParts()), Unanswered: c.GetUnanswered(),
+			At: now.Add(-time.Duration(c.GetAge()) * time.Microsecond), Ran: time.Duration(c.GetRan()) * time.Microsecond,
+		})
 	}
 	return w
 }
--- a/gate/share/news_test.go
+++ b/gate/share/news_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"google.golang.org/protobuf/proto"
 
@@ -20,13 +21,13 @@
 		for i := range perGate {
 			part := ident.PromptPart(uint64(g*perGate+i) << 40)
 			w.sound = append(w.sound, part)
-			w.crashes = append(w.crashes, policy.Crash{Server: uint32(part), Request: uint64(part), Parts: []ident.PromptPart{part, part + 1, part + 2}})
+			w.crashes = append(w.crashes, policy.Crash{Server: uint32(part), Request: uint64(part), Parts: []ident.PromptPart{part, part + 1, part + 2}, Unanswered: true, Ran: time.Second})
 		}
 		all.add(w)
 		all.add(w) // each gate sends its news twice
 	}
 	l := &wire.Loads{}
-	putNews(l, all)
+	putNews(l, all, time.Now())
 	if got := proto.Size(l); got > maxDatagramBytes/2 {
 		t.Errorf("got %d bytes, want at most %d, half of a datagram", got, maxDatagramBytes/2)
 	}
--- a/gate/share/node.go
+++ b/gate/share/node.go
@@ -270,7 +270,7 @@
 	}
 	l := n.newLoads(wire.Loads_OWN, now, MaxSendInterval)
 	putLoads(l, loads)
-	putNews(l, unsent)
+	putNews(l, unsent, now)
 	return []Packet{n.send(l, now, n.relays())}, groupInterval
 }
 
@@ -314,7 +314,7 @@
 	groupSum, all := n.sums(now)
 	l := n.newLoads(wire.Loads_GROUP, now, heartbeat)
 	putLoads(l, groupSum.without(nil, now))
-	putNews(l, n.forGroups)
+	putNews(l, n.forGroups, now)
 	packets = append(packets, n.send(l, now, n.otherRelays(now)))
 	if n.topo.direct() {
 		n.forGroups, n.forMembers = news{}, news{}
@@ -331,7 +331,7 @@
 		}
 		rest := n.newLoads(wire.Loads_REST, now, heartbeat)
 		putLoads(rest, all.without(n.sources[m.Addr.String()], now))
-		putNews(rest, forMembers)
+		putNews(rest, forMembers, now)
 		rest.Losses = losses
 		packets = append(packets, n.send(rest, now, []netip.AddrPort{m.Addr}))
 	}
--- a/gate/share/receive.go
+++ b/gate/share/receive.go
@@ -45,7 +45,7 @@
 		n.heard[from] = c
 		n.receiveReport(from, p, l, loads, now)
 	}
-	n.receiveNews(l)
+	n.receiveNews(l, now)
 	n.cfg.Loads.MergeLimits(getLimits(l.GetLimits()))
 	return n.noteReading(from, l.GetList(), now)
 }
--- a/soak/crash_test.go
+++ b/soak/crash_test.go
@@ -150,7 +150,17 @@
 }
 
 func newCrashSite(t *testing.T, bin, how string) *crashSite {
-	dir := t.TempDir()
+	dir, err := os.MkdirTemp("", "crash-")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		if t.Failed() {
+			t.Log("logs in", dir)
+		} else if err := os.RemoveAll(dir); err != nil {
+			t.Error(err)
+		}
+	})
 	s, err := newSite(bin, dir, newRecorder())
 	if err != nil {
 		t.Fatal(err)
@@ -309,6 +319,7 @@
 			late++
 		}
 	}
+	t.Logf("%d deadly requests have reached runners, %d late; %d of %d sound ones were served at their first attempt", len(deadly), late, begun, all)
 	if late > runsAfterContact {
 		t.Errorf("%d deadly requests have reached runners, %d of them later than %v after crash %d; want at most %d", len(deadly), late, contactTime, crashes, runsAfterContact)
 	}
