gate/route, side: block requests that crash the servers behind side processes

A request that crashes each backend server that runs it was tried at the next one, as often as its caller repeated it. Change: the side process reports an end of the backend server's connection before the first part of an answer, and the gate blocks the request by its content after three of them, until an answer shows that it is sound or a minute has passed. Open: gates do not tell each other in this mode.

--- a/gate/pool/do.go
+++ b/gate/pool/do.go
@@ -48,6 +48,9 @@
 	Usage *wire.Usage
 	// Complete is set if the reply ended without a fault.
 	Complete bool
+	// Broke is set if the backend server ended its connection before the first
+	// part of its answer.
+	Broke bool
 	// Chunks counts the received chunks, including those not passed to the sink.
 	Chunks int
 }
@@ -194,6 +197,7 @@
 func (x *replyReader) end(e *wire.End) error {
 	x.outcome.MayHaveRun = e.GetRan()
 	x.outcome.Usage = e.GetUsage()
+	x.outcome.Broke = e.GetBroke()
 	if x.failure != nil {
 		return x.failure
 	}
--- a/gate/route/adaptive_test.go
+++ b/gate/route/adaptive_test.go
@@ -24,6 +24,7 @@
 	slots int
 	do    func(ctx context.Context, a pool.Attempt, sink pool.ReplySink) error
 	rate  func(q RatingRequest) (ident.Quality, time.Duration)
+	broke func(a pool.Attempt) bool // whether the backend server ends its connection; nil for never
 	mu    sync.Mutex
 	next  ident.Sequence
 }
@@ -50,6 +51,9 @@
 }
 
 func (f *fakeServices) Do(ctx context.Context, a pool.Attempt, sink pool.ReplySink) (pool.Outcome, error) {
+	if f.broke != nil && f.broke(a) {
+		return pool.Outcome{MayHaveRun: true, Broke: true}, fault.New(fault.Upstream, "broke")
+	}
 	err := f.do(ctx, a, sink)
 	return pool.Outcome{MayHaveRun: true, Complete: err == nil}, err
 }
--- a/gate/route/attempt.go
+++ b/gate/route/attempt.go
@@ -53,6 +53,9 @@
 	if err := x.checkPermission(spec); err != nil {
 		return pool.Outcome{}, "", err
 	}
+	if err := x.checkQuarantine(); err != nil {
+		return pool.Outcome{}, "", err
+	}
 	if spec.onChosen != nil {
 		spec.onChosen(id)
 	}
@@ -70,6 +73,7 @@
 		x.chargeUsage(spec, number, out)
 	}
 	x.tallyAttempt(spec, time.Since(start), err)
+	x.recordCrash(id, out, time.Since(start), err)
 	x.record.addAttempt(AttemptRecord{
 		Number: number, Model: spec.need.Target.Model, Version: spec.need.Target.Version, Backend: id,
 		Candidates: n, Reason: reason, Outcome: outcome(err), Duration: time.Since(start), start: start,
--- a/gate/route/route.go
+++ b/gate/route/route.go
@@ -108,6 +108,9 @@
 	lookups   lookups
 	metrics   metrics
 
+	quarantineMu sync.Mutex
+	quarantine   *policy.Quarantine // of requests, by their content
+
 	mu       sync.Mutex // guards draining and running
 	draining bool
 	running  map[ident.Request]struct{}
@@ -144,7 +147,7 @@
 
 // New returns a router. Its queues advance only while Run is running.
 func New(opts ...Option) *Router {
-	r := &Router{records: newRecordRing(), pins: newPinCache(), adaptive: newAdaptivePolicies(), admission: newAdmission(), running: map[ident.Request]struct{}{}}
+	r := &Router{records: newRecordRing(), pins: newPinCache(), adaptive: newAdaptivePolicies(), admission: newAdmission(), running: map[ident.Request]struct{}{}, quarantine: policy.NewQuarantine()}
 	r.lookups.running = map[lookupKey]*lookup{}
 	r.background, r.cancelBackground = context.WithCancel(context.Background())
 	r.metrics = newMetrics(r)
@@ -161,7 +164,7 @@
 func (r *Router) Serve(ctx context.Context, req *Request, caller Caller) error {
 	accepted := r.accept(req.ID)
 	defer r.remove(req.ID)
-	x := &execution{r: r, req: req, caller: caller, start: time.Now()}
+	x := &execution{r: r, req: req, caller: caller, start: time.Now(), content: req.contentHash()}
 	x.record = newRecord(req, x.start)
 	x.atMostOnce = req.Kind == ident.Call && !r.state.View().Routes[req.Route].Repeatable
 	err := error(nil)
@@ -231,6 +234,7 @@
 type execution struct {
 	r        *Router
 	req      *Request
+	content  uint64 // hash of what its repeats have in common
 	caller   Caller
 	start    time.Time
 	deadline time.Time
--- a/side/engine/chat.go
+++ b/side/engine/chat.go
@@ -30,6 +30,9 @@
 	Output ident.Tokens // reported by the engine, or counted if the answer was truncated
 	Fault  *fault.Fault // nil only if the answer is complete
 	Status int          // HTTP status of the answer, 0 if there was none
+	// Broke is set if the backend server ended the connection before the first part
+	// of its answer, as one does that the request crashes.
+	Broke bool
 }
 
 type streamOptions struct {
@@ -141,7 +144,7 @@
 	case ctx.Err() != nil:
 		return Outcome{Ran: true, Fault: fault.New(fault.Upstream, "the work was cancelled")}
 	}
-	return Outcome{Ran: true, Fault: fault.New(fault.Upstream, "the connection to the backend server broke; retry")}
+	return Outcome{Ran: true, Broke: true, Fault: fault.New(fault.Upstream, "the connection to the backend server broke; retry")}
 }
 
 // recordFailure sets the fault for err and keeps the rest of the outcome, such
@@ -200,10 +203,11 @@
 		return
 	}
 	r := bufio.NewReader(resp.Body)
-	for {
+	for begun := false; ; begun = true {
 		event, err := readEvent(r)
 		if err != nil {
 			out.recordFailure(ctx, err)
+			out.Broke = !begun && ctx.Err() == nil
 			return
 		}
 		data := eventData(event)
--- a/side/engine/chat_test.go
+++ b/side/engine/chat_test.go
@@ -4,6 +4,9 @@
 	"bufio"
 	"encoding/json"
 	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 
@@ -101,3 +104,37 @@
 		}
 	})
 }
+
+// discardSink takes the answer of an engine.
+type discardSink struct{}
+
+func (discardSink) Head(int, http.Header) error { return nil }
+func (discardSink) Chunk([]byte) error          { return nil }
+
+// An engine that ends before its answer begins must be told from one that fails
+// the request: only the first may have been ended by it.
+func TestEndOfEngine(t *testing.T) {
+	end := func(w http.ResponseWriter) { panic(http.ErrAbortHandler) }
+	for name, x := range map[string]struct {
+		answer func(w http.ResponseWriter)
+		want   bool
+	}{
+		"before the head": {end, true},
+		"after the head":  {func(w http.ResponseWriter) { w.WriteHeader(http.StatusOK); _ = http.NewResponseController(w).Flush(); end(w) }, true},
+		"in the stream": {func(w http.ResponseWriter) {
+			_, _ = io.WriteString(w, "data: {}\n\n")
+			_ = http.NewResponseController(w).Flush()
+			end(w)
+		}, false},
+		"failure": {func(w http.ResponseWriter) { w.WriteHeader(http.StatusInternalServerError) }, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { x.answer(w) }))
+			defer srv.Close()
+			out := New(srv.URL, http.DefaultTransport).Chat(t.Context(), &wire.Work{Body: []byte(`{"messages":[]}`), Model: "m", Version: "v1", Stream: true}, discardSink{})
+			if out.Broke != x.want {
+				t.Errorf("got broke %v, want %v (%v)", out.Broke, x.want, out.Fault)
+			}
+		})
+	}
+}
--- a/side/serve/work.go
+++ b/side/serve/work.go
@@ -46,7 +46,7 @@
 
 func (r *replyStream) sendEnd(out engine.Outcome, u *wire.Usage) error {
 	return r.st.Send(&wire.Reply{Kind: &wire.Reply_End{End: &wire.End{
-		Usage: u, Fault: wire.NewFault(out.Fault), Ran: out.Ran,
+		Usage: u, Fault: wire.NewFault(out.Fault), Ran: out.Ran, Broke: out.Broke,
 	}}})
 }
 
