--- a/side/engine/chat_test.go
+++ b/side/engine/chat_test.go
@@ -114,13 +114,17 @@
 // An engine that ends before its answer begins must be told from one that fails
 // the request: only the first may have been ended by it.
 func TestEndOfEngine(t *testing.T) {
-	end := func(w http.ResponseWriter) { panic(http.ErrAbortHandler) }
+	end := func(http.ResponseWriter) { panic(http.ErrAbortHandler) }
 	for name, x := range map[string]struct {
 		answer func(w http.ResponseWriter)
 		want   bool
 	}{
 		"before the head": {end, true},
-		"after the head":  {func(w http.ResponseWriter) { w.WriteHeader(http.StatusOK); _ = http.NewResponseController(w).Flush(); end(w) }, true},
+		"after the head": {func(w http.ResponseWriter) {
+			w.WriteHeader(http.StatusOK)
+			_ = http.NewResponseController(w).Flush()
+			end(w)
+		}, true},
 		"in the stream": {func(w http.ResponseWriter) {
 			_, _ = io.WriteString(w, "data: {}\n\n")
 			_ = http.NewResponseController(w).Flush()
