core: evacuations of availability zones in the ledger and the view

The configuration could not say that nothing may be sent to the backend servers of a zone. The command Evacuate stores an entry evacuations/ZONE beside the document, under a revision of its own, or deletes it.

State processes of an older build refuse the command, so all of them must be upgraded before it is first used.

--- a/core/conf/schema.go
+++ b/core/conf/schema.go
@@ -27,6 +27,9 @@
 	DocumentKey = "document"
 	// ServiceRolloutsPrefix precedes the service of a service rollout.
 	ServiceRolloutsPrefix = "shifts/"
+	// EvacuationsPrefix precedes the zone of an evacuation. The key is deleted when
+	// the evacuation ends.
+	EvacuationsPrefix = "evacuations/"
 )
 
 // Customer is a tenant.
--- a/core/conf/view.go
+++ b/core/conf/view.go
@@ -31,6 +31,7 @@
 	// if there is none.
 	Document        Document
 	ServiceRollouts map[ident.Service]ServiceRollout
+	Evacuations     map[ident.Zone]Evacuation
 
 	keyStates    map[string]keyState
 	deltaFloor   ident.Revision // the lowest revision that a partial delta may start from: earlier deletions may be unknown
@@ -113,6 +114,7 @@
 	v.Withdrawn = map[ident.Target]Withdrawal{}
 	v.Members = map[ident.Backend]Member{}
 	v.ServiceRollouts = map[ident.Service]ServiceRollout{}
+	v.Evacuations = map[ident.Zone]Evacuation{}
 }
 
 // shareSections takes over the sections of the old view. Sections with a changed key
@@ -128,7 +130,7 @@
 	v.Limits = old.Limits
 	v.Customers, v.Models, v.Cascades, v.Routes = old.Customers, old.Models, old.Cascades, old.Routes
 	v.Rollouts, v.Withdrawn, v.Members = old.Rollouts, old.Withdrawn, old.Members
-	v.Document, v.ServiceRollouts = old.Document, old.ServiceRollouts
+	v.Document, v.ServiceRollouts, v.Evacuations = old.Document, old.ServiceRollouts, old.Evacuations
 	if sections[CustomersPrefix] {
 		v.Customers = maps.Clone(v.Customers)
 	}
@@ -153,6 +155,9 @@
 	if sections[ServiceRolloutsPrefix] {
 		v.ServiceRollouts = maps.Clone(v.ServiceRollouts)
 	}
+	if sections[EvacuationsPrefix] {
+		v.Evacuations = maps.Clone(v.Evacuations)
+	}
 }
 
 func (v *View) removeKey(key string) {
@@ -184,6 +189,8 @@
 		v.Document = Document{}
 	case ServiceRolloutsPrefix:
 		delete(v.ServiceRollouts, ident.Service(name))
+	case EvacuationsPrefix:
+		delete(v.Evacuations, ident.Zone(name))
 	}
 }
 
@@ -282,6 +289,11 @@
 		err := json.Unmarshal(value, &s)
 		v.ServiceRollouts[ident.Service(name)] = s
 		return err
+	case EvacuationsPrefix:
+		var e Evacuation
+		err := json.Unmarshal(value, &e)
+		v.Evacuations[ident.Zone(name)] = e
+		return err
 	}
 	return nil // a newer release may have more sections
 }
--- a/core/conf/view_test.go
+++ b/core/conf/view_test.go
@@ -17,7 +17,7 @@
 func TestApplySteps(t *testing.T) {
 	rng := rand.New(rand.NewPCG(1, 2))
 	sections := []string{
-		CustomersPrefix + "%d", ModelsPrefix + "%d", CascadesPrefix + "%d", RoutesPrefix + "%d", RolloutsPrefix + "%d", WithdrawnPrefix + "m/%d", MembersPrefix + "%d", LimitsKey, "later/%d",
+		CustomersPrefix + "%d", ModelsPrefix + "%d", CascadesPrefix + "%d", RoutesPrefix + "%d", RolloutsPrefix + "%d", WithdrawnPrefix + "m/%d", MembersPrefix + "%d", EvacuationsPrefix + "%d", LimitsKey, "later/%d",
 	}
 	values := []string{`{}`, `{"weight":2,"keys":["%064d"]}`, `{"quality":0.5,"versions":["v1"]}`, `{"addr":"10.0.0.1:1"}`, `{"body":7}`}
 	v := EmptyView()
@@ -119,3 +119,47 @@
 		})
 	}
 }
+
+// TestEvacuationDelta guards against a gate that misses the beginning or the end of
+// an evacuation, and against a change of the view that a request still uses.
+func TestEvacuationDelta(t *testing.T) {
+	key := EvacuationsPrefix + "eu-1"
+	v0, err := EmptyView().Apply(&wire.Delta{Full: true, Revision: 1, Entries: []*wire.Entry{{Key: DocumentKey, Value: []byte(`{"version":3}`)}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	v1, err := v0.Apply(&wire.Delta{From: 1, Revision: 2, Entries: []*wire.Entry{{Key: key, Value: []byte(`{"began":7,"actor":"amina"}`), Revision: 2}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	v2, err := v1.Apply(&wire.Delta{From: 2, Revision: 3, Entries: []*wire.Entry{{Key: key, Gone: true, Revision: 3}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	late, ok := v2.DeltaSince(2)
+	if !ok {
+		t.Fatal("no partial delta over the end of an evacuation")
+	}
+	v3, err := v1.Apply(late)
+	if err != nil {
+		t.Fatal(err)
+	}
+	full, err := EmptyView().Apply(v1.FullDelta())
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, x := range map[string]struct {
+		view *View
+		want map[ident.Zone]Evacuation
+	}{
+		"before":     {v0, map[ident.Zone]Evacuation{}},
+		"begun":      {v1, map[ident.Zone]Evacuation{"eu-1": {BeganAtMillis: 7, Actor: "amina"}}},
+		"full delta": {full, map[ident.Zone]Evacuation{"eu-1": {BeganAtMillis: 7, Actor: "amina"}}},
+		"finished":   {v2, map[ident.Zone]Evacuation{}},
+		"late delta": {v3, map[ident.Zone]Evacuation{}},
+	} {
+		if got := x.view.Evacuations; !maps.Equal(got, x.want) || x.view.Document.Version != 3 {
+			t.Errorf("%s: got evacuations %v, document %d, want %v and 3", name, got, x.view.Document.Version, x.want)
+		}
+	}
+}
--- a/core/ledger/ledger.go
+++ b/core/ledger/ledger.go
@@ -122,6 +122,8 @@
 		return l.replace(c, k.Replace)
 	case *wire.Command_Shift:
 		return l.updateServiceRollout(c, k.Shift)
+	case *wire.Command_Evacuate:
+		return l.evacuate(c, k.Evacuate)
 	}
 	return refuse(fault.Invalid, "the command has no known kind; upgrade the state processes before their clients")
 }
--- a/core/ledger/random_test.go
+++ b/core/ledger/random_test.go
@@ -50,7 +50,7 @@
 	run := rapid.Uint64Range(1, 4).Draw(t, "run")
 	backend := rapid.SampledFrom([]string{"b1", "b2"}).Draw(t, "backend")
 	nonce := rapid.Uint64Range(0, 2).Draw(t, "nonce")
-	switch rapid.IntRange(0, 9).Draw(t, "kind") {
+	switch rapid.IntRange(0, 10).Draw(t, "kind") {
 	case 0:
 		return begin(run, key, "b", "d", fmt.Sprint(i%3))
 	case 1, 2:
@@ -65,6 +65,8 @@
 		return retire(run)
 	case 7:
 		return bill(run, rapid.Uint64Range(1, 6).Draw(t, "sequence"))
+	case 9:
+		return evacuate(backend, rapid.Bool().Draw(t, "end"))
 	case 8:
 		return change(rapid.Uint64Range(1, 5).Draw(t, "number"), setEntry("limits", fmt.Sprintf(`{"body":%d}`, i%3+1)))
 	}
@@ -139,6 +141,8 @@
 		enroll(), begin(1, "k", "b", "d", "r"), hand("k", 1, "b1", 1), finish("k", 1, 0), settle("k", true),
 		abort("k", 1, "b1", 1), bill(1, 1, 1<<64-1), pin("s", "v1", "v2"), retire(1), change(1, setEntry("limits", "{}")),
 		{Time: 1<<64 - 1, Kind: &wire.Command_Batch{Batch: &wire.Batch{Commands: []*wire.Command{bill(1, 2), enroll()}}}},
+		evacuate("a", false),
+		evacuate("a", true),
 		{Kind: &wire.Command_Members{Members: &wire.Members{Entries: []*wire.Entry{setEntry("members/a", "{}")}}}},
 	} {
 		data, _ := proto.Marshal(c)
