state: operators begin and finish the evacuation of a zone

POST /api/evacuations/ZONE/begin and /finish propose the new command and are confirmed once it is committed. As with rollouts, a process that does not lead answers with the leader's address and an unknown outcome is a 503. Operators' keys may propose the command.

TestPlatformEvacuationSurvivesLosses starts three state processes, kills all of them twice and the leader with its disk once: confirmed evacuations hold, the finished one does not come back, and repeats are confirmed everywhere.

--- a/state/cmd/state/platform.go
+++ b/state/cmd/state/platform.go
@@ -252,6 +252,7 @@
 	Document(ctx context.Context) (conf.Document, error)
 	StartServiceRollout(ctx context.Context, service ident.Service, target ident.Version, length time.Duration) error
 	ServiceRollout(ctx context.Context, service ident.Service) (conf.ServiceRollout, bool, error)
+	Evacuate(ctx context.Context, zone ident.Zone, end bool) error
 }
 
 // serveOperators serves the operator API until ctx ends.
@@ -298,6 +299,18 @@
 	return s, known, o.operatorError(err)
 }
 
+func (o operator) BeginEvacuation(ctx context.Context, zone ident.Zone) error {
+	err := o.target.Evacuate(ctx, zone, false)
+	klog.InfoS("Evacuation of a zone requested", "zone", zone, "err", err)
+	return o.operatorError(err)
+}
+
+func (o operator) FinishEvacuation(ctx context.Context, zone ident.Zone) error {
+	err := o.target.Evacuate(ctx, zone, true)
+	klog.InfoS("End of the evacuation of a zone requested", "zone", zone, "err", err)
+	return o.operatorError(err)
+}
+
 // operatorError turns raft.NotLeader into a redirect to the leader's address, and
 // every error that is not a fault into fault.Unavailable, which leaves open
 // whether the call took effect.
--- a/state/cmd/state/platform_test.go
+++ b/state/cmd/state/platform_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -16,6 +18,11 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"citronledge.example/core/client"
+	"citronledge.example/core/conf"
+	"citronledge.example/core/link"
+	"citronledge.example/core/wire"
 )
 
 // platformCluster are state processes with settings from the users' platform,
@@ -344,3 +351,112 @@
 		}
 	}
 }
+
+// commandUntilAcked sends an operator's call without a body, to one process after
+// the other, until it is acknowledged.
+func (h *platformCluster) commandUntilAcked(path string, ips ...string) {
+	h.t.Helper()
+	i := 0
+	h.waitUntil(path+" acknowledged", func() string {
+		status, text := h.call(ips[i%len(ips)], http.MethodPost, path, "")
+		i++
+		switch {
+		case status == http.StatusOK:
+			return ""
+		case status >= 400 && status < 500:
+			h.t.Fatalf("%s: refused with %d %s", path, status, text)
+		}
+		return fmt.Sprint(status, text)
+	})
+}
+
+// awaitEvacuated waits until the cluster sends a configuration, as gates receive it,
+// and fails at once if other zones are evacuated in it. It returns the leader.
+func (h *platformCluster) awaitEvacuated(want string, ips ...string) (leader string) {
+	h.t.Helper()
+	keys, err := link.ParseKeys([]byte(keyFile))
+	if err != nil {
+		h.t.Fatal(err)
+	}
+	var addrs []string
+	for _, ip := range ips {
+		addrs = append(addrs, fmt.Sprintf("%s:%d", ip, h.port))
+	}
+	c, err := client.New(client.WithAddresses(addrs...), client.WithLink(link.Config{Name: "gate", Keys: keys}))
+	if err != nil {
+		h.t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	h.waitUntil("configuration with evacuated zones "+want, func() string {
+		ctx, cancel := context.WithTimeout(h.t.Context(), time.Second)
+		defer cancel()
+		a, err := c.Query(ctx, &wire.Query{Kind: &wire.Query_Config{Config: &wire.ConfigQuery{}}})
+		if err != nil {
+			return err.Error()
+		}
+		v, err := conf.EmptyView().Apply(a.GetConfig())
+		if err != nil {
+			h.t.Fatal(err)
+		}
+		if got := fmt.Sprint(slices.Sorted(maps.Keys(v.Evacuations))); got != want {
+			h.t.Fatalf("got evacuated zones %s, want %s", got, want)
+		}
+		if a, err = c.Query(ctx, &wire.Query{Kind: &wire.Query_Status{Status: &wire.StatusQuery{}}}); err != nil {
+			return err.Error()
+		}
+		for _, ip := range ips {
+			if strings.HasPrefix(a.GetStatus().GetLeader(), ip+":") {
+				leader = ip
+			}
+		}
+		return ""
+	})
+	return leader
+}
+
+// A confirmed evacuation must survive a kill of all state processes and the loss of
+// the leader with its disk, and a confirmed end must not be undone by them. Repeated
+// calls must be confirmed, at any process.
+func TestPlatformEvacuationSurvivesLosses(t *testing.T) {
+	const begin, finish = "/api/evacuations/%s/begin", "/api/evacuations/%s/finish"
+	all := []string{"127.0.82.1", "127.0.82.2", "127.0.82.3"}
+	h := newPlatformCluster(t, all...)
+	restart := func() {
+		for _, ip := range all { // all down before the first restart
+			h.kill(ip)
+		}
+		for _, ip := range all {
+			h.start(ip, false)
+		}
+	}
+	for _, ip := range all {
+		h.start(ip, true)
+	}
+	h.commandUntilAcked(fmt.Sprintf(begin, "zone-1"), all...)
+	for _, ip := range all {
+		h.commandUntilAcked(fmt.Sprintf(begin, "zone-1"), ip)
+	}
+	h.commandUntilAcked(fmt.Sprintf(begin, "zone-2"), all...)
+	restart()
+	leader := h.awaitEvacuated("[zone-1 zone-2]", all...)
+	if leader == "" {
+		t.Fatal("got no leader")
+	}
+	for _, ip := range all {
+		h.awaitVoter(ip)
+	}
+	h.commandUntilAcked(fmt.Sprintf(finish, "zone-1"), all...)
+	h.kill(leader) // restarts with an empty disk
+	if err := os.RemoveAll(h.data(leader)); err != nil {
+		t.Fatal(err)
+	}
+	h.awaitEvacuated("[zone-2]", all...)
+	h.start(leader, false)
+	h.awaitVoter(leader)
+	h.commandUntilAcked(fmt.Sprintf(finish, "zone-1"), leader)
+	restart()
+	h.awaitEvacuated("[zone-2]", all...)
+	if status, text := h.call(all[0], http.MethodPost, fmt.Sprintf(begin, strings.Repeat("z", 129)), ""); status != http.StatusBadRequest {
+		t.Errorf("got %d %s for an over-long zone, want 400", status, text)
+	}
+}
--- a/state/node/admin.go
+++ b/state/node/admin.go
@@ -33,6 +33,12 @@
 	}}})
 }
 
+// Evacuate begins the evacuation of a zone, or ends it. It also returns nil if
+// nothing is left to do. Its errors are those of ReplaceDocument.
+func (n *Node) Evacuate(ctx context.Context, zone ident.Zone, end bool) error {
+	return n.proposeOrder(ctx, &wire.Command{Actor: "operator", Kind: &wire.Command_Evacuate{Evacuate: &wire.Evacuate{Zone: string(zone), End: end}}})
+}
+
 func (n *Node) proposeOrder(ctx context.Context, c *wire.Command) error {
 	ctx, cancel := context.WithTimeout(ctx, adminTimeout)
 	defer cancel()
--- a/state/node/serve.go
+++ b/state/node/serve.go
@@ -127,12 +127,12 @@
 		c.Actor = peer.Name
 	}
 	switch c.GetKind().(type) {
-	case *wire.Command_Change, *wire.Command_Settle:
+	case *wire.Command_Change, *wire.Command_Settle, *wire.Command_Evacuate:
 	case *wire.Command_Batch, *wire.Command_Members:
 		return nil, fault.New(fault.Forbidden, "batches and members are proposed by the leader only; send the commands one by one")
 	default:
 		if peer.Role != link.RoleProcess {
-			return nil, fault.New(fault.Forbidden, "the key "+peer.KeyName+" is an operator's; it may propose changes and settlements only")
+			return nil, fault.New(fault.Forbidden, "the key "+peer.KeyName+" is an operator's; it may propose changes, settlements and evacuations only")
 		}
 	}
 	switch c.GetKind().(type) {
--- a/state/node/shift_test.go
+++ b/state/node/shift_test.go
@@ -129,8 +129,23 @@
 		if _, known, err := r.node.ServiceRollout(r.ctx, "pool"); known || err != nil {
 			t.Errorf("got a rollout that was never ordered (%v)", err)
 		}
+		for _, end := range []bool{true, false, false, true, true} {
+			if err := r.node.Evacuate(r.ctx, "zone-b", end); err != nil {
+				t.Errorf("got %v for an evacuation (end %t), want an acknowledgement", err, end)
+			}
+		}
+		if err := r.node.Evacuate(r.ctx, "zone/b", false); fault.From(err).Kind != fault.Invalid {
+			t.Errorf("got %v for an invalid zone, want invalid", err)
+		}
+		r.consensus.loseResults(1)
+		if err := r.node.Evacuate(r.ctx, "zone-b", false); !errors.As(err, &unknown) {
+			t.Errorf("got %v for an evacuation without an outcome, want an unknown outcome", err)
+		}
 		r.consensus.setElected(time.Time{})
 		var notLeader raft.NotLeader
+		if err := r.node.Evacuate(r.ctx, "zone-b", false); !errors.As(err, &notLeader) {
+			t.Errorf("got %v at a follower, want not leader", err)
+		}
 		if err := r.node.ReplaceDocument(r.ctx, 5, []byte(`{}`)); !errors.As(err, &notLeader) {
 			t.Errorf("got %v at a follower, want not leader", err)
 		}
--- a/state/node/work_test.go
+++ b/state/node/work_test.go
@@ -90,6 +90,9 @@
 		if _, err := r.node.handleCommand(r.ctx, peer, changeCommand(1, "limits", "{}")); err != nil {
 			t.Errorf("change: got %v, want it accepted", err)
 		}
+		if _, err := r.node.handleCommand(r.ctx, peer, &wire.Command{Kind: &wire.Command_Evacuate{Evacuate: &wire.Evacuate{Zone: "b"}}}); err != nil {
+			t.Errorf("evacuation: got %v, want it accepted", err)
+		}
 		audits := r.node.ledger.Audits(0, 0)
 		if got := audits[len(audits)-1].GetActor(); got != "amina" {
 			t.Errorf("got actor %q, want the name of the key", got)
--- a/state/redir/redir.go
+++ b/state/redir/redir.go
@@ -146,6 +146,11 @@
 	return r.notLeader(ctx)
 }
 
+// Evacuate always returns raft.NotLeader.
+func (r *Redirector) Evacuate(ctx context.Context, _ ident.Zone, _ bool) error {
+	return r.notLeader(ctx)
+}
+
 // Document always returns raft.NotLeader.
 func (r *Redirector) Document(ctx context.Context) (conf.Document, error) {
 	return conf.Document{}, r.notLeader(ctx)
