gate: no new attempts at the servers of evacuated zones

Relay.SetEvacuations puts the zones of a view in force, apart from the document: they take effect without one, beside one that cannot be used, and before a new one. An older revision changes nothing. Servers of these zones match no attempt and don't count as open or idle, so requests without room elsewhere get their 503 with Retry-After at once, with a reason of their own. They still count for the version in use: otherwise an evacuation could make a withdrawn or not yet rolled out version the one in use, also for the time after it. Attempts in progress are not touched. A server that is listed under its ID in another zone counts as a new one.

--- a/gate/cmd/gate/platform.go
+++ b/gate/cmd/gate/platform.go
@@ -236,7 +236,11 @@
 func (h *platformGate) applyConfigurations(ctx context.Context) error {
 	for {
 		changed := h.client.ViewChanged()
-		if v := h.client.View(); v.Document.Version > 0 {
+		v := h.client.View()
+		// Before the document, so that it is never used with the evacuations of an
+		// older revision.
+		h.relay.SetEvacuations(v.Evacuations, v.Revision)
+		if v.Document.Version > 0 {
 			p, err := platform.ParseConfig(v.Document.Body)
 			if err != nil {
 				// It was validated before it was accepted, so this is a bug.
@@ -311,6 +315,6 @@
 
 func (h *platformGate) status() any {
 	return map[string]any{
-		"revision": h.client.View().Revision, "lease": h.client.LeaseExpiry(), "ready": h.relay.Ready(), "list": h.fleet.ListReadAt(),
+		"revision": h.client.View().Revision, "lease": h.client.LeaseExpiry(), "ready": h.relay.Ready(), "list": h.fleet.ListReadAt(), "evacuated": h.relay.EvacuatedZones(),
 	}
 }
--- /dev/null
+++ b/gate/fleet/evacuate_test.go
@@ -0,0 +1,50 @@
+package fleet
+
+import (
+	"testing"
+	"time"
+
+	"citronledge.example/core/ident"
+)
+
+// Servers of an evacuated zone must count as absent wherever a gate asks whether
+// there is a server, also those that are listed later or move into the zone, and as
+// present for the version in use.
+func TestEvacuated(t *testing.T) {
+	now := time.Now()
+	f := newFleet(6) // two in each of the zones a, b and c
+	f.SetEvacuated([]ident.Zone{"a", "b"})
+	criteria := Criteria{Service: "pool"}
+	for range 10 {
+		if got := f.Pick(criteria, now); got.Zone != "c" {
+			t.Fatalf("got %s of zone %s", got.ID, got.Zone)
+		}
+	}
+	criteria.Exclude = []ident.Backend{"s2", "s5"}
+	if _, ok := f.UntilOpen(criteria, now); ok || f.Pick(criteria, now) != nil {
+		t.Error("an evacuated server is open")
+	}
+	if got := f.LeastQueuedWork("pool", now); got != 0 {
+		t.Fatalf("got work %v without any prompts, want 0", got)
+	}
+	for _, id := range []ident.Backend{"s2", "s5"} {
+		f.servers[id].pendingWork = 500
+	}
+	if got := f.LeastQueuedWork("pool", now); got != 500 {
+		t.Errorf("got work %v, which is that of an idle evacuated server, want 500", got)
+	}
+	l := list(9)
+	l[2].Zone = "a"
+	f.Update(l)
+	criteria.Exclude = []ident.Backend{"s5", "s8"}
+	if got := f.Pick(criteria, now); got != nil {
+		t.Errorf("got %s of zone %s after a new list", got.ID, got.Zone)
+	}
+	if got := f.CountByVersion("pool")["v1"]; got != 9 || !f.HasEvacuated("pool") {
+		t.Errorf("got %d servers of the version in use, want all 9", got)
+	}
+	f.SetEvacuated(nil)
+	if got := f.Pick(criteria, now); got == nil || f.HasEvacuated("pool") {
+		t.Error("no server is open after the evacuation")
+	}
+}
--- a/gate/fleet/fleet.go
+++ b/gate/fleet/fleet.go
@@ -32,6 +32,7 @@
 	limit       limit
 	pausedUntil time.Time // when the server takes requests of this gate again
 	saidLeaving time.Time // when its answers last said that it leaves; zero if it stays
+	evacuated   bool      // its zone is being evacuated
 }
 
 // Conns returns the connections to the server.
@@ -73,6 +74,7 @@
 	servers       map[ident.Backend]*Server
 	services      map[ident.Service][]*Server
 	list          listState
+	evacuated     map[ident.Zone]bool
 	incumbents    map[ident.Service]ident.Version // versions in use
 	peers         map[string]*peer                // sources of reports, by name
 	paths         map[ident.Zone]*zonePath
@@ -105,7 +107,7 @@
 			continue
 		}
 		s := f.servers[l.ID]
-		if s == nil || s.Address != l.Address || s.Service != l.Service || s.Version != l.Version {
+		if s == nil || s.Address != l.Address || s.Service != l.Service || s.Version != l.Version || s.Zone != l.Zone {
 			s = &Server{ListedBackend: l, conns: conn.New(l.Address), hash: hashID(l.ID)}
 			klog.InfoS("Backend server listed", "backend", l.ID, "service", l.Service, "addr", l.Address, "zone", l.Zone, "version", l.Version, "leaving", l.Leaving)
 		} else if s.Leaving != l.Leaving {
@@ -114,7 +116,7 @@
 		if s.Leaving && !l.Leaving {
 			s.saidLeaving = time.Time{}
 		}
-		s.Leaving, s.Slots = l.Leaving, l.Slots
+		s.Leaving, s.Slots, s.evacuated = l.Leaving, l.Slots, f.evacuated[l.Zone]
 		next[l.ID] = s
 		services[l.Service] = append(services[l.Service], s)
 	}
--- a/gate/fleet/pick.go
+++ b/gate/fleet/pick.go
@@ -29,7 +29,7 @@
 
 // matches reports whether a server may get the attempt.
 func (c *Criteria) matches(s *Server, now time.Time) bool {
-	return !s.isLeaving(now) && (c.AllowsVersion == nil || c.AllowsVersion(s.Version)) && !slices.Contains(c.Exclude, s.ID)
+	return !s.isLeaving(now) && !s.evacuated && (c.AllowsVersion == nil || c.AllowsVersion(s.Version)) && !slices.Contains(c.Exclude, s.ID)
 }
 
 // Assignment is an attempt at a server. Release must be called exactly once.
@@ -103,7 +103,7 @@
 	defer f.mu.Unlock()
 	least := -1.0
 	for _, s := range f.services[service] {
-		if s.isLeaving(now) || s.health.isEjected(now) || s.untilOpen(now) > 0 {
+		if s.isLeaving(now) || s.evacuated || s.health.isEjected(now) || s.untilOpen(now) > 0 {
 			continue
 		}
 		if _, pending := s.peerTotals(now); least < 0 || s.pendingWork+pending < least {
--- a/gate/relay/metrics.go
+++ b/gate/relay/metrics.go
@@ -15,6 +15,7 @@
 	streamReads    prometheus.Counter
 	quarantined    prometheus.Counter
 	limited        prometheus.Counter
+	evacuatedZones prometheus.Gauge
 }
 
 func newMetrics() metrics {
@@ -28,11 +29,12 @@
 		streamReads:    prometheus.NewCounter(prometheus.CounterOpts{Name: "relay_stream_reads_total", Help: "Parts of streams passed on."}),
 		quarantined:    prometheus.NewCounter(prometheus.CounterOpts{Name: "relay_quarantined_requests_total", Help: "Requests ended because a part of their prompts crashes backend servers."}),
 		limited:        prometheus.NewCounter(prometheus.CounterOpts{Name: "relay_limited_attempts_total", Help: "Attempts that were not made because all backend servers limit their requests or pause."}),
+		evacuatedZones: prometheus.NewGauge(prometheus.GaugeOpts{Name: "relay_evacuated_zones", Help: "Availability zones whose backend servers get no new attempts."}),
 	}
 }
 
 func (m *metrics) register(reg prometheus.Registerer) {
-	reg.MustRegister(m.requests, m.attempts, m.requestLatency, m.headLatency, m.running, m.streamReads, m.quarantined, m.limited)
+	reg.MustRegister(m.requests, m.attempts, m.requestLatency, m.headLatency, m.running, m.streamReads, m.quarantined, m.limited, m.evacuatedZones)
 }
 
 func (m *metrics) observeEnd(kind, end string, took time.Duration) {
--- a/gate/relay/relay.go
+++ b/gate/relay/relay.go
@@ -55,6 +55,10 @@
 	stopping    context.Context // ends just before the end of a planned stop
 	endRequests context.CancelCauseFunc
 
+	evacuationsMu       sync.Mutex // guards the next two fields
+	evacuationsRevision ident.Revision
+	evacuatedZones      []ident.Zone // sorted
+
 	mu                   sync.Mutex // guards the fields below
 	retryBudgets         map[ident.Service]*policy.WindowBudget
 	gates                int // that share the slack of the retry budgets
--- a/gate/relay/retry.go
+++ b/gate/relay/retry.go
@@ -123,6 +123,9 @@
 // noServer decides what follows when no server may take the attempt.
 func (c *call) noServer(criteria fleet.Criteria, now time.Time) decision {
 	wait, ok := c.r.fleet.UntilOpen(criteria, now)
+	if !ok && c.r.fleet.HasEvacuated(c.service) {
+		return giveUp{"no backend server outside the zones that are being evacuated"}
+	}
 	if !ok {
 		return giveUp{"no backend server"}
 	}
