--- a/ctl/admin/admin_test.go
+++ b/ctl/admin/admin_test.go
@@ -107,6 +107,11 @@
 		"rollout bad steps":     {[]string{"rollout", "start", "--steps", "0.5,0.1", "small", "v1", "v2"}, ExitUsage, "steps must grow"},
 		"rollout to itself":     {[]string{"rollout", "start", "small", "v1", "v1"}, ExitUsage, "name two versions"},
 		"rollout step too soon": {[]string{"rollout", "step", "small"}, ExitUsage, "has no roll-out"},
+		"evacuate":              {[]string{"evacuate", "zone-b", "begin"}, ExitDone, "zone zone-b is being evacuated, revision 2"},
+		"evacuate and wait":     {[]string{"evacuate", "--wait", "zone-b", "begin"}, ExitDone, "in force everywhere"},
+		"evacuate, over":        {[]string{"evacuate", "zone-b", "finish"}, ExitDone, "zone zone-b is not being evacuated already"},
+		"evacuate wrong word":   {[]string{"evacuate", "zone-b", "stop"}, ExitUsage, "neither begin nor finish"},
+		"evacuate bad zone":     {[]string{"evacuate", "zone/b", "begin"}, ExitUsage, "slash"},
 		"settle unknown id":     {[]string{"settle", "a/b/c", "ran"}, ExitFailed, "not on record"},
 		"settle wrong word":     {[]string{"settle", "a/b/c", "maybe"}, ExitUsage, "neither ran nor notrun"},
 		"audit":                 {[]string{"audit"}, ExitDone, "ana"},
@@ -189,3 +194,23 @@
 		t.Errorf("got rollout %s, want %s", got, conf.RolloutReverted)
 	}
 }
+
+// An operator must see which zones are being evacuated, and apply must not end an
+// evacuation.
+func TestEvacuationInStatus(t *testing.T) {
+	c := &cluster{ledger: ledger.New()}
+	for _, line := range [][]string{{"evacuate", "zone-b", "begin"}, {"apply", writeFolder(t, base)}} {
+		if code, out := ctl(c, line...); code != ExitDone {
+			t.Fatalf("%v: got code %d, %s", line, code, out)
+		}
+	}
+	if code, out := ctl(c, "status"); code != ExitDone || !strings.Contains(out, "EVACUATED ZONE") || !strings.Contains(out, "zone-b") {
+		t.Errorf("got code %d, %s, want the evacuated zone", code, out)
+	}
+	if code, out := ctl(c, "evacuate", "zone-b", "finish"); code != ExitDone {
+		t.Fatalf("got code %d, %s", code, out)
+	}
+	if code, out := ctl(c, "status"); code != ExitDone || strings.Contains(out, "zone-b") {
+		t.Errorf("got code %d, %s, want no evacuated zone", code, out)
+	}
+}
--- a/ctl/admin/apply.go
+++ b/ctl/admin/apply.go
@@ -152,15 +152,21 @@
 	default:
 		fmt.Fprintf(a.Out, "accepted as change %d, revision %d\n", changed.GetNumber(), changed.GetRevision())
 	}
-	if waited != nil {
-		fmt.Fprintf(a.Out, "in force everywhere after %d ms\n", waited.GetElapsed())
-		for _, name := range waited.GetExpired() {
-			fmt.Fprintf(a.Out, "lease of %s had to expire: it did not acknowledge\n", name)
-		}
-	}
+	a.printWaited(waited)
 	return nil
 }
 
+// printWaited prints the outcome of a wait, and nothing without one.
+func (a *Admin) printWaited(waited *wire.Waited) {
+	if waited == nil {
+		return
+	}
+	fmt.Fprintf(a.Out, "in force everywhere after %d ms\n", waited.GetElapsed())
+	for _, name := range waited.GetExpired() {
+		fmt.Fprintf(a.Out, "lease of %s had to expire: it did not acknowledge\n", name)
+	}
+}
+
 func (a *Admin) waitInForce(ctx context.Context, r ident.Revision, wait InForceTimeout) (*wire.Waited, error) {
 	q := &wire.WaitQuery{Revision: uint64(r), Timeout: uint32(time.Duration(wait) / time.Millisecond)}
 	answer, err := a.query(ctx, &wire.Query{Kind: &wire.Query_Wait{Wait: q}})
--- a/ctl/admin/command.go
+++ b/ctl/admin/command.go
@@ -147,7 +147,7 @@
 	}
 	root.FlagSet.SetOutput(c.errs)
 	root.Subcommands = append(c.folderCommands(), c.showCommands()...)
-	root.Subcommands = append(root.Subcommands, c.rolloutCommand(), c.withdrawCommand(), c.restoreCommand(), c.settleCommand(), c.keyCommand(), c.followCommand())
+	root.Subcommands = append(root.Subcommands, c.rolloutCommand(), c.withdrawCommand(), c.restoreCommand(), c.evacuateCommand(), c.settleCommand(), c.keyCommand(), c.followCommand())
 	return root
 }
 
@@ -326,6 +326,21 @@
 		}))
 }
 
+func (c *commandLine) evacuateCommand() *ffcli.Command {
+	fs := c.newFlagSet("evacuate")
+	c.addWaitFlag(fs)
+	return c.newCommand("evacuate", "evacuate [--wait] ZONE begin|finish", "send nothing more to the backend servers of an availability zone, or use them again", fs,
+		c.withCluster(func(ctx context.Context, a *Admin, args []string) error {
+			if err := checkArgs(args, "ZONE begin|finish"); err != nil {
+				return err
+			}
+			if args[1] != "begin" && args[1] != "finish" {
+				return usageError(fmt.Sprintf("%q is neither begin nor finish", args[1]))
+			}
+			return a.Evacuate(ctx, ident.Zone(args[0]), args[1] == "finish", c.inForceTimeout())
+		}))
+}
+
 func (c *commandLine) settleCommand() *ffcli.Command {
 	fs := c.newFlagSet("settle")
 	status := fs.Int("status", 200, "HTTP status of the answer, with ran")
--- a/ctl/admin/show.go
+++ b/ctl/admin/show.go
@@ -21,7 +21,8 @@
 	return w
 }
 
-// Status prints the state cluster, the lease holders and the versions.
+// Status prints the state cluster, the lease holders, the evacuations and the
+// versions.
 func (a *Admin) Status(ctx context.Context) error {
 	answer, err := a.query(ctx, &wire.Query{Kind: &wire.Query_Status{Status: &wire.StatusQuery{}}})
 	if err != nil {
@@ -51,6 +52,7 @@
 	if err != nil {
 		return err
 	}
+	a.printEvacuations(view)
 	w := a.newTable("MODEL\tVERSION\tSTATE")
 	for _, key := range view.Keys() {
 		name, ok := strings.CutPrefix(key, conf.ModelsPrefix)
