soak: evacuations of zones while faults are played

The servers of a run are now in two zones, and the operator evacuates one zone after the other. The recorder finds a request that reaches a server of an evacuated zone later than 5 s after the confirmation; time in which the state processes, the network to them or that to the servers is disturbed does not count, nor do 3 s after a process resumes from a pause. At the end, without other faults, the zone that all gates prefer is evacuated, all processes are killed at once, and after the end the zone must get requests again; the bound there is the 2 s of configurations.

--- a/soak/backend.go
+++ b/soak/backend.go
@@ -51,10 +51,13 @@
 	listFailingSince time.Time
 	// resumedAt is when a process last resumed after a pause.
 	resumedAt time.Time
+
+	evacuations evacuations
 }
 
 type backend struct {
 	id     string
+	zone   string
 	server *runner.Backend
 	proxy  *proxy
 
@@ -101,8 +104,8 @@
 	}
 }
 
-// add starts a server and lists it.
-func (s *backends) add() error {
+// add starts a server in a zone and lists it.
+func (s *backends) add(zone string) error {
 	r, err := runner.Start(runner.NeverReply)
 	if err != nil {
 		return err
@@ -115,7 +118,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.lastID++
-	b := &backend{id: fmt.Sprintf("i-%d", s.lastID), server: r, proxy: p}
+	b := &backend{id: fmt.Sprintf("i-%d", s.lastID), zone: zone, server: r, proxy: p}
 	r.SetReply(func(c net.Conn, q *runner.Request) bool { return s.reply(b, c, q) })
 	s.servers = append(s.servers, b)
 	return nil
@@ -176,6 +179,7 @@
 
 // recordResume records that a process resumes after a pause.
 func (s *backends) recordResume() {
+	s.evacuations.recordResume()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.resumedAt = time.Now()
@@ -203,7 +207,7 @@
 	for _, b := range s.servers {
 		b.mu.Lock()
 		if !b.unlisted {
-			list = append(list, users.ListedBackend{ID: b.id, Service: service, Address: b.proxy.ln.Addr().String(), Leaving: !b.leavingSince.IsZero()})
+			list = append(list, users.ListedBackend{ID: b.id, Service: service, Address: b.proxy.ln.Addr().String(), Zone: b.zone, Leaving: !b.leavingSince.IsZero()})
 		}
 		b.mu.Unlock()
 	}
@@ -224,10 +228,11 @@
 	b.mu.Lock()
 	m := b.behavior
 	b.mu.Unlock()
+	path, id := q.URL.Path, q.AttemptID()
+	s.recorder.recordArrival(id, b.id, b.zone, s.evacuations.arrive(b.zone))
 	if m == behaviorNotExecuted {
 		return runner.ReplyNotExecuted(c, q)
 	}
-	path, id := q.URL.Path, q.AttemptID()
 	s.recorder.recordRun(id, path, b.id, s.isPastLeaveGrace(b))
 	time.Sleep(processingTime)
 	switch m {
--- a/soak/fault.go
+++ b/soak/fault.go
@@ -84,7 +84,7 @@
 				e := list[r.IntN(len(list))]
 				klog.V(1).InfoS("Event", "name", e.name)
 				s.recorder.count(e.name)
-				e.run(ctx, r)
+				s.runEvent(ctx, r, e)
 				sleep(ctx, time.Duration(r.Int64N(int64(maxEventGap))))
 			}
 		})
@@ -92,6 +92,19 @@
 	wait.Wait()
 }
 
+// undisturbing names the events that leave the state processes alone, and the
+// network between the gates and them and the backend servers.
+var undisturbing = map[string]bool{
+	"stop gate": true, "reload": true, "replace server": true, "kill gate": true, "impair callers": true, "impair operators": true, "server misbehaves": true, "list fails": true,
+}
+
+func (s *soak) runEvent(ctx context.Context, r *rand.Rand, e event) {
+	if !undisturbing[e.name] {
+		defer s.site.backends.evacuations.disturb()()
+	}
+	e.run(ctx, r)
+}
+
 func faultDuration(r *rand.Rand) time.Duration {
 	return maxFaultDuration/20 + time.Duration(r.Int64N(int64(maxFaultDuration)))
 }
@@ -213,7 +226,7 @@
 // replaceServer adds a backend server and shows another one as leaving.
 func (s *soak) replaceServer(ctx context.Context, r *rand.Rand) {
 	old := s.randomBackend(r)
-	if err := s.site.backends.add(); err != nil {
+	if err := s.site.backends.add(old.zone); err != nil {
 		klog.ErrorS(err, "Backend server not started")
 		return
 	}
--- a/soak/recorder.go
+++ b/soak/recorder.go
@@ -77,6 +77,15 @@
 	}
 }
 
+// recordArrival records that a request reaches a backend server, whether or not
+// the server runs it. tooLate tells that the server's zone has been evacuated for
+// too long to get new requests.
+func (r *recorder) recordArrival(id, backend, zone string, tooLate bool) {
+	if tooLate {
+		r.addFinding("request %s reached %s in zone %s later than %v after the confirmation of its evacuation", id, backend, zone, evacuationGrace)
+	}
+}
+
 // runCount returns how many times a request has run.
 func (r *recorder) runCount(id string) int {
 	r.mu.Lock()
--- a/soak/site.go
+++ b/soak/site.go
@@ -66,8 +66,8 @@
 	if s.backends, err = newBackends(rec); err != nil {
 		return nil, err
 	}
-	for range backendCount {
-		if err := s.backends.add(); err != nil {
+	for i := range backendCount {
+		if err := s.backends.add(zones[i%len(zones)]); err != nil {
 			return nil, err
 		}
 	}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -89,6 +89,7 @@
 	wait.Go(func() { s.runCallers(ctx, lb) })
 	wait.Go(func() { s.operator.run(ctx, s.newRand(1)) })
 	wait.Go(func() { s.operator.pollVersions(ctx, s.newRand(2)) })
+	wait.Go(func() { s.runEvacuations(ctx, s.newRand(3)) })
 	wait.Go(func() { s.watchCrashes(ctx) })
 
 	first, done := context.WithTimeout(ctx, s.PlannedPhase)
@@ -146,6 +147,8 @@
 	if missing := s.awaitRecovery(recoverTimeout); missing != "" {
 		s.recorder.addFinding("not recovered %v after the last fault: %s", recoverTimeout, missing)
 	}
+	s.finishEvacuations()
+	s.checkEvacuation(zones[0])
 	acked := s.operator.newestAcked()
 	version, ok := s.operator.replaceUntilAcked(ackTimeout)
 	if !ok {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -7,6 +7,7 @@
 	"path/filepath"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 )
 
@@ -64,6 +65,7 @@
 		"run after refusal": func(r *recorder) { r.recordRefusal("a", "/once/x", "503"); r.recordRun("a", "/once/x", "i-1", false) },
 		"unasked":           func(r *recorder) { r.recordRun("", "/safe/x", "i-1", false) },
 		"server leaves":     func(r *recorder) { r.recordRun("a", "/safe/x", "i-1", true) },
+		"evacuated":         func(r *recorder) { r.recordArrival("a", "i-1", "a", true) },
 		"older in one start": func(r *recorder) {
 			r.recordServed("gate-1#1", 5, 0)
 			r.recordServed("gate-1#1", 4, r.newestServed("gate-1#1"))
@@ -80,7 +82,52 @@
 	r.recordRefusal("b", "/once/x", "503")
 	r.recordServed("gate-1#1", 4, 0)
 	r.recordServed("gate-1#1", 5, 4)
+	r.recordArrival("a", "i-1", "a", false)
 	if got := r.report().Findings; len(got) != 0 {
 		t.Errorf("got findings %q, want none", got)
 	}
 }
+
+// The check of evacuations must find a request that reaches the zone late, and must
+// not count the time of disturbances or a process that has just resumed.
+func TestEvacuationGrace(t *testing.T) {
+	type step struct {
+		wait time.Duration
+		do   func(e *evacuations)
+	}
+	confirm := step{0, func(e *evacuations) { e.confirm("a") }}
+	disturb := func(wait, length time.Duration) step {
+		return step{wait, func(e *evacuations) { end := e.disturb(); time.Sleep(length); end() }}
+	}
+	for name, x := range map[string]struct {
+		steps []step
+		then  time.Duration
+		zone  string
+		want  bool
+	}{
+		"late":                   {[]step{confirm}, 5100 * time.Millisecond, "a", true},
+		"in time":                {[]step{confirm}, 4900 * time.Millisecond, "a", false},
+		"other zone":             {[]step{confirm}, time.Minute, "b", false},
+		"ended":                  {[]step{confirm, {time.Second, func(e *evacuations) { e.end() }}}, time.Minute, "a", false},
+		"disturbed":              {[]step{confirm, disturb(0, 2*time.Second)}, 4900 * time.Millisecond, "a", false},
+		"late after disturbance": {[]step{confirm, disturb(time.Second, 2*time.Second)}, 4100 * time.Millisecond, "a", true},
+		"disturbed before":       {[]step{disturb(0, time.Minute), confirm}, 5100 * time.Millisecond, "a", true},
+		"still disturbed":        {[]step{confirm, {0, func(e *evacuations) { e.disturb() }}}, time.Minute, "a", false},
+		"resumed":                {[]step{confirm, {9 * time.Second, (*evacuations).recordResume}}, time.Second, "a", false},
+		"long after the resume":  {[]step{confirm, {9 * time.Second, (*evacuations).recordResume}}, 4 * time.Second, "a", true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				e := &evacuations{}
+				for _, s := range x.steps {
+					time.Sleep(s.wait)
+					s.do(e)
+				}
+				time.Sleep(x.then)
+				if got := e.arrive(x.zone); got != x.want {
+					t.Errorf("got late %t, want %t", got, x.want)
+				}
+			})
+		})
+	}
+}
--- a/stub/users/users.go
+++ b/stub/users/users.go
@@ -20,6 +20,14 @@
 	ReadPath    = "/api/configuration/read"
 )
 
+// BeginEvacuationPath returns the path of the call that begins the evacuation of a
+// zone.
+func BeginEvacuationPath(zone string) string { return "/api/evacuations/" + zone + "/begin" }
+
+// FinishEvacuationPath returns the path of the call that ends the evacuation of a
+// zone.
+func FinishEvacuationPath(zone string) string { return "/api/evacuations/" + zone + "/finish" }
+
 // Node holds the platform's settings for one process. Addresses of interfaces
 // that the process does not serve are empty, and an empty data folder is left out
 // of the settings file.
@@ -59,8 +67,8 @@
 
 // ListedBackend is a backend server in the platform's list.
 type ListedBackend struct {
-	ID, Service, Address string
-	Leaving              bool
+	ID, Service, Address, Zone string
+	Leaving                    bool
 }
 
 // WriteList writes the list of backend servers as a single page.
@@ -72,7 +80,7 @@
 			state = "draining"
 		}
 		list = append(list, map[string]any{
-			"id": e.ID, "service": e.Service, "address": e.Address, "zone": "a", "version": "v1",
+			"id": e.ID, "service": e.Service, "address": e.Address, "zone": e.Zone, "version": "v1",
 			"slots": 16, "state": state, "cold-remaining-ms": 0,
 		})
 	}
