--- a/gate/fleet/evacuate_test.go
+++ b/gate/fleet/evacuate_test.go
@@ -1,6 +1,8 @@
 package fleet
 
 import (
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -48,3 +50,44 @@
 		t.Error("no server is open after the evacuation")
 	}
 }
+
+// While many requests choose servers, a choice that begins once an evacuation is in
+// force must not fall on its zone, and one that begins before its end takes effect
+// may.
+func TestEvacuatedUnderLoad(t *testing.T) {
+	const choosers, evacuations = 8, 200
+	f := newFleet(30)
+	var inForce atomic.Int64 // number of the evacuation in force; 0 without one
+	var wait sync.WaitGroup
+	stop := make(chan struct{})
+	for range choosers {
+		wait.Go(func() {
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				now := time.Now()
+				before := inForce.Load()
+				got := f.Pick(Criteria{Service: "pool", TieBreak: uint64(now.UnixNano())}, now)
+				// The end of an evacuation takes effect only after inForce is reset.
+				if got.Zone == "a" && before != 0 && inForce.Load() == before {
+					t.Errorf("got %s of the evacuated zone", got.ID)
+				}
+				got.Release(Good, now)
+			}
+		})
+	}
+	for i := range evacuations {
+		f.SetEvacuated([]ident.Zone{"a"})
+		inForce.Store(int64(i + 1))
+		for range 20 {
+			f.Pick(Criteria{Service: "pool"}, time.Now()).Release(Good, time.Now())
+		}
+		inForce.Store(0)
+		f.SetEvacuated(nil)
+	}
+	close(stop)
+	wait.Wait()
+}
