policy, platform, wire: share of a cold server's rate

A cold server sustains a few requests a second from all gates together; 25 in one second were observed with a bound of 21.5.

The cost of a server rises while its share of the load is to be smaller than usual.

--- a/core/plan/plan.go
+++ b/core/plan/plan.go
@@ -90,6 +90,16 @@
 	MaxConnections int
 	// Engine is set if the backend servers are model runners.
 	Engine *Engine
+	Cold   Cold
+}
+
+// Cold says what backend servers sustain for a time after their start.
+type Cold struct {
+	// Duration is how long a backend server is cold after its start.
+	Duration time.Duration
+	// Rate is the number of requests per second that it sustains while it is
+	// cold, from all gates together; 0 means no limit.
+	Rate ident.Rate
 }
 
 // Engine describes the model runners of a service.
--- a/core/policy/direct.go
+++ b/core/policy/direct.go
@@ -27,6 +27,9 @@
 	PacketLoss float64
 	// FailureRate is the recent share of failures.
 	FailureRate float64
+	// LoadShare is the share of its usual load that a server is to get while it
+	// is cold and for some time after; 0 and 1 stand for all of it.
+	LoadShare float64
 	// Rank orders the servers for one affinity key; the highest one is
 	// expected to hold the shared part of the prompt. Without a key it breaks
 	// ties.
@@ -197,7 +200,7 @@
 
 // cost is the part of the cost that does not depend on the attempt.
 func (s *DirectCandidate) cost() float64 {
-	cost := s.PendingPromptWork + fullBatchCost*s.Load + failureCost*s.FailureRate
+	cost := s.PendingPromptWork + fullBatchCost*s.Load + failureCost*s.FailureRate + s.slowStartCost()
 	if !s.SameZone {
 		cost += remoteZoneCost + packetLossCost*max(0, s.PacketLoss-toleratedPacketLoss)
 	}
