fleet: keep the requests to a cold server within its bound

Gates sent their usual load to servers that had just started: 25 requests in one second were observed with a bound of 21.5.

A server is cold by the list, by its own answers, when it is first listed while the gate runs, when its start changes, or after it refused connections or ended all of them. Each gate spaces its requests by its share (policy.ColdInterval), which follows all gates known in the last 10 minutes. The list reader keeps the end of a cold time, and its digest counts changes instead of the countdown. What gates see of crashes and answers is told to the others. A new version of a service gets new sessions only while its servers take requests.

--- a/gate/cmd/gate/platform.go
+++ b/gate/cmd/gate/platform.go
@@ -18,6 +18,7 @@
 	"citronledge.example/core/group"
 	"citronledge.example/core/link"
 	"citronledge.example/core/logs"
+	"citronledge.example/core/policy"
 	"citronledge.example/core/server"
 	"citronledge.example/core/wire"
 	"citronledge.example/gate/fleet"
@@ -101,7 +102,9 @@
 		return err
 	}
 	h := &platformGate{settings: s, fleet: fleet.New(s.node.Zone), list: platform.NewListReader(s.node.ListAddr, listTimeout)}
+	h.fleet.SetColdBounds(policy.ColdBounds{Overage: s.node.Bounds.ColdOverage, Tolerance: s.node.Bounds.ColdTolerance})
 	h.frame = server.New(s.Settings, h.status)
+	h.fleet.Register(h.frame.Registry)
 	addrs := s.node.seeds()
 	h.frame.OnReload(h.reloadSeeds)
 	h.frame.OnShutdown(func() { h.relay.Drain(time.Now().Add(s.DrainTimeout)) })
@@ -130,7 +133,7 @@
 	)
 	h.share = share.New(share.Config{
 		Name: s.Name, Self: share.Member{Addr: exchangeAddr, Zone: s.node.Zone, LinkRate: s.node.LinkRate},
-		ReadSlack: max(minListSlack, bounds.DrainTimeout-listInterval-listMargin), Loads: h.fleet, Sessions: h.relay, Parts: h.relay, Lists: h.fleet,
+		ReadSlack: max(minListSlack, bounds.DrainTimeout-listInterval-listMargin), Loads: h.fleet, Sessions: h.relay, Parts: h.relay, Lists: h.fleet, Colds: h.fleet,
 	}, keys)
 	return h.frame.Run(ctx, h)
 }
--- a/gate/fleet/fleet.go
+++ b/gate/fleet/fleet.go
@@ -32,6 +32,7 @@
 	limit       limit
 	pausedUntil time.Time // when the server takes requests of this gate again
 	saidLeaving time.Time // when its answers last said that it leaves; zero if it stays
+	cold        coldState
 }
 
 // Conns returns the connections to the server.
@@ -81,6 +82,7 @@
 	exchangeDelay time.Duration // until they know of this gate's loads
 	loadsChanged  bool          // since the last LocalLoads
 	loadsReported bool          // the last LocalLoads returned a server
+	cold          coldFleet
 }
 
 // New returns an empty fleet of a gate in a zone.
@@ -100,6 +102,7 @@
 	defer f.mu.Unlock()
 	next := make(map[ident.Backend]*Server, len(list))
 	services := map[ident.Service][]*Server{}
+	now := time.Now()
 	for _, l := range list {
 		if next[l.ID] != nil {
 			continue
@@ -111,6 +114,7 @@
 		} else if s.Leaving != l.Leaving {
 			klog.InfoS("Backend server changed", "backend", l.ID, "leaving", l.Leaving)
 		}
+		f.noteListed(s, l, now)
 		if s.Leaving && !l.Leaving {
 			s.saidLeaving = time.Time{}
 		}
@@ -125,6 +129,7 @@
 		}
 	}
 	f.servers, f.services = next, services
+	f.cold.listed = f.cold.listed || len(list) > 0
 }
 
 // CloseExpired closes the connections that have been idle for too long.
--- a/gate/fleet/fleet_test.go
+++ b/gate/fleet/fleet_test.go
@@ -339,7 +339,7 @@
 				t.Fatal("one server got both attempts")
 			}
 			shut(one)
-			for one.fleet.servers[one.ID].untilOpen(now) == 0 {
+			for one.fleet.untilOpen(one.Server, now) == 0 {
 				one.limit.spend(now)
 			}
 			if got := f.LeastQueuedWork("pool", now); got != 5000 {
--- a/gate/fleet/limit.go
+++ b/gate/fleet/limit.go
@@ -161,10 +161,10 @@
 	}
 }
 
-// untilOpen returns how long the server takes no request of this gate, by its
-// limit or its pause.
-func (s *Server) untilOpen(now time.Time) time.Duration {
-	return max(s.limit.untilAllowed(now), s.pausedUntil.Sub(now))
+// untilOpen returns how long a server takes no request of this gate, by its
+// limit, its pause or its cold time. It must be called with mu held.
+func (f *Fleet) untilOpen(s *Server, now time.Time) time.Duration {
+	return max(s.limit.untilAllowed(now), s.pausedUntil.Sub(now), f.untilAllowedCold(s, now))
 }
 
 // UntilOpen returns how long until a server that meets the criteria may take an
@@ -176,7 +176,7 @@
 		if !criteria.matches(s, now) {
 			continue
 		}
-		if wait := s.untilOpen(now); !ok || wait < least {
+		if wait := f.untilOpen(s, now); !ok || wait < least {
 			least, ok = wait, true
 		}
 	}
--- a/gate/fleet/list.go
+++ b/gate/fleet/list.go
@@ -34,6 +34,7 @@
 type listState struct {
 	reading share.Reading // the last one that had this list
 	servers []platform.ListedBackend
+	cold    listedColds // of the servers
 	// noted is the number of the last reading of each gate that was processed.
 	// Gates that missed a new list would else confirm the old one to each other
 	// forever, as each confirmation looks later than it was.
@@ -44,6 +45,7 @@
 	newestReadAt time.Time // when the newest list known here or reported by another gate was read
 	// parts are the parts of a newer list that have arrived, by index.
 	parts       map[uint32][]platform.ListedBackend
+	partsCold   listedColds
 	partsDigest uint64 // of the whole newer list
 }
 
@@ -51,7 +53,8 @@
 func (f *Fleet) SetList(list []platform.ListedBackend, now time.Time) {
 	f.mu.Lock()
 	f.list.number++
-	changed := f.setList(share.Reading{Digest: listDigest(list), At: now, Reader: f.list.reader, Number: f.list.number}, list)
+	list, cold := f.noteListedColds(list, now)
+	changed := f.setList(share.Reading{Digest: listDigest(list, cold), At: now, Reader: f.list.reader, Number: f.list.number}, list, cold)
 	f.mu.Unlock()
 	if changed {
 		f.Update(list)
@@ -60,11 +63,12 @@
 
 // setList stores a reading and its list, and reports whether the list is
 // another one. It must be called with mu held.
-func (f *Fleet) setList(r share.Reading, list []platform.ListedBackend) (changed bool) {
+func (f *Fleet) setList(r share.Reading, list []platform.ListedBackend, cold listedColds) (changed bool) {
 	l := &f.list
 	changed = r.Digest != l.reading.Digest
 	l.reading, l.servers, l.missingSince, l.newestReadAt = r, list, time.Time{}, r.At
-	l.parts, l.partsDigest = nil, 0
+	l.cold = cold
+	l.parts, l.partsCold, l.partsDigest = nil, nil, 0
 	return changed
 }
 
@@ -152,7 +156,7 @@
 	defer f.mu.Unlock()
 	digests := make([]uint32, share.ListBuckets)
 	for i, part := range buckets(f.list.servers) {
-		digests[i] = uint32(listDigest(part))
+		digests[i] = uint32(listDigest(part, f.list.cold))
 	}
 	return digests
 }
@@ -162,15 +166,17 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var list []*wire.Bucket
+	now := time.Now()
 	for i, part := range buckets(f.list.servers) {
-		if uint32(listDigest(part)) == digests[i] {
+		if uint32(listDigest(part, f.list.cold)) == digests[i] {
 			continue
 		}
 		b := &wire.Bucket{Index: uint32(i)}
 		for _, x := range part {
+			c := f.list.cold[x.ID]
 			b.Servers = append(b.Servers, &wire.Listed{
 				Id: string(x.ID), Service: string(x.Service), Address: x.Address, Zone: string(x.Zone), Version: string(x.Version),
-				Slots: uint32(x.Slots), Leaving: x.Leaving,
+				Slots: uint32(x.Slots), Leaving: x.Leaving, Born: x.Born, Cold: c.leftMillis(now), Named: x.ColdNamed, Mark: c.mark,
 			})
 		}
 		list = append(list, b)
@@ -187,43 +193,50 @@
 		return
 	}
 	if l.partsDigest != r.Digest {
-		l.parts, l.partsDigest = map[uint32][]platform.ListedBackend{}, r.Digest
+		l.parts, l.partsCold, l.partsDigest = map[uint32][]platform.ListedBackend{}, listedColds{}, r.Digest
 	}
+	now := time.Now()
 	for _, b := range parts {
 		part := make([]platform.ListedBackend, 0, len(b.GetServers()))
 		for _, x := range b.GetServers() {
 			part = append(part, platform.ListedBackend{
 				ID: ident.Backend(x.GetId()), Service: ident.Service(x.GetService()), Address: x.GetAddress(), Zone: ident.Zone(x.GetZone()),
 				Version: ident.Version(x.GetVersion()), Slots: int(x.GetSlots()), Leaving: x.GetLeaving(),
+				Born: x.GetBorn(), ColdNamed: x.GetNamed(),
 			})
+			l.partsCold.add(ident.Backend(x.GetId()), x.GetMark(), time.Duration(x.GetCold())*time.Millisecond, now)
 		}
 		l.parts[b.GetIndex()] = part
 	}
 	var list []platform.ListedBackend
+	cold := listedColds{}
 	for i, part := range buckets(l.servers) {
+		from := l.cold
 		if newer, ok := l.parts[uint32(i)]; ok {
-			part = newer
+			part, from = newer, l.partsCold
 		}
 		list = append(list, part...)
+		cold.copy(from, part)
 	}
-	if listDigest(list) != r.Digest {
+	if listDigest(list, cold) != r.Digest {
 		f.mu.Unlock() // parts are missing
 		return
 	}
 	l.note(r)
-	f.setList(r, list)
+	f.setList(r, list, cold)
 	f.mu.Unlock()
 	f.Update(list)
 }
 
 // listDigest returns a digest of a list, whatever its order.
-func listDigest(list []platform.ListedBackend) uint64 {
+func listDigest(list []platform.ListedBackend, cold listedColds) uint64 {
 	sorted := slices.Clone(list)
 	slices.SortFunc(sorted, func(a, b platform.ListedBackend) int { return strings.Compare(string(a.ID), string(b.ID)) })
 	h := xxhash.New()
 	for _, l := range sorted {
 		hashStrings(h, string(l.ID), string(l.Service), l.Address, string(l.Zone), string(l.Version))
 		_, _ = h.Write([]byte{byte(l.Slots), byte(l.Slots >> 8), b2i(l.Leaving)})
+		hashCold(h, l.Born, cold[l.ID].mark)
 	}
 	return max(1, h.Sum64()) // 0 stands for none
 }
--- a/gate/fleet/pick.go
+++ b/gate/fleet/pick.go
@@ -50,11 +50,23 @@
 	candidates := make([]policy.DirectCandidate, 0, len(f.services[criteria.Service]))
 	servers := make([]*Server, 0, len(f.services[criteria.Service]))
 	for _, s := range f.services[criteria.Service] {
-		if !criteria.matches(s, now) || s.untilOpen(now) > 0 {
+		if !criteria.matches(s, now) {
+			continue
+		}
+		if f.untilOpen(s, now) > 0 {
+			f.countWithheld(s, now)
 			continue
 		}
 		servers = append(servers, s)
-		candidates = append(candidates, f.candidate(s, criteria, now))
+		c := f.candidate(s, criteria, now)
+		c.LoadShare = s.cold.loadShare(now)
+		candidates = append(candidates, c)
+	}
+	if len(servers) == 0 {
+		for _, s := range f.lastResort(criteria, now) {
+			servers = append(servers, s)
+			candidates = append(candidates, f.candidate(s, criteria, now))
+		}
 	}
 	sample := policy.Sample{Size: policy.SampleSize(len(candidates), f.unseenChoices(criteria.Service, now)), Seed: criteria.TieBreak}
 	i, reason := policy.ChooseDirect(candidates, criteria.Prompt, sample)
@@ -66,6 +78,7 @@
 	s.pendingWork += criteria.Prompt.Work
 	s.changedAt, f.loadsChanged = now, true
 	s.limit.spend(now)
+	f.spendCold(s, now)
 	if s.health.isProbeDue(now) {
 		s.health.startProbe()
 	}
@@ -103,7 +116,7 @@
 	defer f.mu.Unlock()
 	least := -1.0
 	for _, s := range f.services[service] {
-		if s.isLeaving(now) || s.health.isEjected(now) || s.untilOpen(now) > 0 {
+		if s.isLeaving(now) || s.health.isEjected(now) || f.untilOpen(s, now) > 0 {
 			continue
 		}
 		if _, pending := s.peerTotals(now); least < 0 || s.pendingWork+pending < least {
@@ -190,6 +203,7 @@
 	g.removePendingWork()
 	g.changedAt, g.fleet.loadsChanged = now, true
 	g.health.record(g.Server, o, now)
+	g.fleet.recordUnreached(g.Server, o, now)
 }
 
 // removePendingWork removes the prompt from the server's pending work. It must
--- a/gate/fleet/share.go
+++ b/gate/fleet/share.go
@@ -105,6 +105,8 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.gates, f.exchangeDelay = gates, delay
+	f.cold.gates.set(gates.Self, gates.Others, time.Now())
+	f.cold.version++
 	for _, s := range f.servers {
 		if s.limit.inUse {
 			f.shareLimit(s)
--- a/gate/relay/attempt.go
+++ b/gate/relay/attempt.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"slices"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"citronledge.example/core/ident"
@@ -258,6 +259,7 @@
 	if l := head.Load; l.Known {
 		x.assignment.RecordLoad(l.Running, l.Queued, l.Slots, now)
 	}
+	x.assignment.RecordCold(head.Cold, now)
 	if head.Leaving {
 		x.assignment.RecordLeaving(now)
 	}
@@ -279,6 +281,9 @@
 	case errors.As(err, &notSent) && ctx.Err() != nil:
 		return retry{reason: "no connection in time"}, fleet.Neutral
 	case errors.As(err, &notSent):
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			x.assignment.RecordRefused(time.Now())
+		}
 		return retry{reason: "no connection"}, fleet.Unreached
 	}
 	// A reset is no sign of a crash: a server with too many connections resets
--- a/gate/relay/relay.go
+++ b/gate/relay/relay.go
@@ -132,6 +132,7 @@
 		return
 	}
 	r.config.Store(&activeConfig{plan: p, rollouts: rollouts, revision: revision})
+	r.fleet.SetColdRules(p.Services)
 	r.tallies.resetForRollouts(rollouts)
 	for service, s := range rollouts {
 		if s.Stage == conf.StageComplete {
--- a/gate/relay/retry.go
+++ b/gate/relay/retry.go
@@ -108,6 +108,9 @@
 		outcome = fleet.Neutral // the server is not to blame
 	}
 	end := time.Now()
+	if x.cutOff || x.brokenOff {
+		assignment.RecordCutOff(end)
+	}
 	assignment.Release(outcome, end)
 	x.recordOutcome(outcome)
 	x.recordCrash()
--- a/gate/relay/session.go
+++ b/gate/relay/session.go
@@ -8,6 +8,7 @@
 
 	"citronledge.example/core/conf"
 	"citronledge.example/core/ident"
+	"citronledge.example/gate/fleet"
 	"citronledge.example/gate/share"
 )
 
@@ -134,12 +135,19 @@
 	if current, ok := c.sessionVersion(incumbent, s.Target); ok {
 		return current, false
 	}
-	if c.r.tallies.isBelowShare(c.service, c.route.Name, s.Target, c.r.settings.CanaryShare) {
+	if c.r.isOpen(service, s.Target) && c.r.tallies.isBelowShare(c.service, c.route.Name, s.Target, c.r.settings.CanaryShare) {
 		return s.Target, false
 	}
 	return incumbent, false
 }
 
+// isOpen reports whether a server of a version takes requests of this gate now.
+// The servers of a new version are cold at first.
+func (r *Relay) isOpen(service ident.Service, version ident.Version) bool {
+	wait, ok := r.fleet.UntilOpen(fleet.Criteria{Service: service, AllowsVersion: func(v ident.Version) bool { return v == version }}, time.Now())
+	return ok && wait <= 0
+}
+
 // splitKey returns the key by which requests are split between the services of
 // a route. All requests of a session have the same one.
 func (c *call) splitKey() string {
--- a/gate/share/node.go
+++ b/gate/share/node.go
@@ -112,6 +112,7 @@
 	sent, forGroups, forMembers news
 	blocks                      []policy.Block // that this gate knows
 	limits                      []*wire.ServerLimit
+	colds                       []*wire.ServerCold
 	requestedAt                 time.Time // of the list of backend servers
 }
 
@@ -130,10 +131,11 @@
 	// of backend servers.
 	ReadSlack time.Duration
 	Loads     LoadTable
-	// Sessions, Parts and Lists may be nil.
+	// Sessions, Parts, Lists and Colds may be nil.
 	Sessions SessionTable
 	Parts    PartTable
 	Lists    ServerList
+	Colds    ColdTable
 }
 
 // NewNode returns the node of a gate; run is a random number.
@@ -257,7 +259,7 @@
 		return n.takeBurst(now)
 	}
 	loads, changed := n.cfg.Loads.LocalLoads()
-	n.limits = putLimits(n.cfg.Loads.Limits())
+	n.limits, n.colds = putLimits(n.cfg.Loads.Limits()), n.ownColds()
 	n.updateOwn(loads)
 	unsent := n.sent
 	n.sent = n.takeNews()
@@ -427,7 +429,7 @@
 func (n *Node) newLoads(scope wire.Loads_Scope, now time.Time, next time.Duration) *wire.Loads {
 	return &wire.Loads{
 		Name: n.cfg.Name, Run: n.run, Zone: string(n.self.Zone), Scope: scope, Next: uint32(next / time.Millisecond), List: n.ownReading(now), Blocks: putBlocks(n.blocks),
-		Limits: n.limits,
+		Limits: n.limits, Colds: n.colds,
 	}
 }
 
--- a/gate/share/receive.go
+++ b/gate/share/receive.go
@@ -47,6 +47,7 @@
 	}
 	n.receiveNews(l)
 	n.cfg.Loads.MergeLimits(getLimits(l.GetLimits()))
+	n.receiveColds(l.GetColds())
 	return n.noteReading(from, l.GetList(), now)
 }
 
--- a/gate/share/sim_test.go
+++ b/gate/share/sim_test.go
@@ -144,7 +144,7 @@
 	}
 	for i, m := range members {
 		g := &gate{Member: m, fleet: fleet.New(m.Zone), loads: &loads{rand: w.rand, running: map[uint32]uint32{}, reported: map[string]share.Report{}}, parts: parts{policy.NewQuarantine()}}
-		g.node = share.NewNode(share.Config{Name: fmt.Sprint("g", i), Self: m, ReadSlack: simReadSlack, Loads: table(g), Parts: g.parts, Lists: g.fleet}, w.rand.Uint64())
+		g.node = share.NewNode(share.Config{Name: fmt.Sprint("g", i), Self: m, ReadSlack: simReadSlack, Loads: table(g), Parts: g.parts, Lists: g.fleet, Colds: g.fleet}, w.rand.Uint64())
 		g.node.SetMembers(slices.Delete(slices.Clone(members), i, i+1), time.Now())
 		w.gates = append(w.gates, g)
 		w.byAddr[m.Addr] = g
