--- a/core/policy/cold.go
+++ b/core/policy/cold.go
@@ -73,12 +73,27 @@
 	return minColdLoadShare + (1-minColdLoadShare)*min(1, math.Max(0, progress))
 }
 
+// slowStartLoad returns the load of a server relative to the share of it that the
+// server is to get.
+func (s *DirectCandidate) slowStartLoad() float64 {
+	if s.LoadShare <= 0 || s.LoadShare >= 1 {
+		return s.Load
+	}
+	return (s.Load + coldAttemptLoad) / s.LoadShare
+}
+
 // slowStartCost makes the load and the queue of a server that becomes warm count
 // as many times as its share of the load is smaller than usual, so that it gets
-// that share of what the others have.
+// that share of what the others have. Beyond that it is used before servers
+// without a free slot, but after all others.
 func (s *DirectCandidate) slowStartCost() float64 {
 	if s.LoadShare <= 0 || s.LoadShare >= 1 {
 		return 0
 	}
-	return (s.PendingPromptWork + fullBatchCost*(s.Load+coldAttemptLoad)) * (1/s.LoadShare - 1)
+	load := s.slowStartLoad()
+	cost := s.PendingPromptWork*(1/s.LoadShare-1) + fullBatchCost*(load-s.Load)
+	if load >= noFreeSlotLoad {
+		cost += noFreeSlotCost / 2
+	}
+	return cost
 }
--- a/core/policy/direct.go
+++ b/core/policy/direct.go
@@ -136,7 +136,7 @@
 // only if all are unavailable.
 func ChooseDirect(list []DirectCandidate, p Prompt, sample Sample) (int, Reason) {
 	if marked := sample.mark(list); marked != nil {
-		if i, reason := chooseAmong(list, p, marked); i >= 0 && !list[i].Unavailable && list[i].Load < noFreeSlotLoad {
+		if i, reason := chooseAmong(list, p, marked); i >= 0 && !list[i].Unavailable && list[i].slowStartLoad() < noFreeSlotLoad {
 			return i, reason
 		}
 	}
--- a/gate/share/cold_test.go
+++ b/gate/share/cold_test.go
@@ -256,6 +256,9 @@
 					} else {
 						t.Logf("%s: %d requests in one second while it was cold", id, got)
 					}
+					if got, most := s.firstWarm(), 0.6*perServer; float64(got) > most {
+						t.Errorf("%s: got %d requests in the first second after its cold time, want at most %v", id, got, most)
+					}
 					if got, least := s.arrivedSince(last), int(3*perServer/2); got < least {
 						t.Errorf("%s: got %d requests in 3 s after it was warm, want at least %d", id, got, least)
 					}
@@ -265,6 +268,16 @@
 	}
 }
 
+// firstWarm counts the arrivals in the first second after the cold time.
+func (s *coldServer) firstWarm() (n int) {
+	for _, at := range s.arrivals {
+		if d := at.Sub(s.coldUntil); d >= 0 && d < time.Second {
+			n++
+		}
+	}
+	return n
+}
+
 // add lists a new server, which is cold.
 func (w *coldWorld) add(id ident.Backend) {
 	x := w.list[0]
