fleet, relay: only timeouts and missing routes count as out of reach

A gate without free file descriptors or ports reaches no server at all and would have taken all of them for cold. Errors of the gate's own system no longer count; refused connections, timeouts and missing routes do.

--- a/gate/fleet/cold.go
+++ b/gate/fleet/cold.go
@@ -281,18 +281,17 @@
 	c.cutOffAt = now
 }
 
-// recordUnreached counts a server as down that could not be reached for some
-// time. It must be called with mu held.
-func (f *Fleet) recordUnreached(s *Server, o Outcome, now time.Time) {
-	c := &s.cold
-	if o != Unreached {
-		return
-	}
+// RecordUnreached records that the server could not be reached. After some time
+// it counts as down.
+func (g *Assignment) RecordUnreached(now time.Time) {
+	g.fleet.mu.Lock()
+	defer g.fleet.mu.Unlock()
+	c := &g.cold
 	if c.unreachedSince.IsZero() {
 		c.unreachedSince = now
 	}
 	if now.Sub(c.unreachedSince) >= unreachedSpan {
-		f.markDown(s, "out of reach", false, now)
+		g.fleet.markDown(g.Server, "out of reach", false, now)
 	}
 }
 
--- a/gate/fleet/cold_test.go
+++ b/gate/fleet/cold_test.go
@@ -68,15 +68,19 @@
 		sign func(f *Fleet)
 		want time.Duration
 	}{
-		"none":                  {func(*Fleet) {}, 0},
-		"list":                  {relist(func(x *platform.ListedBackend) { x.ColdLeft, x.ColdNamed = 4*time.Second, true }), 5 * time.Second},
-		"new address":           {relist(func(x *platform.ListedBackend) { x.Address = "127.0.0.1:9" }), testColdDuration},
-		"new, named as warm":    {relist(func(x *platform.ListedBackend) { x.Address, x.ColdNamed = "127.0.0.1:9", true }), 0},
-		"other start":           {relist(func(x *platform.ListedBackend) { x.Born = 2 }), testColdDuration},
-		"answer":                {attempt(func(a *Assignment) { a.RecordCold(platform.ColdTime{Named: true, Left: 3 * time.Second}, time.Now()) }), 3 * time.Second},
-		"answer says warm":      {attempt(func(a *Assignment) { a.RecordCold(platform.ColdTime{Named: true}, time.Now()) }), 0},
-		"refused":               {attempt(func(a *Assignment) { a.RecordRefused(time.Now()) }), answerTimeout + testColdDuration},
-		"not reached once":      {attempt(func(a *Assignment) { a.Release(Unreached, time.Now()) }), 0},
+		"none":               {func(*Fleet) {}, 0},
+		"list":               {relist(func(x *platform.ListedBackend) { x.ColdLeft, x.ColdNamed = 4*time.Second, true }), 5 * time.Second},
+		"new address":        {relist(func(x *platform.ListedBackend) { x.Address = "127.0.0.1:9" }), testColdDuration},
+		"new, named as warm": {relist(func(x *platform.ListedBackend) { x.Address, x.ColdNamed = "127.0.0.1:9", true }), 0},
+		"other start":        {relist(func(x *platform.ListedBackend) { x.Born = 2 }), testColdDuration},
+		"answer":             {attempt(func(a *Assignment) { a.RecordCold(platform.ColdTime{Named: true, Left: 3 * time.Second}, time.Now()) }), 3 * time.Second},
+		"answer says warm":   {attempt(func(a *Assignment) { a.RecordCold(platform.ColdTime{Named: true}, time.Now()) }), 0},
+		"refused":            {attempt(func(a *Assignment) { a.RecordRefused(time.Now()) }), answerTimeout + testColdDuration},
+		"not reached once":   {attempt(func(a *Assignment) { a.RecordUnreached(time.Now()) }), 0},
+		"not reached for long": {attempt(func(a *Assignment) {
+			a.RecordUnreached(time.Now().Add(-unreachedSpan))
+			a.RecordUnreached(time.Now())
+		}), answerTimeout + testColdDuration},
 		"one connection ended":  {attempt(func(a *Assignment) { a.RecordCutOff(time.Now()) }), 0},
 		"all connections ended": {attempt(func(a *Assignment) { a.RecordCutOff(time.Now()); a.RecordCutOff(time.Now()) }), answerTimeout + testColdDuration},
 		"zone returns":          {func(f *Fleet) { f.ExpectCold("a", time.Now()) }, answerTimeout + testColdDuration},
--- a/gate/fleet/pick.go
+++ b/gate/fleet/pick.go
@@ -203,7 +203,6 @@
 	g.removePendingWork()
 	g.changedAt, g.fleet.loadsChanged = now, true
 	g.health.record(g.Server, o, now)
-	g.fleet.recordUnreached(g.Server, o, now)
 }
 
 // removePendingWork removes the prompt from the server's pending work. It must
--- a/gate/relay/attempt.go
+++ b/gate/relay/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"slices"
 	"sync/atomic"
@@ -281,9 +282,7 @@
 	case errors.As(err, &notSent) && ctx.Err() != nil:
 		return retry{reason: "no connection in time"}, fleet.Neutral
 	case errors.As(err, &notSent):
-		if errors.Is(err, syscall.ECONNREFUSED) {
-			x.assignment.RecordRefused(time.Now())
-		}
+		x.recordUnreached(err)
 		return retry{reason: "no connection"}, fleet.Unreached
 	}
 	// A reset is no sign of a crash: a server with too many connections resets
@@ -291,3 +290,16 @@
 	x.cutOff = ctx.Err() == nil && (errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF))
 	return retry{reason: "no answer", mayHaveRun: true}, fleet.Broke
 }
+
+// recordUnreached records why no connection to the server could be opened. Errors
+// of this gate's own system, such as a lack of file descriptors, say nothing of
+// the server.
+func (x *attempt) recordUnreached(err error) {
+	var netErr net.Error
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		x.assignment.RecordRefused(time.Now())
+	case errors.As(err, &netErr) && netErr.Timeout(), errors.Is(err, syscall.EHOSTUNREACH), errors.Is(err, syscall.ENETUNREACH):
+		x.assignment.RecordUnreached(time.Now())
+	}
+}
