--- a/gate/relay/attempt.go
+++ b/gate/relay/attempt.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"net/http"
 	"slices"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"citronledge.example/core/ident"
@@ -257,6 +259,7 @@
 	if l := head.Load; l.Known {
 		x.assignment.RecordLoad(l.Running, l.Queued, l.Slots, now)
 	}
+	x.assignment.RecordCold(head.Cold, now)
 	if head.Leaving {
 		x.assignment.RecordLeaving(now)
 	}
@@ -278,9 +281,23 @@
 	case errors.As(err, &notSent) && ctx.Err() != nil:
 		return retry{reason: "no connection in time"}, fleet.Neutral
 	case errors.As(err, &notSent):
+		x.recordUnreached(err)
 		return retry{reason: "no connection"}, fleet.Unreached
 	}
 	var unanswered conn.UnansweredError
 	x.cutOff = ctx.Err() == nil && errors.As(err, &unanswered) && x.hasCrashed(ctx, unanswered)
 	return retry{reason: "no answer", mayHaveRun: true}, fleet.Broke
 }
+
+// recordUnreached records why no connection to the server could be opened. Errors
+// of this gate's own system, such as a lack of file descriptors, say nothing of
+// the server.
+func (x *attempt) recordUnreached(err error) {
+	var netErr net.Error
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		x.assignment.RecordRefused(time.Now())
+	case errors.As(err, &netErr) && netErr.Timeout(), errors.Is(err, syscall.EHOSTUNREACH), errors.Is(err, syscall.ENETUNREACH):
+		x.assignment.RecordUnreached(time.Now())
+	}
+}
