--- a/stub/users/users.go
+++ b/stub/users/users.go
@@ -5,6 +5,7 @@
 package users
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -36,6 +37,9 @@
 	MaxLostVMs                              int    // VMs with a disk that may be lost at the same time
 	StopTimeout, DrainTimeout               time.Duration
 	RetryBudgetRatio, RetryBudgetSlack      float64
+	// MemoryMB is the memory limit of the process, and MaxFiles that of its open
+	// descriptors; 0 means 128 MB and 1024 descriptors.
+	MemoryMB, MaxFiles int
 }
 
 // SettingsFile returns the settings file in JSON.
@@ -44,7 +48,7 @@
 		"node-name": n.Name, "ip": n.IP, "zone": "a", "bootstrap": n.Bootstrap, "seed-nodes": n.SeedAddrs,
 		"listen":              map[string]string{"frontend": n.CallerAddr, "readiness": n.ReadinessAddr, "control-plane": n.OperatorAddr},
 		"internal-port-range": []int{n.FirstInternalPort, n.FirstInternalPort + 9},
-		"limits":              map[string]int{"memory-mb": 128}, "fault-tolerance": map[string]int{"machines": n.MaxLostVMs},
+		"limits":              map[string]int{"memory-mb": cmp.Or(n.MemoryMB, 128), "max-fds": cmp.Or(n.MaxFiles, 1024)}, "fault-tolerance": map[string]int{"machines": n.MaxLostVMs},
 		"bounds": map[string]any{
 			"grace-period-s": n.StopTimeout.Seconds(), "drain-timeout-ms": n.DrainTimeout.Milliseconds(), "retry-budget-ratio": n.RetryBudgetRatio,
 			"retry-window-s": 10, "budget-slack": n.RetryBudgetSlack, "canary-share": 0.15, "session-s": 5,
