gate/relay: bound what callers hold of a gate

Cause: a body was allocated by its announced length or read in full whatever other callers held, a stalled body had no end before the caller left, and connections were not counted.

Change: core/intake has a budget of bytes for one process (a fifth of its memory, 13 MiB at least), charged as bytes arrive. 8 KiB of each head and body are always available. If the budget is used up, the oldest request that is still arriving is refused, never one that has arrived. A body that pauses for 5 s, averages under 512 B/s or is not complete at the request's deadline gets 408. Heads are bounded by the configured max-header-bytes and header-timeout-ms, also before Go's own limit. Connections are bounded by memory (30 %) and by half of the descriptors; the one that has waited longest without a request gives way to a new one. Refused requests end within a second even if their client neither sends nor reads. The readiness interface has 64 connections, 8 KiB of header, and takes no bodies.

--- a/gate/cmd/gate/platform.go
+++ b/gate/cmd/gate/platform.go
@@ -16,6 +16,7 @@
 
 	"citronledge.example/core/client"
 	"citronledge.example/core/group"
+	"citronledge.example/core/intake"
 	"citronledge.example/core/link"
 	"citronledge.example/core/logs"
 	"citronledge.example/core/server"
@@ -63,12 +64,22 @@
 	// version gets; the rest is for the time in which all traffic moves to it.
 	canaryExposureShare = 0.58
 	// headerReadTimeout and maxHeaderBytes limit the time to read the header of a
-	// request and its size, until the configuration is known.
+	// request and its size, beside the limits of the configuration.
 	headerReadTimeout = 10 * time.Second
 	maxHeaderBytes    = 64 << 10
 	// idleTimeFactor multiplies the configured idle timeout, since callers may use
 	// a connection right up to that timeout.
 	idleTimeFactor = 1.5
+	// answerWriteTimeout limits writing an answer unless the request sets another
+	// limit.
+	answerWriteTimeout = 10 * time.Second
+	// maxProbeConns limits the connections to the readiness interface, which has a
+	// few clients.
+	maxProbeConns = 64
+	// maxProbeHeaderBytes limits the header of a readiness probe.
+	maxProbeHeaderBytes = 8 << 10
+	// probeIdleTimeout limits the time between two probes on a connection.
+	probeIdleTimeout = time.Minute
 )
 
 // platformNode describes this process's node on the users' platform.
@@ -120,8 +131,9 @@
 		return err
 	}
 	defer func() { _ = h.client.Close() }()
+	h.budget = intake.BudgetFor(s.node.MemoryLimit)
 	h.relay = relay.New(
-		relay.WithFleet(h.fleet), relay.WithRegistry(h.frame.Registry),
+		relay.WithFleet(h.fleet), relay.WithBudget(h.budget), relay.WithRegistry(h.frame.Registry),
 		relay.WithLease(func() bool { return h.client.LeaseValidAt(time.Now()) }),
 		relay.WithSettings(relay.Settings{
 			CanaryShare: canaryExposureShare * bounds.MaxCanaryShare, SessionTimeout: bounds.MaxSessionPause, RequireLease: bounds.StrictRevocation,
@@ -172,6 +184,7 @@
 	fleet    *fleet.Fleet
 	share    *share.Exchange
 	list     *platform.ListReader
+	budget   *intake.Budget // of the bytes held for callers
 	srv      *http.Server
 }
 
@@ -181,16 +194,20 @@
 	if err != nil {
 		return eris.Wrap(err, "cannot listen for callers")
 	}
-	idleConns := newIdleCloser(h.relay.IdleTimeout)
+	callers := intake.Listen(ln, h.budget, intake.Limits{
+		Conns: intake.MaxConns(h.settings.node.MemoryLimit, intake.FileLimit(h.settings.node.MaxFiles)), HeadBytes: h.relay.MaxHeaderBytes, HeadTimeout: h.relay.HeaderTimeout,
+		IdleTimeout: func() time.Duration { return time.Duration(idleTimeFactor * float64(h.relay.IdleTimeout())) },
+	})
 	h.srv = &http.Server{
-		Handler: h.relay, ReadHeaderTimeout: headerReadTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: idleConns.trackState,
+		Handler: h.relay, ReadHeaderTimeout: headerReadTimeout, WriteTimeout: answerWriteTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: klog.NewStandardLogger("INFO"),
 	}
+	callers.Attach(h.srv)
 	g := group.New(ctx)
 	g.Go("callers", func(ctx context.Context) error {
 		stop := context.AfterFunc(ctx, func() { _ = h.srv.Close() })
 		defer stop()
-		if err := h.srv.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+		if err := h.srv.Serve(callers); !errors.Is(err, http.ErrServerClosed) {
 			return eris.Wrap(err, "the callers' interface ended")
 		}
 		return nil
@@ -201,7 +218,7 @@
 	g.Go("backend servers", h.watchList)
 	g.Go("state processes", h.learnStateProcesses)
 	g.Go("loads", h.share.Run)
-	g.Go("idle connections", idleConns.run)
+	g.Go("caller connections", callers.Sweep)
 	g.Go("sweep", h.relay.Sweep)
 	klog.InfoS("Gate started", "name", h.settings.Name, "zone", h.settings.Zone, "listen", h.settings.listen)
 	ready()
@@ -223,10 +240,15 @@
 	if err != nil {
 		return eris.Wrap(err, "cannot listen for the readiness question")
 	}
-	srv := &http.Server{ReadHeaderTimeout: headerReadTimeout, Handler: platform.NewReadinessHandler(h.relay.Ready)}
+	srv := &http.Server{
+		ReadHeaderTimeout: headerReadTimeout, WriteTimeout: answerWriteTimeout, IdleTimeout: probeIdleTimeout, MaxHeaderBytes: maxProbeHeaderBytes,
+		Handler: intake.WithoutBody(platform.NewReadinessHandler(h.relay.Ready)),
+	}
+	probes := intake.Listen(ln, h.budget, intake.Limits{Conns: maxProbeConns})
+	probes.Attach(srv)
 	stop := context.AfterFunc(ctx, func() { _ = srv.Close() })
 	defer stop()
-	if err := srv.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+	if err := srv.Serve(probes); !errors.Is(err, http.ErrServerClosed) {
 		return eris.Wrap(err, "the readiness interface ended")
 	}
 	return nil
--- a/gate/relay/call.go
+++ b/gate/relay/call.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"context"
 	"errors"
-	"io"
 	"math"
 	"net/http"
 	"strconv"
@@ -14,6 +13,7 @@
 	"k8s.io/klog/v2"
 
 	"citronledge.example/core/ident"
+	"citronledge.example/core/intake"
 	"citronledge.example/core/plan"
 	"citronledge.example/core/policy"
 	"citronledge.example/gate/conn"
@@ -32,6 +32,9 @@
 	writeDeadlineMargin = time.Second
 	// retryAfter is the wait suggested with a refusal for lack of capacity.
 	retryAfter = 300 * time.Millisecond
+	// noRoomRetryAfter is the wait suggested without memory for a body: slow and
+	// idle bodies, which hold it, end within some seconds.
+	noRoomRetryAfter = time.Second
 	// stoppingRetryAfter is the wait suggested by a gate that is stopping:
 	// other gates can serve the request at once.
 	stoppingRetryAfter = 20 * time.Millisecond
@@ -53,6 +56,7 @@
 	service  ident.Service
 	customer *plan.Customer
 	body     []byte
+	hold     *intake.Hold // of the body; nil without one
 	deadline time.Time
 
 	// State of the attempts so far.
@@ -103,9 +107,6 @@
 			return
 		}
 	}
-	if !c.readBody() {
-		return
-	}
 	limit := c.route.Timeout
 	if c.head.Deadline > 0 {
 		limit = min(limit, c.head.Deadline)
@@ -113,6 +114,10 @@
 		limit = min(limit, defaultDeadline)
 	}
 	c.deadline = c.start.Add(limit)
+	if !c.readBody() {
+		return
+	}
+	defer c.hold.Close()
 	c.service = c.route.PickService(xxhash.Sum64String(c.splitKey()))
 	if c.refuseQuarantined() {
 		return
@@ -133,9 +138,10 @@
 	control := http.NewResponseController(c.w)
 	// A caller that stops reading must not hold the request any longer. The error
 	// is ignored: a writer without deadlines, as in tests, is bounded by the
-	// request. The deadline must not stay for the next request of the connection.
+	// request. The server sets another one for the next request; until then it bounds
+	// the last bytes of the answer.
 	_ = control.SetWriteDeadline(c.deadline.Add(writeDeadlineMargin))
-	defer func() { _ = control.SetWriteDeadline(time.Time{}) }()
+	defer func() { _ = control.SetWriteDeadline(time.Now().Add(writeDeadlineMargin)) }()
 
 	ctx := c.req.Context()
 	if !c.route.Repeatable() {
@@ -166,30 +172,33 @@
 	if limit := c.config.plan.Limits.MaxBodyBytes; limit > 0 {
 		maxBody = limit
 	}
-	if c.req.ContentLength > int64(maxBody) {
-		c.refuse(http.StatusRequestEntityTooLarge, 0, "body too large")
-		return false
-	}
 	var err error
-	if n := c.req.ContentLength; n > 0 {
-		c.body = make([]byte, n)
-		_, err = io.ReadFull(c.req.Body, c.body)
-	} else if n < 0 {
-		c.body, err = io.ReadAll(io.LimitReader(c.req.Body, int64(maxBody)+1))
-		if len(c.body) > maxBody {
-			c.refuse(http.StatusRequestEntityTooLarge, 0, "body too large")
-			return false
-		}
-	}
-	if err != nil {
+	c.hold, c.body, err = c.r.budget.ReadBody(c.w, c.req, int64(maxBody), c.deadline)
+	switch {
+	case err == nil:
+		return true
+	case errors.Is(err, intake.ErrTooLarge):
+		c.refuse(http.StatusRequestEntityTooLarge, 0, "body too large")
+	case errors.Is(err, intake.ErrTooSlow):
+		c.refuseUnread(http.StatusRequestTimeout, 0, "the body did not arrive in time")
+	case errors.Is(err, intake.ErrNoRoom):
+		c.refuseUnread(http.StatusServiceUnavailable, noRoomRetryAfter, "no memory for the body")
+	default:
 		c.recordEnd("caller left", 0)
 		panic(http.ErrAbortHandler)
 	}
-	return true
+	return false
+}
+
+// refuseUnread refuses a request whose body cannot be read any further.
+func (c *call) refuseUnread(status int, retry time.Duration, why string) {
+	c.w.Header().Set("Connection", "close")
+	c.refuse(status, retry, why)
 }
 
 // refuse answers a request that did not run.
 func (c *call) refuse(status int, retry time.Duration, why string) {
+	intake.EndRefused(c.w)
 	platform.SetRefusalHeaders(c.head, retry, c.w.Header())
 	c.reason = why
 	c.writeAnswer(status, []byte(why+"\n"))
--- a/gate/relay/relay.go
+++ b/gate/relay/relay.go
@@ -16,6 +16,7 @@
 
 	"citronledge.example/core/conf"
 	"citronledge.example/core/ident"
+	"citronledge.example/core/intake"
 	"citronledge.example/core/plan"
 	"citronledge.example/core/policy"
 	"citronledge.example/core/wire"
@@ -45,6 +46,7 @@
 	fleet    *fleet.Fleet
 	settings Settings
 	hasLease func() bool
+	budget   *intake.Budget
 	metrics  metrics
 	tallies  tallies
 	started  time.Time
@@ -95,6 +97,9 @@
 // configuration is valid.
 func WithLease(f func() bool) Option { return func(r *Relay) { r.hasLease = f } }
 
+// WithBudget sets the budget of the bytes held for callers.
+func WithBudget(b *intake.Budget) Option { return func(r *Relay) { r.budget = b } }
+
 // WithRegistry registers the metrics.
 func WithRegistry(reg prometheus.Registerer) Option {
 	return func(r *Relay) { r.metrics.register(reg) }
@@ -106,6 +111,7 @@
 	r := &Relay{
 		started:              time.Now(),
 		hasLease:             func() bool { return true },
+		budget:               intake.BudgetFor(0),
 		metrics:              newMetrics(),
 		tallies:              newTallies(),
 		retryBudgets:         map[ident.Service]*policy.WindowBudget{},
@@ -236,6 +242,24 @@
 	return 0
 }
 
+// MaxHeaderBytes returns the greatest size of a request's header; 0 if that is
+// not known yet.
+func (r *Relay) MaxHeaderBytes() int {
+	if s := r.config.Load(); s != nil {
+		return s.plan.Limits.MaxHeaderBytes
+	}
+	return 0
+}
+
+// HeaderTimeout returns how long the header of a request may take to arrive; 0
+// if that is not known yet.
+func (r *Relay) HeaderTimeout() time.Duration {
+	if s := r.config.Load(); s != nil {
+		return s.plan.Limits.HeaderTimeout
+	}
+	return 0
+}
+
 // Tallies returns the sums by which running rollouts are judged.
 func (r *Relay) Tallies() []*wire.Tally {
 	s := r.config.Load()
