platform: bound what clients hold at the operators' interface

Cause: up to 8 MiB were read for each request whatever others held, heads could have 1 MiB, and connections were not counted.

Change: bodies are read under the budget of core/intake, within 10 s as before; heads are bounded to 16 KiB and connections to 64, of which the longest without a request gives way to a new one. A request and its answer may take 20 s from the head instead of 10 s, since the 10 s for the body are counted apart.

--- a/core/intake/listen.go
+++ b/core/intake/listen.go
@@ -5,8 +5,10 @@
 	"container/list"
 	"context"
 	"io"
+	"math"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -40,18 +42,25 @@
 	evictedShare = 8
 )
 
-// BudgetFor returns the budget of a process with a memory limit; 0 means
-// unknown.
+// BudgetFor returns the budget of a process with a memory limit; 0 means that of
+// the Go runtime.
 func BudgetFor(memory int64) *Budget {
-	if memory <= 0 {
-		memory = defaultMemory
-	}
-	return NewBudget(max(minBudget, Bytes(budgetShare*float64(memory))))
+	return NewBudget(max(minBudget, Bytes(budgetShare*float64(memoryLimit(memory)))))
 }
 
-// defaultMemory is assumed if the memory limit is not known.
+// defaultMemory is assumed if no memory limit is set.
 const defaultMemory = 1 << 30
 
+func memoryLimit(set int64) int64 {
+	if set > 0 {
+		return set
+	}
+	if limit := debug.SetMemoryLimit(-1); limit < math.MaxInt64 {
+		return limit
+	}
+	return defaultMemory
+}
+
 // FileLimit returns the smaller of the descriptor limit of this process and a
 // limit that the deployment sets; 0 means none for both.
 func FileLimit(set int) int {
@@ -69,12 +78,10 @@
 const maxFiles = 1 << 30
 
 // MaxConns returns the greatest number of connections of clients to a process
-// with a memory limit and a descriptor limit; 0 means unknown.
+// with a memory limit, 0 for that of the Go runtime, and a descriptor limit, 0
+// for none.
 func MaxConns(memory int64, files int) int {
-	if memory <= 0 {
-		memory = defaultMemory
-	}
-	n := int(connShare * float64(memory) / connCost)
+	n := int(connShare * float64(memoryLimit(memory)) / connCost)
 	if files > 0 {
 		n = min(n, int(fileShare*float64(files)))
 	}
@@ -108,7 +115,7 @@
 }
 
 // Listen returns a listener that takes its connections from ln. Attach must be
-// called before the server starts, and Sweep runs beside it.
+// called before the server starts. HeadTimeout and IdleTimeout need Sweep beside it.
 func Listen(ln net.Listener, b *Budget, l Limits) *Listener {
 	return &Listener{Listener: ln, budget: b, limits: l}
 }
--- a/state/cmd/state/platform.go
+++ b/state/cmd/state/platform.go
@@ -18,6 +18,7 @@
 	"citronledge.example/core/conf"
 	"citronledge.example/core/fault"
 	"citronledge.example/core/ident"
+	"citronledge.example/core/intake"
 	"citronledge.example/core/link"
 	"citronledge.example/core/wire"
 	"citronledge.example/platform"
@@ -33,9 +34,16 @@
 	// stopShare is the share of the time between SIGTERM and SIGKILL that a
 	// planned stop may take.
 	stopShare = 0.85
-	// operatorTimeout bounds reading an operator's request, and writing its
-	// answer.
+	// operatorTimeout bounds reading the header of an operator's request, the time
+	// until the next one, and carrying out a request and writing its answer.
 	operatorTimeout = 10 * time.Second
+	// operatorWriteTimeout also covers the time in which a body may arrive.
+	operatorWriteTimeout = 2 * operatorTimeout
+	// maxOperatorConns limits the connections of operators, who have up to eight
+	// requests in progress; the rest is for connections without a request.
+	maxOperatorConns = 64
+	// maxOperatorHeaderBytes limits the header of an operator's request.
+	maxOperatorHeaderBytes = 16 << 10
 	// announceInterval is the interval at which a member announces itself to the
 	// seeds without a disk, and announceTimeout bounds one attempt.
 	announceInterval = time.Second
@@ -260,10 +268,16 @@
 	if err != nil {
 		return eris.Wrap(err, "cannot listen for operators")
 	}
-	srv := &http.Server{Handler: platform.NewOperatorAPI(operator{o, n.OperatorPort}), ReadTimeout: operatorTimeout, WriteTimeout: operatorTimeout}
+	budget := intake.BudgetFor(n.MemoryLimit)
+	operators := intake.Listen(ln, budget, intake.Limits{Conns: min(maxOperatorConns, intake.MaxConns(n.MemoryLimit, intake.FileLimit(n.MaxFiles)))})
+	srv := &http.Server{
+		Handler: platform.NewOperatorAPI(operator{o, n.OperatorPort}, budget), ReadHeaderTimeout: operatorTimeout, WriteTimeout: operatorWriteTimeout,
+		IdleTimeout: operatorTimeout, MaxHeaderBytes: maxOperatorHeaderBytes,
+	}
+	operators.Attach(srv)
 	stop := context.AfterFunc(ctx, func() { _ = srv.Close() })
 	defer stop()
-	if err := srv.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+	if err := srv.Serve(operators); !errors.Is(err, http.ErrServerClosed) {
 		return eris.Wrap(err, "cannot serve the operator API")
 	}
 	return nil
