gate/front, core/server: bound what callers and admin clients hold

Cause: a body was allocated by its announced length, a refused request could wait without end for the rest of its body, and connections were not counted.

Change: gate/front reads bodies under the budget of core/intake, answers 503 (not run, with Retry-After) without room, and bounds connections, heads (32 KiB) and what an HTTP/2 connection can send unread. The admin pages take no bodies, have 64 connections, 8 KiB of head, and limits on idle time and on writing, which leaves room for profiles of up to two minutes.

Tested: a body without room is refused as not run while a small one is served. The tests with real processes cover the platform's interfaces only.

--- a/core/server/server.go
+++ b/core/server/server.go
@@ -26,6 +26,7 @@
 	"k8s.io/klog/v2"
 
 	"citronledge.example/core/chart"
+	"citronledge.example/core/intake"
 )
 
 //go:embed chart.yaml
@@ -33,7 +34,16 @@
 
 var lifecycle = chart.MustParse(chartFile)
 
-const readHeaderTimeout = 5 * time.Second // on the admin address
+// Limits at the admin address, which has a few clients. A write must allow for a
+// profile of the default length, 30 s.
+const (
+	readHeaderTimeout              = 5 * time.Second
+	idleTimeout                    = time.Minute
+	writeTimeout                   = 2 * time.Minute
+	maxConns                       = 64
+	maxHeaderBytes                 = 8 << 10
+	maxHeldBytes      intake.Bytes = 1 << 20 // for headers of all connections
+)
 
 // Server runs one program's workload and its admin pages.
 type Server struct {
@@ -281,8 +291,13 @@
 	for path, h := range s.pages {
 		r.Handler(http.MethodGet, path, h)
 	}
-	srv := &http.Server{Handler: r, ReadHeaderTimeout: readHeaderTimeout}
-	go func() { _ = srv.Serve(ln) }()
+	srv := &http.Server{
+		Handler: intake.WithoutBody(r), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, WriteTimeout: writeTimeout,
+		MaxHeaderBytes: maxHeaderBytes,
+	}
+	admin := intake.Listen(ln, intake.NewBudget(maxHeldBytes), intake.Limits{Conns: maxConns})
+	admin.Attach(srv)
+	go func() { _ = srv.Serve(admin) }()
 	return srv, nil
 }
 
--- a/gate/cmd/gate/main.go
+++ b/gate/cmd/gate/main.go
@@ -21,6 +21,7 @@
 	"citronledge.example/core/client"
 	"citronledge.example/core/fault"
 	"citronledge.example/core/ident"
+	"citronledge.example/core/intake"
 	"citronledge.example/core/link"
 	"citronledge.example/core/server"
 	"citronledge.example/core/wire"
@@ -127,9 +128,10 @@
 	defer func() { _ = g.client.Close() }()
 	frame.AddReadinessCheck("lease", func() bool { return g.client.LeaseValidAt(time.Now().Add(-leaseGrace)) })
 	frame.AddPage("/decisions/:id", http.HandlerFunc(g.decision))
+	budget := intake.BudgetFor(0)
 	return frame.Run(ctx, front.NewGate(front.GateConfig{
-		Listen: s.listen, Cert: s.cert, Key: s.key,
-		Handler: front.New(front.WithClient(g.client), front.WithRouter(g.router)),
+		Listen: s.listen, Cert: s.cert, Key: s.key, Budget: budget,
+		Handler: front.New(front.WithClient(g.client), front.WithRouter(g.router), front.WithBudget(budget)),
 		Tasks: map[string]func(context.Context) error{
 			"lease": g.client.HoldLease, "links": g.pool.Run, "bills": g.book.Run, "queues": g.router.Run,
 		},
--- a/gate/front/front.go
+++ b/gate/front/front.go
@@ -8,7 +8,6 @@
 	"encoding/hex"
 	"encoding/json"
 	"errors"
-	"io"
 	"net/http"
 	"path"
 	"slices"
@@ -22,6 +21,7 @@
 	"citronledge.example/core/conf"
 	"citronledge.example/core/fault"
 	"citronledge.example/core/ident"
+	"citronledge.example/core/intake"
 	"citronledge.example/core/wire"
 	"citronledge.example/gate/route"
 )
@@ -50,6 +50,7 @@
 	state        State
 	router       Router
 	mux          *httprouter.Router
+	budget       *intake.Budget
 	idPrefix     string
 	requestCount atomic.Uint64
 }
@@ -63,6 +64,9 @@
 // WithRouter sets the router that answers requests.
 func WithRouter(r Router) Option { return func(f *Front) { f.router = r } }
 
+// WithBudget sets the budget of the bytes held for callers.
+func WithBudget(b *intake.Budget) Option { return func(f *Front) { f.budget = b } }
+
 // WithIDPrefix sets the prefix of all request ids. It must be unique among all
 // gates and their restarts; the default is random.
 func WithIDPrefix(prefix string) Option { return func(f *Front) { f.idPrefix = prefix } }
@@ -71,7 +75,7 @@
 func New(opts ...Option) *Front {
 	var random [6]byte
 	_, _ = rand.Read(random[:]) // never fails
-	f := &Front{idPrefix: hex.EncodeToString(random[:]) + "-", mux: httprouter.New()}
+	f := &Front{idPrefix: hex.EncodeToString(random[:]) + "-", mux: httprouter.New(), budget: intake.BudgetFor(0)}
 	for _, opt := range opts {
 		opt(f)
 	}
@@ -95,11 +99,13 @@
 	view     *conf.View
 	customer ident.Customer
 	id       ident.Request
+	budget   *intake.Budget
+	hold     *intake.Hold // of the body; nil without one
 }
 
 func (f *Front) handler(handle func(x *apiRequest) error) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
-		x := &apiRequest{w: w, r: r, view: f.state.View()}
+		x := &apiRequest{w: w, r: r, view: f.state.View(), budget: f.budget}
 		// A request id sent by the caller is not used: replies are matched by the
 		// id, and the caller's may not be unique.
 		x.id = ident.Request(f.idPrefix + strconv.FormatUint(f.requestCount.Add(1), 36))
@@ -107,6 +113,7 @@
 		err := x.authenticate(f.state.LeaseValidAt(time.Now()))
 		if err == nil {
 			err = handle(x)
+			defer x.hold.Close()
 		}
 		x.writeError(err)
 	}
@@ -149,6 +156,7 @@
 }
 
 func writeFailure(w http.ResponseWriter, f *route.Failure) {
+	intake.EndRefused(w)
 	object := f.Object()
 	object.Error.Ran = "no"
 	if f.MayHaveRun {
@@ -167,23 +175,16 @@
 // readBody reads the body, up to the configured limit of its size.
 func (x *apiRequest) readBody() ([]byte, error) {
 	limit := int64(x.view.Limits.MaxBodyBytes)
-	rc := http.NewResponseController(x.w)
-	_ = rc.SetReadDeadline(time.Now().Add(bodyReadTimeout)) // not supported in tests
-	defer func() { _ = rc.SetReadDeadline(time.Time{}) }()
-	var data []byte
-	var err error
-	reader := http.MaxBytesReader(x.w, x.r.Body, limit)
-	if n := x.r.ContentLength; n > 0 && n <= limit {
-		data = make([]byte, n)
-		_, err = io.ReadFull(reader, data)
-	} else {
-		data, err = io.ReadAll(reader)
-	}
-	var large *http.MaxBytesError
+	hold, data, err := x.budget.ReadBody(x.w, x.r, limit, time.Now().Add(bodyReadTimeout))
+	x.hold = hold
 	switch {
-	case errors.As(err, &large):
+	case errors.Is(err, intake.ErrTooLarge):
 		return nil, fault.New(fault.TooLarge, "the body is over the limit of "+strconv.FormatInt(limit, 10)+" bytes; send a shorter one")
+	case errors.Is(err, intake.ErrNoRoom):
+		x.w.Header().Set("Connection", "close")
+		return nil, fault.New(fault.Unavailable, "this gate has no memory for the body now; send it again").WithRetryAfter(time.Second)
 	case err != nil:
+		x.w.Header().Set("Connection", "close")
 		return nil, fault.New(fault.Invalid, "the body could not be read; send it again within "+bodyReadTimeout.String())
 	}
 	return data, nil
--- a/gate/front/front_test.go
+++ b/gate/front/front_test.go
@@ -5,6 +5,10 @@
 	"strings"
 	"testing"
 	"time"
+
+	"citronledge.example/core/conf"
+	"citronledge.example/core/intake"
+	"citronledge.example/gate/front"
 )
 
 // The basic path: the answer arrives completely, is billed once, and the side
@@ -64,6 +68,22 @@
 	})
 }
 
+// A refusal for lack of memory must be truthful, and small bodies must still be
+// served then.
+func TestBodyWithoutRoom(t *testing.T) {
+	runInBubble(t, func(t *testing.T, w *testGate) {
+		w.cluster.put(t, map[string]any{"limits": conf.Limits{MaxBodyBytes: 1 << 20}})
+		w.front = front.New(front.WithClient(w.cluster), front.WithRouter(w.router), front.WithBudget(intake.NewBudget(1)))
+		rec, _ := w.do(request{body: chatBody + strings.Repeat(" ", 100_000)})
+		if got, want := errorSummary(rec), "503 unavailable ran=no"; got != want || rec.Header().Get("Retry-After") == "" {
+			t.Errorf("got %s with headers %v, want %s with Retry-After", got, rec.Header(), want)
+		}
+		if rec, _ = w.do(request{body: chatBody}); rec.Code != http.StatusOK {
+			t.Errorf("small body: got %d %s, want 200", rec.Code, rec.Body)
+		}
+	})
+}
+
 func TestModels(t *testing.T) {
 	runInBubble(t, func(t *testing.T, w *testGate) {
 		rec, _ := w.do(request{method: http.MethodGet, path: "/v1/models", key: "k2"})
--- a/gate/front/gate.go
+++ b/gate/front/gate.go
@@ -15,11 +15,19 @@
 
 	"citronledge.example/core/group"
 	"citronledge.example/core/ident"
+	"citronledge.example/core/intake"
 )
 
 const (
 	headerReadTimeout = 5 * time.Second
 	idleTimeout       = 120 * time.Second
+	// maxHeaderBytes limits the header of a request.
+	maxHeaderBytes = 32 << 10
+	// maxStreams, streamWindow and connWindow limit what one HTTP/2 connection can
+	// send before it is read. Package http allows 1 MiB for each.
+	maxStreams   = 100
+	streamWindow = 64 << 10
+	connWindow   = 256 << 10
 	// drainLinger is how long a draining gate still answers on open connections.
 	drainLinger = time.Second
 )
@@ -54,6 +62,8 @@
 	Router RequestDrainer
 	Book   Drainer
 	State  LeaseHolder
+	// Budget is that of the Handler.
+	Budget *intake.Budget
 }
 
 // Gate is a complete gate; it implements server.Part.
@@ -69,7 +79,13 @@
 // NewGate returns a gate. It starts to listen in Run.
 func NewGate(cfg GateConfig) *Gate {
 	p := &Gate{GateConfig: cfg}
-	p.srv = &http.Server{Handler: http.HandlerFunc(p.handle), ReadHeaderTimeout: headerReadTimeout, IdleTimeout: idleTimeout}
+	if p.Budget == nil {
+		p.Budget = intake.BudgetFor(0)
+	}
+	p.srv = &http.Server{
+		Handler: http.HandlerFunc(p.handle), ReadHeaderTimeout: headerReadTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		HTTP2: &http.HTTP2Config{MaxConcurrentStreams: maxStreams, MaxReceiveBufferPerStream: streamWindow, MaxReceiveBufferPerConnection: connWindow},
+	}
 	return p
 }
 
@@ -87,6 +103,8 @@
 	if err != nil {
 		return eris.Wrap(err, "cannot listen for callers; set --listen to a free address")
 	}
+	callers := intake.Listen(ln, p.Budget, intake.Limits{Conns: intake.MaxConns(0, intake.FileLimit(0))})
+	callers.Attach(p.srv)
 	p.mu.Lock()
 	p.ln = ln
 	p.mu.Unlock()
@@ -95,7 +113,7 @@
 	for name, task := range p.Tasks {
 		g.Go(name, task)
 	}
-	g.Go("http", func(context.Context) error { return p.serveCallers(ln) })
+	g.Go("http", func(context.Context) error { return p.serveCallers(callers) })
 	g.Go("ready", func(ctx context.Context) error {
 		if p.waitForLease(ctx) {
 			ready()
