--- a/soak/crash_test.go
+++ b/soak/crash_test.go
@@ -39,7 +39,11 @@
 func TestMain(m *testing.M) {
 	settings := os.Getenv(crashRunnerEnv)
 	if settings == "" {
-		os.Exit(m.Run())
+		code := m.Run()
+		if bin, _ := buildOnce(); bin != "" {
+			_ = os.RemoveAll(bin) // a leftover only takes space
+		}
+		os.Exit(code)
 	}
 	// A process with these settings must never run the tests, which would start
 	// more of them.
