gate/relay: hold requests until the gate can serve

A gate without a configuration, a list of backend servers or, under strict revocation, its first lease refused every request. In platform mode it now holds what policy.HoldQueue allows, reads bodies only within an eighth of the heap's share of the memory limit, and runs the requests once it can serve. The gate is ready only after it could serve.

--- a/gate/cmd/gate/platform.go
+++ b/gate/cmd/gate/platform.go
@@ -30,6 +30,9 @@
 	// heapShare is the share of the process's memory limit for the heap; the rest
 	// is for stacks, the runtime and bytes in sockets.
 	heapShare = 0.6
+	// holdShare is the part of the heap's share for requests that are held until
+	// the gate can serve.
+	holdShare = 0.125
 	// balancerNoticeTime is how long the load balancer takes to detect that a VM
 	// is not ready: two probes a second apart, and some time for the answers.
 	balancerNoticeTime = 2500 * time.Millisecond
@@ -127,6 +130,7 @@
 			CanaryShare: canaryExposureShare * bounds.MaxCanaryShare, SessionTimeout: bounds.MaxSessionPause, RequireLease: bounds.StrictRevocation,
 			RetryRatio: retryBudgetShare * bounds.RetryRatio, RetrySlack: retryBudgetShare * bounds.RetrySlack, RetryWindow: bounds.RetryWindow,
 		}),
+		relay.WithHold(s.node.hold()),
 	)
 	h.share = share.New(share.Config{
 		Name: s.Name, Self: share.Member{Addr: exchangeAddr, Zone: s.node.Zone, LinkRate: s.node.LinkRate},
@@ -195,6 +199,7 @@
 		}
 		return nil
 	})
+	g.Go("held requests", h.relay.RunHold)
 	g.Go("readiness", h.serveReadiness)
 	g.Go("lease", h.client.HoldLease)
 	g.Go("configuration", h.applyConfigurations)
--- a/gate/relay/call.go
+++ b/gate/relay/call.go
@@ -84,6 +84,9 @@
 func (c *call) serve() {
 	c.r.metrics.running.Inc()
 	defer c.r.metrics.running.Dec()
+	if !c.holdUntilStarted() {
+		return
+	}
 	if c.config = c.r.config.Load(); c.config == nil {
 		c.refuse(http.StatusServiceUnavailable, max(retryAfter, startupRetryAfter-c.start.Sub(c.r.started)), "no configuration yet")
 		return
--- a/gate/relay/relay.go
+++ b/gate/relay/relay.go
@@ -42,12 +42,14 @@
 // Relay is an http.Handler that passes requests on to backend servers. It is
 // safe for concurrent use.
 type Relay struct {
-	fleet    *fleet.Fleet
-	settings Settings
-	hasLease func() bool
-	metrics  metrics
-	tallies  tallies
-	started  time.Time
+	fleet       *fleet.Fleet
+	settings    Settings
+	hasLease    func() bool
+	metrics     metrics
+	tallies     tallies
+	started     time.Time
+	holdMetrics holdMetrics
+	hold        *holder // nil if the gate holds no requests
 
 	config  atomic.Pointer[activeConfig]
 	stopEnd atomic.Pointer[time.Time] // end of the planned stop under way; nil without one
@@ -97,7 +99,10 @@
 
 // WithRegistry registers the metrics.
 func WithRegistry(reg prometheus.Registerer) Option {
-	return func(r *Relay) { r.metrics.register(reg) }
+	return func(r *Relay) {
+		r.metrics.register(reg)
+		r.holdMetrics.register(reg)
+	}
 }
 
 // New returns a relay without a configuration; it refuses requests until
@@ -107,6 +112,7 @@
 		started:              time.Now(),
 		hasLease:             func() bool { return true },
 		metrics:              newMetrics(),
+		holdMetrics:          newHoldMetrics(),
 		tallies:              newTallies(),
 		retryBudgets:         map[ident.Service]*policy.WindowBudget{},
 		sessions:             sessions{byHash: map[uint32]sessionEntry{}},
@@ -143,7 +149,7 @@
 
 // Ready reports whether requests can be served.
 func (r *Relay) Ready() bool {
-	return r.config.Load() != nil && !r.fleet.ListReadAt().IsZero() && r.stopEnd.Load() == nil
+	return r.config.Load() != nil && !r.fleet.ListReadAt().IsZero() && r.stopEnd.Load() == nil && (r.hold == nil || r.hold.served.Load())
 }
 
 // leastFirstTokenTime returns the expected time to the first token of a prompt
