--- a/soak/cmd/soak/main.go
+++ b/soak/cmd/soak/main.go
@@ -27,6 +27,7 @@
 	seed            uint64
 	seeds, jobs     int
 	planned, faulty time.Duration
+	restarts        int
 }
 
 func main() {
@@ -47,6 +48,7 @@
 	fs.IntVar(&s.jobs, "jobs", 2, "seeds that run at the same time; each runs 6 processes")
 	fs.DurationVar(&s.planned, "planned", 10*time.Second, "duration of the phase with planned events only")
 	fs.DurationVar(&s.faulty, "faulty", 20*time.Second, "duration of the phase with faults")
+	fs.IntVar(&s.restarts, "restarts", 0, "instead of seeds: kill and start all processes this many times, and print the times of each step")
 	if err := ff.Parse(fs, args, ff.WithEnvVarPrefix("SOAK")); err != nil {
 		return nil, err
 	}
@@ -66,6 +68,9 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
+	if s.restarts > 0 {
+		return s.measureRestarts(ctx)
+	}
 	var wait sync.WaitGroup
 	var mu sync.Mutex // guards failed and standard output
 	var failed []string
@@ -94,6 +99,24 @@
 	return ctx.Err()
 }
 
+// measureRestarts prints the times of the steps after a restart of all processes.
+func (s *settings) measureRestarts(ctx context.Context) error {
+	dir, err := os.MkdirTemp(s.dir, "restart-")
+	if err != nil {
+		return err
+	}
+	bin, err := filepath.Abs(s.bin)
+	if err != nil {
+		return err
+	}
+	times, err := soak.MeasureRestarts(ctx, soak.Config{BinDir: bin, Dir: dir}, s.restarts)
+	if err != nil {
+		return eris.Wrap(err, "logs in "+dir)
+	}
+	fmt.Print(times)
+	return os.RemoveAll(dir)
+}
+
 // runSeed runs one seed and describes the outcome; ok is false if it has findings
 // or could not be run.
 func (s *settings) runSeed(ctx context.Context, seed uint64) (outcome string, ok bool) {
