gate/relay: charge held bodies by their buffers

Each read of a held body used a buffer of 16 KiB that was not charged: 2,000 slow bodies would have held 32 MB beside the budget. It has 2 KiB now, which is within the overhead charged for each request, and the growth of the copy is charged instead of the bytes read. A caller that leaves after its request was released, but before its body is whole, counts as left. After the start, requests no longer take the lock of the queue.

--- a/gate/relay/hold.go
+++ b/gate/relay/hold.go
@@ -23,8 +23,9 @@
 	// holdEndedInterval is the interval after the time in which requests are
 	// held, for the readiness and the metrics of a late start.
 	holdEndedInterval = 50 * time.Millisecond
-	// holdReadBytes is the size of the parts in which bodies are read.
-	holdReadBytes = 16 << 10
+	// holdReadBytes is the size of the parts in which bodies are read. It is
+	// within policy.HoldOverhead.
+	holdReadBytes = 2 << 10
 	// minHeldRequests and maxHeldRequests bound the number of held requests,
 	// whatever the memory limit.
 	minHeldRequests = 64
@@ -60,11 +61,11 @@
 	onStart func(time.Duration)
 	metrics *holdMetrics
 	served  atomic.Bool // the gate could serve once
+	ended   atomic.Bool // nothing is held any more
 
 	mu      sync.Mutex // guards the fields below
 	queue   *policy.HoldQueue
 	waiting map[policy.HoldID]*heldCall
-	ended   bool // nothing is held any more
 	counts  holdCounts
 }
 
@@ -187,8 +188,7 @@
 	if h.queue.Len() > 0 || !served && now.Before(h.queue.End()) {
 		return false
 	}
-	if !h.ended {
-		h.ended = true
+	if h.ended.CompareAndSwap(false, true) {
 		klog.InfoS("Starting gate holds no requests any more", "held", h.counts.held, "refused", h.counts.refused, "left", h.counts.left, "ready", served)
 	}
 	return true
@@ -213,7 +213,7 @@
 func (h *holder) end(why string) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.ended = true
+	h.ended.Store(true)
 	if n := h.queue.Len(); n > 0 {
 		klog.InfoS("Held requests refused", "why", why, "requests", n)
 	}
@@ -230,7 +230,7 @@
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.ended {
+	if h.ended.Load() {
 		return 0, nil, policy.Admission{Action: policy.Run}
 	}
 	id, a := h.queue.Offer(time.Now(), deadline, max(0, c.req.ContentLength))
@@ -281,7 +281,7 @@
 // whether the request goes on; otherwise it has been answered.
 func (c *call) holdUntilStarted() bool {
 	h := c.r.hold
-	if h == nil || c.r.stopEnd.Load() != nil {
+	if h == nil || h.ended.Load() || c.r.stopEnd.Load() != nil {
 		return true
 	}
 	control := http.NewResponseController(c.w)
@@ -319,10 +319,13 @@
 			c.leaveHeld()
 		}
 	}
-	if !o.run {
+	switch {
+	case !o.run:
 		h.count("refused", &h.counts.refused)
 		c.refuseHeld(o, whole)
 		return false
+	case err != nil:
+		c.leaveHeld()
 	}
 	h.count("released", new(int))
 	return true
@@ -366,10 +369,11 @@
 	rest := c.req.Body
 	for len(w.turn) == 0 {
 		n, err := rest.Read(part)
-		if !c.r.hold.grow(id, n) {
+		before := held.Cap()
+		held.Write(part[:n])
+		if !c.r.hold.grow(id, held.Cap()-before) {
 			return false, errHoldFull
 		}
-		held.Write(part[:n])
 		if err == io.EOF {
 			c.req.Body = io.NopCloser(&held)
 			return true, nil
