--- a/soak/restart.go
+++ b/soak/restart.go
@@ -61,8 +61,10 @@
 	return list[len(list)/2], len(list)
 }
 
-// Count returns the number of requests with an outcome.
-func (r *RestartTimes) Count(name string) int { return r.counts[name] }
+// longest returns the longest time of a step.
+func (r *RestartTimes) longest(name string) time.Duration {
+	return slices.Max(append(slices.Clone(r.times[name]), 0))
+}
 
 // String returns one line for each step and one with the counts.
 func (r *RestartTimes) String() string {
@@ -100,6 +102,9 @@
 	}
 	defer s.site.close()
 	s.operator = newOperator(s.recorder, s.site.states)
+	for _, m := range s.site.states {
+		m.args = append(m.args, "--v", "1") // names the elections
+	}
 	if err := s.site.start(); err != nil {
 		return nil, err
 	}
@@ -108,6 +113,9 @@
 	}
 	times := &RestartTimes{times: map[string][]time.Duration{}, counts: map[string]int{}}
 	for i := range runs {
+		if ctx.Err() != nil {
+			return nil, ctx.Err()
+		}
 		if missing := s.awaitRecovery(recoverTimeout); missing != "" {
 			return nil, eris.New("the site did not become ready: " + missing)
 		}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -19,9 +19,9 @@
 	227: "the same",
 }
 
-// Short runs of the real programs under faults check the promises that the
-// package comment names. A seed determines the events, not their exact timing.
-func TestSeeds(t *testing.T) {
+// buildPrograms builds the programs and returns their folder.
+func buildPrograms(t *testing.T) string {
+	t.Helper()
 	bin := t.TempDir()
 	for _, program := range []string{"gate", "state"} {
 		cmd := exec.Command("go", "build", "-o", filepath.Join(bin, program), fmt.Sprintf("citronledge.example/%s/cmd/%s", program, program))
@@ -29,6 +29,13 @@
 			t.Fatalf("go build %s: %v\n%s", program, err, out)
 		}
 	}
+	return bin
+}
+
+// Short runs of the real programs under faults check the promises that the
+// package comment names. A seed determines the events, not their exact timing.
+func TestSeeds(t *testing.T) {
+	bin := buildPrograms(t)
 	for seed, cause := range seeds {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
