state: let clients wait for the first leader after a restart

A process without a leader answered at once that there is none, and gates came back after a pause of up to 180 ms. In the first 5 s of a process, and until it has known a leader once, streams for leases and commands now wait for it up to 0.4 s. Later a process without a leader is probably cut off, and its clients must turn to another. Redirectors do the same; queries do not wait, since a redirector learns the members from them.

--- a/state/node/node.go
+++ b/state/node/node.go
@@ -7,6 +7,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -96,11 +97,14 @@
 	epoch        *epoch                 // nil unless this node leads and has read the state
 
 	deltas deltaCache
+
+	started    time.Time
+	knewLeader atomic.Bool // since the start of this process
 }
 
 // New returns a node. Run starts it.
 func New(opts ...Option) (*Node, error) {
-	n := &Node{registry: prometheus.NewRegistry(), joinRequests: map[string]joinRequest{}}
+	n := &Node{registry: prometheus.NewRegistry(), joinRequests: map[string]joinRequest{}, started: time.Now()}
 	for _, o := range opts {
 		o(n)
 	}
@@ -137,6 +141,9 @@
 }
 
 func (n *Node) serveStream(ctx context.Context, st *link.Stream) {
+	if st.Kind() == wire.Kind_CONTROL || st.Kind() == wire.Kind_COMMAND {
+		n.awaitFirstLeader(ctx)
+	}
 	switch st.Kind() {
 	case wire.Kind_CONTROL:
 		n.serveControl(ctx, st)
--- a/state/redir/redir.go
+++ b/state/redir/redir.go
@@ -6,6 +6,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -32,6 +33,12 @@
 	// leaderMaxAge is how old the last answer may be before an operator's call
 	// queries the cluster again.
 	leaderMaxAge = 200 * time.Millisecond
+	// startTime is how long after its start a process lets its clients wait for
+	// the first leader, firstLeaderWait limits one such wait, and
+	// firstLeaderInterval is the interval of checks. Members do the same.
+	startTime           = 5 * time.Second
+	firstLeaderWait     = 400 * time.Millisecond
+	firstLeaderInterval = 5 * time.Millisecond
 	// maxRetryPause limits the pause between two attempts to reach the leader.
 	maxRetryPause = 120 * time.Millisecond
 )
@@ -45,6 +52,9 @@
 
 	queryMu sync.Mutex // held during a query to the cluster
 
+	started    time.Time
+	knewLeader atomic.Bool // since the start of this process
+
 	mu        sync.Mutex // guards the fields below
 	leader    raft.Member
 	queriedAt time.Time // end of the last query
@@ -58,7 +68,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Redirector{link: cfg, client: c, memberAddrs: memberAddrs}, nil
+	return &Redirector{link: cfg, client: c, memberAddrs: memberAddrs, started: time.Now()}, nil
 }
 
 // Close ends the connection to the cluster.
@@ -159,7 +169,10 @@
 // serveStream answers each message with the leader's address. It learns the
 // addresses of members from their join queries, since a process may be started
 // with the addresses of redirectors only.
-func (r *Redirector) serveStream(_ context.Context, st *link.Stream) {
+func (r *Redirector) serveStream(ctx context.Context, st *link.Stream) {
+	if st.Kind() == wire.Kind_CONTROL || st.Kind() == wire.Kind_COMMAND {
+		r.awaitFirstLeader(ctx) // not for queries, from which it may learn the members
+	}
 	for {
 		var err error
 		switch st.Kind() {
@@ -187,6 +200,27 @@
 	}
 }
 
+// awaitFirstLeader waits for the first leader that this process gets to know soon
+// after its start, as the members do: clients that are told at once that there is
+// none come back too late for it.
+func (r *Redirector) awaitFirstLeader(ctx context.Context) {
+	if r.knewLeader.Load() || time.Since(r.started) > startTime {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, firstLeaderWait)
+	defer cancel()
+	tick := time.NewTicker(firstLeaderInterval)
+	defer tick.Stop()
+	for r.Leader().Name == "" {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+	}
+	r.knewLeader.Store(true)
+}
+
 func (r *Redirector) notLeaderFault() *wire.Fault {
 	leader := r.Leader()
 	f := wire.NewFault(fault.New(fault.Unavailable, raft.NotLeader{Leader: leader}.Error()))
