state/raft: repeat a pre-vote without a majority soon

After a restart of all members the first pre-vote may be lost, since connections are not open yet, or refused, since a member that started a little later may still have to respect the lease that it confirmed before. The next attempt came after a whole election timeout of 0.4 to 0.8 s. A pre-vote changes no state, so it is now repeated after half to one and a half heartbeat intervals, six times in a row at most. Votes, terms and leases are unchanged.

15 restarts of all processes each, interleaved on a busy machine: from the start of the second member to the election, median 586 instead of 609 ms, longest 763 instead of 821; the difference of the medians is within the noise.

--- a/state/raft/elect.go
+++ b/state/raft/elect.go
@@ -9,6 +9,11 @@
 	"citronledge.example/state/store"
 )
 
+// maxQuickPreVotes is how many times in a row a pre-vote that found no majority is
+// repeated soon. A member that stays cut off then asks once in each election
+// timeout.
+const maxQuickPreVotes = 6
+
 // resetElectionTimer draws a new election timeout and starts it.
 func (n *Node) resetElectionTimer() {
 	e := n.timings.ElectionTimeout
@@ -128,6 +133,18 @@
 // that was partitioned does not disrupt the others when it returns.
 func (n *Node) startPreVote() {
 	n.resetElectionTimer()
+	if n.role != PreCandidate {
+		n.quickPreVotes = 0
+	}
+	if n.quickPreVotes < maxQuickPreVotes {
+		// After a restart of all members the first request may be lost or refused,
+		// since another member started a little later: its connection is not open
+		// yet, or the lease that it may have confirmed before its restart may still
+		// hold. A pre-vote changes no state, so it is safe to ask again soon.
+		n.quickPreVotes++
+		h := n.timings.HeartbeatInterval
+		n.electionDeadline = time.Now().Add(h/2 + time.Duration(n.rng.Int64N(int64(h))))
+	}
 	n.role, n.leader = PreCandidate, ""
 	n.votes = map[string]bool{n.name: true}
 	n.requestVotes(Kind_PREVOTE, n.term+1, false)
--- a/state/raft/node.go
+++ b/state/raft/node.go
@@ -43,6 +43,7 @@
 	electionDeadline  time.Time // of the election timeout, or of check-quorum
 	nextHeartbeat     time.Time // next heartbeat or probe
 	votes             map[string]bool
+	quickPreVotes     int // pre-votes in a row that were followed by a short timeout
 	replicas          map[string]*replica
 	syncedIndex       uint64 // index of the last entry that is durable on the local disk
 	diskFull          bool   // the local disk refused the last append
