state/raft: campaign sooner after a restart

After a restart no member votes before one election timeout has passed, as it may have confirmed a lease just before; that is unchanged. The first campaign was drawn from one to two timeouts. It is now drawn from one to one and a half: if all members restarted together nothing else is to be waited for, and a member that restarted alone hears from the leader within a heartbeat interval.

--- a/state/raft/node.go
+++ b/state/raft/node.go
@@ -184,6 +184,14 @@
 		}
 	}
 	n.resetElectionTimer()
+	if n.term > 0 {
+		// Nobody votes within one election timeout after its own restart. Where all
+		// members restart together, waiting for much longer than that gains
+		// nothing; half of the usual spread still makes it unlikely that three
+		// become candidates within the 10 ms that an election takes.
+		e := n.timings.ElectionTimeout
+		n.electionDeadline = time.Now().Add(e + time.Duration(n.rng.Int64N(int64(e/2))))
+	}
 	n.nextHeartbeat = time.Now()
 	n.publishView()
 	return nil
