state/raft, soak: test the election after a restart of all members

The test of a restart of all processes failed once on a machine with a load of 50 to 70: one of three gates served within the 2.5 s of the load. The time was that of the measure; requests are now sent until each gate has served, for 12 s at most.

--- a/soak/restart.go
+++ b/soak/restart.go
@@ -12,6 +12,7 @@
 	"sort"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -21,7 +22,8 @@
 
 const (
 	// restartLoadTime is how long after a restart of all processes requests are
-	// sent to each gate, one every restartLoadInterval.
+	// sent to each gate, one every restartLoadInterval. A gate that has served none
+	// by then gets more, for recoverTimeout at most.
 	restartLoadTime     = 2500 * time.Millisecond
 	restartLoadInterval = 10 * time.Millisecond
 	// restartDeadline is the deadline of these requests.
@@ -169,9 +171,10 @@
 func (s *soak) sendDuringRestart(g *member, run int, start time.Time, times *RestartTimes) {
 	var wait sync.WaitGroup
 	var first sync.Once
+	var served atomic.Bool
 	tick := time.NewTicker(restartLoadInterval)
 	defer tick.Stop()
-	for i := 0; time.Since(start) < restartLoadTime; i++ {
+	for i := 0; time.Since(start) < restartLoadTime || !served.Load() && time.Since(start) < recoverTimeout; i++ {
 		id := fmt.Sprintf("r%d-%s-%d", run, g.name, i)
 		wait.Go(func() {
 			sent := time.Now()
@@ -180,6 +183,7 @@
 				times.count("not connected")
 			case status == http.StatusOK:
 				times.count("served")
+				served.Store(true)
 				times.add("wait of served", time.Since(sent))
 				first.Do(func() { times.add("first served request", time.Since(start)) })
 			case status == http.StatusServiceUnavailable:
