--- a/state/raft/restart_test.go
+++ b/state/raft/restart_test.go
@@ -14,7 +14,7 @@
 func restartTimes(t *testing.T, size int, delay, skew time.Duration, seeds uint64) (list []time.Duration) {
 	timings := Timings{HeartbeatInterval: 75 * time.Millisecond, ElectionTimeout: 400 * time.Millisecond}
 	for seed := range seeds {
-		simulate(t, 100+seed, size, func(t *testing.T, w *world) {
+		simulate(t, 100+seed, size, func(_ *testing.T, w *world) {
 			w.maxDelay = delay
 			w.commitCommands("a", 1)
 			w.waitForConvergence()
