--- a/state/raft/node.go
+++ b/state/raft/node.go
@@ -43,6 +43,7 @@
 	electionDeadline  time.Time // of the election timeout, or of check-quorum
 	nextHeartbeat     time.Time // next heartbeat or probe
 	votes             map[string]bool
+	quickPreVotes     int // pre-votes in a row that were followed by a short timeout
 	replicas          map[string]*replica
 	syncedIndex       uint64 // index of the last entry that is durable on the local disk
 	diskFull          bool   // the local disk refused the last append
@@ -183,6 +184,14 @@
 		}
 	}
 	n.resetElectionTimer()
+	if n.term > 0 {
+		// Nobody votes within one election timeout after its own restart. Where all
+		// members restart together, waiting for much longer than that gains
+		// nothing; half of the usual spread still makes it unlikely that three
+		// become candidates within the 10 ms that an election takes.
+		e := n.timings.ElectionTimeout
+		n.electionDeadline = time.Now().Add(e + time.Duration(n.rng.Int64N(int64(e/2))))
+	}
 	n.nextHeartbeat = time.Now()
 	n.publishView()
 	return nil
--- a/stub/users/users.go
+++ b/stub/users/users.go
@@ -59,7 +59,7 @@
 		"limits":              map[string]int{"memory-mb": cmp.Or(n.MemoryMB, 128), "max-fds": cmp.Or(n.MaxFiles, 1024)}, "fault-tolerance": map[string]int{"machines": n.MaxLostVMs},
 		"bounds": map[string]any{
 			"grace-period-s": n.StopTimeout.Seconds(), "drain-timeout-ms": n.DrainTimeout.Milliseconds(), "retry-budget-ratio": n.RetryBudgetRatio,
-			"retry-window-s": 10, "budget-slack": n.RetryBudgetSlack, "canary-share": 0.15, "session-s": 5,
+			"retry-window-s": 10, "budget-slack": n.RetryBudgetSlack, "canary-share": 0.15, "session-s": 5, "recovery-s": 12,
 		},
 		"cloud-api": map[string]any{"address": n.BackendListAddr, "rate-per-s": 10},
 	}
