gate/fleet: choose servers by records of their prefix caches

Cause: one server in rendezvous rank was taken to hold the shared part of a prompt, no other was credited, and prompts counted as waiting in full where most of them was held. That drove the next prompts away to servers that read the part again.

Change: policy.PrefixTable records for each server the parts read there and estimates evictions (LRU; parts, other tokens and running requests share kv-capacity-tokens). Each candidate is credited what it holds, the first in rank always, the second when the first is crowded; none when its running requests leave no room. Waiting work counts what has to be read. The time to the first token judges predictions and lowers the confidence in a server. Models that callers name count with their own costs. Without kv-capacity-tokens or affinity the rule is as before.

--- a/core/policy/direct.go
+++ b/core/policy/direct.go
@@ -31,6 +31,12 @@
 	// expected to hold the shared part of the prompt. Without a key it breaks
 	// ties.
 	Rank uint64
+	// HeldWork is the work of the attempt's prompt that the gate's own record
+	// expects to be saved there, in tokens of the smallest model.
+	HeldWork float64
+	// ShortOfMemory is set if the server's running requests leave no room for
+	// the attempt. What the server holds may be evicted before it is used.
+	ShortOfMemory bool
 }
 
 // Prompt is the work that an attempt brings, in tokens of the smallest model.
@@ -42,6 +48,8 @@
 	// Work is that of the whole prompt, SharedWork that of the part that the
 	// preferred server is expected to hold; 0 without affinity.
 	Work, SharedWork float64
+	// Recorded is set if the gate keeps records of what the servers hold.
+	Recorded bool
 }
 
 // Weights of the parts of the cost, in tokens of the smallest model, and the
@@ -128,9 +136,9 @@
 // ChooseDirect returns the index of the server for an attempt, or -1 if there
 // is none. It is the one with the least cost: the prompts that wait there, what
 // has to be read of the attempt's own prompt, the batch, failures and distance.
-// Compared are the server that holds the shared part of the prompt and the
-// sample, or all if none of these has a free slot. Unavailable servers are used
-// only if all are unavailable.
+// Compared are the servers that may hold the shared part of the prompt and the
+// sample, or all if none of these has a free slot.
+// Unavailable servers are used only if all are unavailable.
 func ChooseDirect(list []DirectCandidate, p Prompt, sample Sample) (int, Reason) {
 	if marked := sample.mark(list); marked != nil {
 		if i, reason := chooseAmong(list, p, marked); i >= 0 && !list[i].Unavailable && list[i].Load < noFreeSlotLoad {
@@ -140,41 +148,110 @@
 	return chooseAmong(list, p, nil)
 }
 
-// chooseAmong returns the server with the least cost among the marked ones and
-// the one that holds the shared part of the prompt; nil marks all.
-func chooseAmong(list []DirectCandidate, p Prompt, marked []bool) (int, Reason) {
-	prefixHolder := -1
-	if p.SharedWork > 0 {
-		for i := range list {
-			if !list[i].Unavailable && (prefixHolder < 0 || list[i].Rank > list[prefixHolder].Rank) {
-				prefixHolder = i
-			}
+// overflowShare is the share of the shared work that is credited to the second
+// server in rank. Half of it is too little to draw requests from the first one
+// before that has much to read.
+const overflowShare = 0.5
+
+// prefixHolders are the servers that may hold the shared part of a prompt; -1
+// for none.
+type prefixHolders struct {
+	// believed is the server that other gates are expected to send the part to,
+	// the highest one in rank. overflow is the second one, if records are kept and
+	// the prompts that wait at the first are more work than the part. If each gate
+	// took any other server then, the part would be read at all of them.
+	believed, overflow int
+	// recorded holds most of the part by this gate's record. Other servers that
+	// hold it are not compared beyond the sample: many hold the first part, and
+	// all gates would find the same idle ones.
+	recorded int
+}
+
+// findPrefixHolders returns the servers that may hold the shared part of a
+// prompt.
+func findPrefixHolders(list []DirectCandidate, p Prompt) prefixHolders {
+	h := prefixHolders{-1, -1, -1}
+	if p.SharedWork <= 0 {
+		return h
+	}
+	mostHeld := 0.0
+	var first, second, heldRank uint64 // ranks of believed, overflow and recorded
+	for i := range list {
+		s := &list[i]
+		if s.Unavailable || s.ShortOfMemory {
+			continue
+		}
+		if h.believed < 0 || s.Rank > first {
+			h.believed, h.overflow, first, second = i, h.believed, s.Rank, first
+		} else if h.overflow < 0 || s.Rank > second {
+			h.overflow, second = i, s.Rank
+		}
+		if s.HeldWork > mostHeld || s.HeldWork == mostHeld && mostHeld > 0 && s.Rank > heldRank {
+			h.recorded, mostHeld, heldRank = i, s.HeldWork, s.Rank
 		}
 	}
+	if !p.Recorded || h.believed >= 0 && list[h.believed].PendingPromptWork <= p.SharedWork {
+		h.overflow = -1
+	}
+	return h
+}
+
+// has reports whether server i is one of the holders.
+func (h *prefixHolders) has(i int) bool { return i == h.believed || i == h.overflow || i == h.recorded }
+
+// savedWork returns the work of the prompt that is credited to server i. A server
+// that is short of memory evicts what it holds.
+func (h *prefixHolders) savedWork(s *DirectCandidate, sharedWork float64, i int) float64 {
+	switch {
+	case s.ShortOfMemory:
+		return 0
+	case i == h.believed:
+		return sharedWork
+	case i == h.overflow:
+		return min(sharedWork, max(s.HeldWork, overflowShare*sharedWork))
+	}
+	return min(sharedWork, s.HeldWork)
+}
+
+// SavedAt returns the work of the prompt that a choice credited to server i, and
+// what that rests on.
+func (p Prompt) SavedAt(list []DirectCandidate, i int) (saved float64, basis PrefixBasis) {
+	holders := findPrefixHolders(list, p)
+	saved = holders.savedWork(&list[i], p.SharedWork, i)
+	switch {
+	case saved <= 0:
+		return 0, PrefixUnknown
+	case saved <= list[i].HeldWork:
+		return saved, PrefixRecorded
+	}
+	return saved, PrefixBelieved
+}
+
+// chooseAmong returns the server with the least cost among the marked ones and
+// those that may hold the shared part of the prompt; nil marks all.
+func chooseAmong(list []DirectCandidate, p Prompt, marked []bool) (int, Reason) {
+	holders := findPrefixHolders(list, p)
 	for _, unavailable := range []bool{false, true} {
-		best, leastCost := -1, 0.0
+		best, leastCost, bestSaved := -1, 0.0, 0.0
 		for i := range list {
 			s := &list[i]
-			if s.Unavailable != unavailable || marked != nil && !marked[i] && i != prefixHolder {
+			if s.Unavailable != unavailable || marked != nil && !marked[i] && !holders.has(i) {
 				continue
 			}
-			cost, work := s.cost(), p.Work
-			if i == prefixHolder {
-				cost -= p.SharedWork
-				work -= p.SharedWork
-			}
+			saved := holders.savedWork(s, p.SharedWork, i)
+			cost, work := s.cost()-saved, p.Work-saved
 			if work+s.PendingPromptWork > stallingPromptWork && work > 0 {
 				cost += fullBatchStallCost * s.Load
 			}
 			if best < 0 || cost < leastCost || cost == leastCost && s.Rank > list[best].Rank {
-				best, leastCost = i, cost
+				best, leastCost, bestSaved = i, cost, saved
 			}
 		}
 		switch {
 		case best < 0:
 		case unavailable:
 			return best, ReasonAllEjected
-		case best == prefixHolder:
+		case bestSaved > p.SharedWork/2:
 			return best, ReasonPrefix
 		default:
 			return best, ReasonLeastCost
@@ -183,16 +260,13 @@
 	return -1, ReasonNone
 }
 
-// Tokens returns the size of the whole prompt in its model's tokens, or that of
-// the rest if the server holds the shared part.
-func (p Prompt) Tokens(sharedHeld bool) float64 {
+// Tokens returns the size of the prompt in its model's tokens, without what is
+// held.
+func (p Prompt) Tokens(held float64) float64 {
 	if p.TokenTimeRatio == 0 {
 		return 0
 	}
-	if sharedHeld {
-		return (p.Work - p.SharedWork) / p.TokenTimeRatio
-	}
-	return p.Work / p.TokenTimeRatio
+	return max(0, p.Work/p.TokenTimeRatio-held)
 }
 
 // cost is the part of the cost that does not depend on the attempt.
--- a/core/policy/firsttoken.go
+++ b/core/policy/firsttoken.go
@@ -20,6 +20,8 @@
 type promptSpeed struct {
 	ms, tokens float64
 	attempts   float64
+	// certain counts the attempts of which it is certain what was read.
+	certain int
 }
 
 const (
@@ -76,7 +78,7 @@
 	excess := max(0, ms-e.base-e.waitMS(p, workBefore))
 	m := e.models[p.Model]
 	if m == nil {
-		e.models[p.Model] = &promptSpeed{excess, tokens, 1}
+		e.models[p.Model] = &promptSpeed{ms: excess, tokens: tokens, attempts: 1}
 		return
 	}
 	excess = min(excess, maxExcessFactor*tokens*m.ms/m.tokens)
--- a/gate/fleet/fleet.go
+++ b/gate/fleet/fleet.go
@@ -11,6 +11,7 @@
 	"k8s.io/klog/v2"
 
 	"citronledge.example/core/ident"
+	"citronledge.example/core/policy"
 	"citronledge.example/gate/conn"
 	"citronledge.example/gate/share"
 	"citronledge.example/platform"
@@ -30,8 +31,9 @@
 	health      health
 	peerLoads   map[string]*peerLoad // by source
 	limit       limit
-	pausedUntil time.Time // when the server takes requests of this gate again
-	saidLeaving time.Time // when its answers last said that it leaves; zero if it stays
+	prefix      *policy.PrefixRecord // nil if the server is no longer listed
+	pausedUntil time.Time            // when the server takes requests of this gate again
+	saidLeaving time.Time            // when its answers last said that it leaves; zero if it stays
 }
 
 // Conns returns the connections to the server.
@@ -77,10 +79,12 @@
 	peers         map[string]*peer                // sources of reports, by name
 	paths         map[ident.Zone]*zonePath
 	choices       map[ident.Service]*choiceRate
-	gates         share.Gates   // that choose servers; the zero value until they are known
-	exchangeDelay time.Duration // until they know of this gate's loads
-	loadsChanged  bool          // since the last LocalLoads
-	loadsReported bool          // the last LocalLoads returned a server
+	prefixes      *policy.PrefixTable
+	aloneTokens   map[ident.Service]float64 // mean of what a request takes besides shared parts
+	gates         share.Gates               // that choose servers; the zero value until they are known
+	exchangeDelay time.Duration             // until they know of this gate's loads
+	loadsChanged  bool                      // since the last LocalLoads
+	loadsReported bool                      // the last LocalLoads returned a server
 }
 
 // New returns an empty fleet of a gate in a zone.
@@ -89,7 +93,7 @@
 		zone: zone, servers: map[ident.Backend]*Server{},
 		services: map[ident.Service][]*Server{}, incumbents: map[ident.Service]ident.Version{},
 		peers: map[string]*peer{}, paths: map[ident.Zone]*zonePath{}, list: listState{reader: rand.Uint64()},
-		choices: map[ident.Service]*choiceRate{},
+		choices: map[ident.Service]*choiceRate{}, prefixes: policy.NewPrefixTable(), aloneTokens: map[ident.Service]float64{},
 	}
 }
 
@@ -106,7 +110,7 @@
 		}
 		s := f.servers[l.ID]
 		if s == nil || s.Address != l.Address || s.Service != l.Service || s.Version != l.Version {
-			s = &Server{ListedBackend: l, conns: conn.New(l.Address), hash: hashID(l.ID)}
+			s = &Server{ListedBackend: l, conns: conn.New(l.Address), hash: hashID(l.ID), prefix: f.prefixes.NewRecord()}
 			klog.InfoS("Backend server listed", "backend", l.ID, "service", l.Service, "addr", l.Address, "zone", l.Zone, "version", l.Version, "leaving", l.Leaving)
 		} else if s.Leaving != l.Leaving {
 			klog.InfoS("Backend server changed", "backend", l.ID, "leaving", l.Leaving)
@@ -122,6 +126,7 @@
 		if next[id] != s {
 			klog.InfoS("Backend server no longer listed", "backend", id, "service", s.Service)
 			s.conns.Close()
+			s.dropPrefix()
 		}
 	}
 	f.servers, f.services = next, services
--- a/gate/fleet/health.go
+++ b/gate/fleet/health.go
@@ -100,6 +100,7 @@
 func (h *health) eject(s *Server, o Outcome, now time.Time) {
 	h.ejection = min(max(2*h.ejection, minEjection), maxEjection)
 	h.ejectedUntil = now.Add(h.ejection)
+	s.forgetPrefix() // it may have restarted, also as seen by other gates
 	klog.InfoS("Backend server out of use", "backend", s.ID, "outcome", o, "good", h.good, "bad", h.bad, "pause", h.ejection)
 }
 
--- a/gate/fleet/pick.go
+++ b/gate/fleet/pick.go
@@ -19,8 +19,10 @@
 	// if the request has none. Requests with the same key go to the same server
 	// as long as its load allows.
 	AffinityKey uint64
-	// Prompt is the work of the attempt.
+	// Prompt is the work of the attempt, and Cached what the prefix caches may
+	// hold of its prompt.
 	Prompt policy.Prompt
+	Cached CachedPrompt
 	// TieBreak decides between servers that are equal otherwise.
 	TieBreak uint64
 	// Exclude lists the servers of earlier attempts.
@@ -41,6 +43,8 @@
 	promptWork float64 // counted in pendingWork until the head of the answer arrives
 	// Load, QueuedWork and PacketLoss are what the choice was based on.
 	Load, QueuedWork, PacketLoss float64
+	// Prefix is what the choice expected of the server's prefix cache.
+	Prefix PrefixExpectation
 }
 
 // Pick chooses a server, or returns nil if none may take the attempt now.
@@ -48,6 +52,8 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	candidates := make([]policy.DirectCandidate, 0, len(f.services[criteria.Service]))
+	f.prefixes.Match(criteria.Cached.Parts)
+	criteria.Prompt.Recorded = criteria.Cached.Capacity > 0
 	servers := make([]*Server, 0, len(f.services[criteria.Service]))
 	for _, s := range f.services[criteria.Service] {
 		if !criteria.matches(s, now) || s.untilOpen(now) > 0 {
@@ -63,13 +69,15 @@
 	}
 	s := servers[i]
 	s.inFlight++
-	s.pendingWork += criteria.Prompt.Work
+	prefix := s.prefixExpectation(criteria, candidates, i, reason)
+	work := criteria.Prompt.Work - prefix.Credited*criteria.Prompt.TokenTimeRatio
+	s.pendingWork += work
 	s.changedAt, f.loadsChanged = now, true
 	s.limit.spend(now)
 	if s.health.isProbeDue(now) {
 		s.health.startProbe()
 	}
-	return &Assignment{Server: s, fleet: f, start: now, Reason: reason, promptWork: criteria.Prompt.Work, Load: candidates[i].Load, QueuedWork: candidates[i].PendingPromptWork, PacketLoss: candidates[i].PacketLoss}
+	return &Assignment{Server: s, fleet: f, start: now, Reason: reason, promptWork: work, Prefix: prefix, Load: candidates[i].Load, QueuedWork: candidates[i].PendingPromptWork, PacketLoss: candidates[i].PacketLoss}
 }
 
 // choiceRate is the rate at which this gate chooses servers of a service.
@@ -131,6 +139,7 @@
 	// Rendezvous hashing: all gates rank the servers of a key alike, and a
 	// server that leaves moves only its own keys.
 	c.Rank = mixBits(key ^ s.hash)
+	f.addPrefix(&c, s, criteria)
 	return c
 }
 
@@ -146,10 +155,12 @@
 		others = max(others, reported/(1+float64(now.Sub(s.reported.receivedAt))/float64(reportHalfWeightAge)))
 	}
 	load := float64(s.inFlight) + others
-	slots := max(1, s.Slots, s.reported.slots)
-	return load / float64(slots)
+	return load / float64(s.slots())
 }
 
+// slots returns the number of requests in a batch of the server.
+func (s *Server) slots() int { return max(1, s.Slots, s.reported.slots) }
+
 // mixBits is the finalizer of murmur3: every bit of the result depends on every
 // bit of x.
 func mixBits(x uint64) uint64 {
@@ -189,6 +200,9 @@
 	g.inFlight--
 	g.removePendingWork()
 	g.changedAt, g.fleet.loadsChanged = now, true
+	if o == Broke || o == Unreached || o == Moved {
+		g.forgetPrefix()
+	}
 	g.health.record(g.Server, o, now)
 }
 
--- a/gate/relay/attempt.go
+++ b/gate/relay/attempt.go
@@ -75,7 +75,11 @@
 	headLatency  time.Duration // time to the head of the answer; 0 if none arrived
 	// expectedPrefill is the part of headLatency that the prompts explain.
 	expectedPrefill time.Duration
-	eventsSent      int // passed on to the caller
+	// cached describes the prompt, and prefixVerdict says whether the server
+	// held what was expected of it.
+	cached        fleet.CachedPrompt
+	prefixVerdict policy.PrefixVerdict
+	eventsSent    int // passed on to the caller
 	// longestPause is the longest time between two reads of a stream.
 	longestPause  time.Duration
 	speedRecorded bool // counted for the rollout of its version
@@ -117,7 +121,7 @@
 	var limit time.Duration
 	if x.route.Type == plan.RouteStream {
 		p := x.promptWork(x.model)
-		limit = max(minStreamHeadTimeout, headTimeoutFactor*x.r.firstTokenTime(x.service, p, p.Tokens(false), x.assignment.QueuedWork))
+		limit = max(minStreamHeadTimeout, headTimeoutFactor*x.r.firstTokenTime(x.service, p, p.Tokens(0), x.assignment.QueuedWork))
 	} else {
 		usual := x.r.baseline(baselineKey{x.route.Name, "head"})
 		if usual == 0 {
@@ -187,8 +191,8 @@
 	x.assignment.AnswerStarted(time.Now())
 	x.headLatency, x.status, x.confidence = time.Since(x.attemptStart), a.Status, verdict.Confidence
 	x.r.metrics.headLatency.WithLabelValues(x.route.Type.String()).Observe(x.headLatency.Seconds())
-	if p := x.promptWork(x.model); p.Work > 0 && !verdict.NotRun {
-		x.expectedPrefill = x.r.recordFirstToken(x.service, p, p.Tokens(x.assignment.Reason == policy.ReasonPrefix), x.assignment.QueuedWork, x.headLatency)
+	if !verdict.NotRun {
+		x.recordPrompt(x.cached, time.Now())
 	}
 	if !verdict.Misdirected {
 		x.recordState(verdict, time.Now())
--- a/gate/relay/call.go
+++ b/gate/relay/call.go
@@ -287,7 +287,7 @@
 	}
 	for _, m := range models {
 		p := c.promptWork(m)
-		sum += c.r.firstTokenTime(c.service, p, p.Tokens(false), 0)
+		sum += c.r.firstTokenTime(c.service, p, p.Tokens(0), 0)
 	}
 	return sum
 }
@@ -312,6 +312,9 @@
 	if c.head.Input == 0 || engine == nil {
 		return p
 	}
+	if model == "" && engine.CostPer1000Tokens[c.head.Model] > 0 {
+		model = c.head.Model // named by the caller
+	}
 	smallest, cost := engine.CheapestModel()
 	p.Model, p.SmallestModel, p.TokenTimeRatio = model, smallest, 1
 	if cost > 0 && engine.CostPer1000Tokens[model] > 0 {
--- a/gate/relay/relay.go
+++ b/gate/relay/relay.go
@@ -149,7 +149,7 @@
 // leastFirstTokenTime returns the expected time to the first token of a prompt
 // at the server with the least queued work.
 func (r *Relay) leastFirstTokenTime(service ident.Service, p policy.Prompt) time.Duration {
-	return r.firstTokenTime(service, p, p.Tokens(false), r.fleet.LeastQueuedWork(service, time.Now()))
+	return r.firstTokenTime(service, p, p.Tokens(0), r.fleet.LeastQueuedWork(service, time.Now()))
 }
 
 // firstTokenTime returns the expected time to the first token when the given
@@ -194,18 +194,6 @@
 	return policy.StallTimeout(usual, route.MaxEventGap)
 }
 
-// recordFirstToken records the time to the first token of a prompt and returns
-// how long its prefill was expected to take, beyond the part that every answer
-// has.
-func (r *Relay) recordFirstToken(service ident.Service, p policy.Prompt, tokens, queuedWork float64, took time.Duration) time.Duration {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	s := r.firstTokenEstimator(service)
-	expected := s.Expected(p, tokens, queuedWork) - s.Expected(p, 0, 0)
-	s.Observe(took, p, tokens, queuedWork)
-	return expected
-}
-
 // checkSlow reports whether a duration is far above its usual value for the
 // model and the load of the server, and learns from the duration if it belongs
 // to the version in use.
--- a/gate/relay/retry.go
+++ b/gate/relay/retry.go
@@ -88,7 +88,7 @@
 	version, required := c.chooseVersion(c.service)
 	now := time.Now()
 	criteria := fleet.Criteria{
-		Service: c.service, AffinityKey: c.affinityKey(model), Prompt: c.promptWork(model), Exclude: c.excluded, TieBreak: uint64(now.UnixNano()),
+		Service: c.service, AffinityKey: c.affinityKey(model), Prompt: c.promptWork(model), Cached: c.cachedPrompt(model), Exclude: c.excluded, TieBreak: uint64(now.UnixNano()),
 		AllowsVersion: func(v ident.Version) bool { return v == version },
 	}
 	if _, ok := c.r.fleet.UntilOpen(criteria, now); !ok && !required {
@@ -102,7 +102,7 @@
 	c.r.tallies.countAttempt(tallyKey{c.service, c.route.Name, assignment.Version})
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	x := &attempt{call: c, assignment: assignment, model: model, attemptStart: now}
+	x := &attempt{call: c, assignment: assignment, model: model, attemptStart: now, cached: criteria.Cached}
 	next, outcome := x.exchange(ctx)
 	if outcome == fleet.Broke && (x.quarantinedOff.Load() || errors.Is(context.Cause(ctx), errStopping)) {
 		outcome = fleet.Neutral // the server is not to blame
@@ -116,7 +116,7 @@
 		c.excluded = append(c.excluded, assignment.ID)
 	}
 	klog.InfoS("Attempt", "id", c.head.AttemptID, "try", c.attempts, "backend", assignment.ID, "version", assignment.Version, "session", c.head.Session, "model", model, "input", c.head.Input, "output", c.head.MaxOutput, "chosen", assignment.Reason,
-		"load", assignment.Load, "waiting", assignment.QueuedWork, "loss", assignment.PacketLoss, "work", criteria.Prompt.Work, "outcome", outcome, "why", x.detail, "opinion", x.confidence, "status", x.status, "head", x.headLatency, "expected", x.expectedPrefill, "events", x.eventsSent, "pause", x.longestPause, "took", end.Sub(now))
+		"load", assignment.Load, "waiting", assignment.QueuedWork, "loss", assignment.PacketLoss, "work", criteria.Prompt.Work, "held", assignment.Prefix.Held, "basis", assignment.Prefix.Basis, "prefix", x.prefixVerdict, "outcome", outcome, "why", x.detail, "opinion", x.confidence, "status", x.status, "head", x.headLatency, "expected", x.expectedPrefill, "events", x.eventsSent, "pause", x.longestPause, "took", end.Sub(now))
 	return next
 }
 
--- a/gate/relay/rig_test.go
+++ b/gate/relay/rig_test.go
@@ -34,6 +34,8 @@
 	engine       *plan.Engine
 	// runOnce leaves out that streams may be resumed.
 	runOnce bool
+	// affinity sends prompts with the same beginning to the same runner.
+	affinity bool
 }
 
 const (
@@ -73,6 +75,7 @@
 		return plan.Route{
 			Name: ident.Route(name), Host: "h.example", PathPrefix: "/" + name + "/", Type: repeat, Timeout: r.routeTimeout,
 			TargetLatency: time.Second, Splits: []plan.Split{{Service: service, Weight: 1}}, MaxRuns: 3, Resumable: repeat == plan.RouteStream && !r.runOnce,
+			PrefixAffinity: r.affinity,
 		}
 	}
 	sized, public := route("sized", plan.RouteStream), route("public", plan.RouteSafe)
