core, gate, side, state: clearer comments and local names

Some comments were figurative, had no unit, or told the history of a fault instead of what is checked; some local names read as something else (wait blocked nothing, evictedShare was a divisor, cut meant a refused head).

They are reworded and renamed; the reasons behind constants stay. The argument of holder.end was the same at both calls and is a constant now, the counter passed for released requests was discarded, and Probe tested for a timeout twice, since context.DeadlineExceeded has the method Timeout.

No behaviour, constant, exported name, metric, log key or check of a test changes. go vet, make lint and go test of core/intake, core/policy, gate/conn, gate/fleet, gate/relay, gate/route, gate/cmd/gate, side/engine and state/raft pass. Not run: soak, of which only comments in clients_test.go changed; it passes go vet.

--- a/core/intake/body.go
+++ b/core/intake/body.go
@@ -60,10 +60,11 @@
 	return x.hold, x.buf, nil
 }
 
+// bodyReader reads one body into a buffer that is charged to a hold.
 type bodyReader struct {
 	r           io.Reader
-	limit       int64
-	sized       bool // the body has exactly limit bytes
+	limit       int64 // in bytes
+	sized       bool  // the body has exactly limit bytes
 	deadline    time.Time
 	start       time.Time
 	setDeadline func(time.Time)
@@ -83,8 +84,8 @@
 			return ErrNoRoom
 		}
 		now := time.Now()
-		earned := x.start.Add(maxBodyPause + time.Duration(len(x.buf))*time.Second/minBodyRate)
-		end := earliest(x.deadline, earliest(earned, now.Add(maxBodyPause)))
+		rateEnd := x.start.Add(maxBodyPause + time.Duration(len(x.buf))*time.Second/minBodyRate)
+		end := earliest(x.deadline, earliest(rateEnd, now.Add(maxBodyPause)))
 		x.setDeadline(end)
 		if x.hold.Evicted() { // its interrupt may have come before the deadline was set
 			return ErrNoRoom
@@ -108,6 +109,8 @@
 	}
 }
 
+// grow doubles the buffer, up to maxCap bytes. It returns false if the budget has
+// no room.
 func (x *bodyReader) grow(maxCap int64) bool {
 	size := min(max(2*int64(cap(x.buf)), int64(BodyShare)), maxCap)
 	if !x.hold.Grow(Bytes(size)) {
--- a/core/intake/budget.go
+++ b/core/intake/budget.go
@@ -56,7 +56,7 @@
 
 // Open returns a hold for a request that arrives. interrupt must make its reader
 // return without delay; it is called at most once, if the hold is evicted, and
-// must not call the budget. It is the caller's responsibility to call Close.
+// must not call the budget. The caller must call Close.
 func (b *Budget) Open(share Bytes, interrupt func()) *Hold {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -105,12 +105,14 @@
 	return false
 }
 
+// evict removes a hold from those that arrive and interrupts its reader. It must be
+// called with mu held.
 func (b *Budget) evict(h *Hold) {
 	b.arriving.Remove(h.position)
 	h.position, h.evicted = nil, true
 	b.evicting += h.charged
 	h.interrupt()
-	b.released.Broadcast() // it may be waiting for room itself
+	b.released.Broadcast() // the hold may be waiting in Grow
 }
 
 // EvictOldest evicts the oldest request that is still arriving, and reports
--- a/core/intake/listen.go
+++ b/core/intake/listen.go
@@ -18,12 +18,12 @@
 const (
 	// headShare is the part of each request head that is always available.
 	headShare Bytes = 8 << 10
-	// lineCost is what a line of a head occupies beyond its bytes.
+	// lineCost is how many bytes a line of a head occupies beyond its own.
 	lineCost = 64
 	// readAhead is how many bytes of a body http.Server may read with the head.
 	readAhead = 4 << 10
-	// connCost is what a connection occupies with its shares: about 16 kB of
-	// stacks and buffers, and headShare.
+	// connCost is how many bytes a connection occupies with its shares: about
+	// 16 kB of stacks and buffers, and headShare.
 	connCost = 24 << 10
 	// connShare is the share of a process's memory for connections, and
 	// budgetShare that for its Budget. The rest is for the process's own state,
@@ -35,11 +35,13 @@
 	minBudget Bytes = 13 << 20
 	// fileShare is the share of the descriptors for connections of clients; the
 	// rest is for backend servers, other processes and files.
-	fileShare     = 0.5
+	fileShare = 0.5
+	// sweepInterval is the interval at which Sweep looks for connections that
+	// exceed their times.
 	sweepInterval = 500 * time.Millisecond
-	// evictedShare is the part of the connections that may be above the limit
-	// while those that are evicted end.
-	evictedShare = 8
+	// evictedDivisor divides the limit of connections to get how many more are
+	// accepted while evicted ones end.
+	evictedDivisor = 8
 )
 
 // BudgetFor returns the budget of a process with a memory limit; 0 means that of
@@ -130,10 +132,10 @@
 		if err != nil {
 			return nil, err
 		}
-		if l.makeRoom() {
+		if l.admit() {
 			c := &conn{Conn: raw, listener: l}
 			c.inHead.Store(true)
-			l.wait(c, &l.fresh)
+			l.addWaiting(c, &l.fresh)
 			return c, nil
 		}
 		refuse(raw, "503 Service Unavailable\r\nRetry-After: 1")
@@ -148,8 +150,9 @@
 	_, _ = io.WriteString(c, "HTTP/1.1 "+status+"\r\nContent-Length: 0\r\nConnection: close\r\n\r\n")
 }
 
-// makeRoom counts a new connection and reports whether it is accepted.
-func (l *Listener) makeRoom() bool {
+// admit reports whether a new connection is accepted, and counts it if so. At the
+// limit it closes a connection or evicts a request for it.
+func (l *Listener) admit() bool {
 	l.mu.Lock()
 	if l.limits.Conns <= 0 || l.count < l.limits.Conns {
 		l.count++
@@ -172,15 +175,15 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.count >= l.limits.Conns+max(1, l.limits.Conns/evictedShare) {
+	if l.count >= l.limits.Conns+max(1, l.limits.Conns/evictedDivisor) {
 		return false
 	}
 	l.count++
 	return true
 }
 
-// wait puts a connection without a request into a list.
-func (l *Listener) wait(c *conn, to *list.List) {
+// addWaiting puts a connection without a request into a list.
+func (l *Listener) addWaiting(c *conn, to *list.List) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	c.leave()
@@ -213,7 +216,7 @@
 		c.hold, c.headBytes = nil, 0
 		c.headStart.Store(0)
 		c.inHead.Store(true)
-		l.wait(c, &l.idle)
+		l.addWaiting(c, &l.idle)
 	case http.StateClosed, http.StateHijacked:
 		c.hold.Close()
 	}
@@ -264,7 +267,7 @@
 	net.Conn
 	listener  *Listener
 	inHead    atomic.Bool  // a head is expected or arriving
-	cut       atomic.Bool  // the head is refused
+	refused   atomic.Bool  // the head is refused
 	headStart atomic.Int64 // when its first byte arrived, as Unix time in ns; 0 before
 
 	// Used only by the goroutine that reads heads.
@@ -312,7 +315,7 @@
 
 // interrupt ends the read of a head.
 func (c *conn) interrupt() {
-	c.cut.Store(true)
+	c.refused.Store(true)
 	_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
 }
 
@@ -320,7 +323,7 @@
 // is refused.
 func (c *conn) SetReadDeadline(t time.Time) error {
 	err := c.Conn.SetReadDeadline(t)
-	if c.cut.Load() {
+	if c.refused.Load() {
 		return c.Conn.SetReadDeadline(time.Unix(1, 0))
 	}
 	return err
--- a/core/policy/direct.go
+++ b/core/policy/direct.go
@@ -140,8 +140,8 @@
 // is none. It is the one with the least cost: the prompts that wait there, what
 // has to be read of the attempt's own prompt, the batch, failures and distance.
 // Compared are the servers that may hold the shared part of the prompt and the
-// sample, or all if none of these has a free slot.
-// Unavailable servers are used only if all are unavailable.
+// sample, or all if none of these has a free slot. Unavailable servers are used
+// only if all are unavailable.
 func ChooseDirect(list []DirectCandidate, p Prompt, sample Sample) (int, Reason) {
 	if marked := sample.mark(list); marked != nil {
 		if i, reason := chooseAmong(list, p, marked); i >= 0 && !list[i].Unavailable && list[i].slowStartLoad() < noFreeSlotLoad {
--- a/core/policy/hold.go
+++ b/core/policy/hold.go
@@ -27,7 +27,8 @@
 	// overdueFactor gives the expected remaining time of a start that takes
 	// longer than expected, as a part of the time since the start.
 	overdueFactor = 0.25
-	minHoldRetry  = 100 * time.Millisecond
+	// minHoldRetry is the least wait suggested with a refusal.
+	minHoldRetry = 100 * time.Millisecond
 	// serveReserve is the part of the time until a deadline that is kept to run
 	// the request once it is released. The quickest requests of the platform
 	// take 100 to 200 ms.
@@ -45,8 +46,9 @@
 	HoldOverhead = 6 << 10 // bytes
 )
 
-// ObservedStart returns the start time to expect after one that took took, where
-// expected was expected before; 0 stands for DefaultStartTime. Starts beyond the
+// ObservedStart returns the start time to expect after a start with the measured
+// time took. expected is the time expected before it; 0 stands for
+// DefaultStartTime. Starts beyond the
 // time in which requests are held do not count: there was no configuration, or no
 // state cluster.
 func ObservedStart(expected, took time.Duration) time.Duration {
--- a/core/policy/quarantine.go
+++ b/core/policy/quarantine.go
@@ -83,12 +83,13 @@
 
 // Quarantine finds the requests and the parts of prompts that crash each server
 // that begins to answer them, and blocks them. A request is blamed for each crash
-// of a server that had it, and blocked by itself. A part is blamed for each crash of a server that
-// had a prompt with it and had not sent the first event; crashes before the head of the answer weigh less. It is cleared by each
-// answer that begins at any gate. Parts that were only seen together are blocked
-// together, so that prompts with some of them show which one is to blame. It
-// answers the load of requests that share a deadly part, come at many gates, and
-// would crash one server after the other.
+// of a server that had it, and blocked by itself. A part is blamed for each crash
+// of a server that had a prompt with it and had not sent the first event; crashes
+// before the head of the answer weigh less. It is cleared by each answer that
+// begins at any gate. Parts that were only seen together are blocked together, so
+// that prompts with some of them show which one is to blame. The quarantine is for
+// requests that share such a part, arrive at many gates, and would crash one
+// server after the other.
 //
 // It is not safe for concurrent use.
 type Quarantine struct {
--- a/gate/cmd/gate/start_test.go
+++ b/gate/cmd/gate/start_test.go
@@ -9,8 +9,8 @@
 	"citronledge.example/platform"
 )
 
-// Guards against a start that fails, or expects nonsense, because of the file of
-// earlier starts.
+// Guards against a start that fails, or expects an implausible time, because of
+// the file of earlier starts.
 func TestStartTimeFile(t *testing.T) {
 	for name, x := range map[string]struct {
 		content string
--- a/gate/conn/probe.go
+++ b/gate/conn/probe.go
@@ -74,7 +74,7 @@
 		return Unknown
 	}
 	var b [1]byte
-	if _, err := c.Read(b[:]); errors.Is(err, context.DeadlineExceeded) || isTimeout(err) {
+	if _, err := c.Read(b[:]); isTimeout(err) {
 		return Open
 	}
 	return Ended
--- a/gate/fleet/cold.go
+++ b/gate/fleet/cold.go
@@ -15,9 +15,9 @@
 )
 
 const (
-	// answerTimeout is how long a server that was seen down is expected to answer
-	// again. A gate without a share of it gets no answer from it and would
-	// otherwise take it for cold for ever.
+	// answerTimeout is the time within which a server that was seen down is expected
+	// to answer again. A gate that may send it nothing gets no answer from it, and
+	// would otherwise treat it as cold indefinitely.
 	answerTimeout = 15 * time.Second
 	// downMemory is how long others are told of a server that was seen down.
 	downMemory = 3 * time.Second
@@ -195,8 +195,8 @@
 	}
 }
 
-// lastResort returns the cold servers that a gate may use that does not know the
-// other gates and has no other server. It must be called with mu held.
+// lastResort returns the cold servers that this gate may use if it has no other
+// server and does not know the other gates yet. It must be called with mu held.
 func (f *Fleet) lastResort(criteria Criteria, now time.Time) (list []*Server) {
 	if f.cold.gates.areKnown(now) {
 		return nil
--- a/gate/fleet/pick.go
+++ b/gate/fleet/pick.go
@@ -51,10 +51,10 @@
 func (f *Fleet) Pick(criteria Criteria, now time.Time) *Assignment {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	candidates := make([]policy.DirectCandidate, 0, len(f.services[criteria.Service]))
 	f.prefixes.Match(criteria.Cached.Parts)
 	criteria.Prompt.Recorded = criteria.Cached.Capacity > 0
 	servers := make([]*Server, 0, len(f.services[criteria.Service]))
+	candidates := make([]policy.DirectCandidate, 0, len(f.services[criteria.Service]))
 	for _, s := range f.services[criteria.Service] {
 		if !criteria.matches(s, now) {
 			continue
--- a/gate/relay/attempt.go
+++ b/gate/relay/attempt.go
@@ -294,8 +294,8 @@
 }
 
 // recordUnreached records why no connection to the server could be opened. Errors
-// of this gate's own system, such as a lack of file descriptors, say nothing of
-// the server.
+// of this gate's own system, such as a lack of file descriptors, are not
+// evidence against the server.
 func (x *attempt) recordUnreached(err error) {
 	var netErr net.Error
 	switch {
--- a/gate/relay/crash.go
+++ b/gate/relay/crash.go
@@ -134,7 +134,7 @@
 }
 
 // recordCrash records a server whose process ended without an answer, or as its
-// answer began, as one does that the request crashes.
+// answer began: the request may have crashed it.
 func (x *attempt) recordCrash() {
 	if !x.cutOff && !x.brokenOff || x.quarantinedOff.Load() || x.eventsSent > 0 {
 		return
--- a/gate/relay/hold.go
+++ b/gate/relay/hold.go
@@ -69,6 +69,8 @@
 	counts  holdCounts
 }
 
+// holdCounts are numbers of requests since the start of the gate. refused includes
+// those refused on arrival.
 type holdCounts struct{ held, refused, left int }
 
 // heldCall is a request that waits for its turn.
@@ -108,7 +110,7 @@
 			h.setReady(now, took)
 		}
 		if r.stopEnd.Load() != nil {
-			h.end("this gate stops")
+			h.stop()
 			return nil
 		}
 		if h.advance(now) {
@@ -119,7 +121,7 @@
 		}
 		select {
 		case <-ctx.Done():
-			h.end("this gate stops")
+			h.stop()
 			return nil
 		case <-tick.C:
 		}
@@ -170,8 +172,8 @@
 	}
 }
 
-// advance lets the requests go that are due. It reports whether nothing is held
-// any more and nothing will be.
+// advance releases and refuses the requests that are due. It reports whether
+// nothing is held any more and nothing will be.
 func (h *holder) advance(now time.Time) bool {
 	served := h.served.Load()
 	h.mu.Lock()
@@ -209,8 +211,9 @@
 	}
 }
 
-// end refuses all held requests because the gate stops, and holds no more.
-func (h *holder) end(why string) {
+// stop refuses all held requests because the gate stops, and holds no more.
+func (h *holder) stop() {
+	const why = "this gate stops"
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.ended.Store(true)
@@ -270,6 +273,7 @@
 	h.queue.Complete(id)
 }
 
+// count counts a held request by its end, in the metric and in n.
 func (h *holder) count(end string, n *int) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -327,7 +331,7 @@
 	case err != nil:
 		c.leaveHeld()
 	}
-	h.count("released", new(int))
+	h.metrics.requests.WithLabelValues("released").Inc()
 	return true
 }
 
--- a/gate/route/crash.go
+++ b/gate/route/crash.go
@@ -51,7 +51,7 @@
 		blocks := x.r.quarantine.RecordCrash(c, now)
 		klog.InfoS("Backend server ended as it had the request", "id", x.req.ID, "backend", id, "ran", took, "content", fmt.Sprintf("%016x", x.content), "quarantined", len(blocks) > 0)
 	}
-	// Requests to side processes carry no parts of prompts, and other gates learn of
-	// a crash by their own: nothing is told to them.
+	// Gates with side processes exchange no news of crashes. Taking the news discards
+	// them, so that they do not accumulate.
 	x.r.quarantine.TakeNews(now)
 }
--- a/side/engine/chat.go
+++ b/side/engine/chat.go
@@ -31,7 +31,7 @@
 	Fault  *fault.Fault // nil only if the answer is complete
 	Status int          // HTTP status of the answer, 0 if there was none
 	// Broke is set if the backend server ended the connection before the first part
-	// of its answer, as one does that the request crashes.
+	// of its answer: the request may have crashed it.
 	Broke bool
 }
 
--- a/soak/clients_test.go
+++ b/soak/clients_test.go
@@ -340,13 +340,14 @@
 	}
 }
 
-// Callers that hold large bodies, or never end them, once took all memory of a
-// gate.
+// A gate must not run out of memory when callers hold large bodies or never end
+// them.
 func TestCallerBodies(t *testing.T) {
 	attackCases(t, bodyAttacks(maxCallerBody, 40), (*clientSite).gate, func(s *clientSite) error { return s.callGate("after", 1000) })
 }
 
-// Request heads over the limit or without end once took all memory of a gate.
+// A gate must not run out of memory by request heads over the limit or without
+// end.
 func TestCallerHeads(t *testing.T) {
 	attackCases(t, headAttacks("POST /safe/x", 60), (*clientSite).gate, func(s *clientSite) error { return s.callGate("after", 1000) })
 }
@@ -361,13 +362,14 @@
 	}, (*clientSite).gate, func(s *clientSite) error { return s.callGate("after", 1000) })
 }
 
-// Bodies at the operators' interface once took all memory of a state process.
+// A state process must not run out of memory by bodies at the operators'
+// interface.
 func TestOperatorBodies(t *testing.T) {
 	attackCases(t, bodyAttacks(maxConfigBody, 20), (*clientSite).operators, (*clientSite).callOperators)
 }
 
-// Request heads at the operators' interface once took all memory of a state
-// process.
+// A state process must not run out of memory by request heads at the operators'
+// interface.
 func TestOperatorHeads(t *testing.T) {
 	attackCases(t, headAttacks("POST "+users.ReplacePath, 60), (*clientSite).operators, (*clientSite).callOperators)
 }
--- a/state/raft/elect.go
+++ b/state/raft/elect.go
@@ -10,8 +10,8 @@
 )
 
 // maxQuickPreVotes is how many times in a row a pre-vote that found no majority is
-// repeated soon. A member that stays cut off then asks once in each election
-// timeout.
+// repeated after about one heartbeat interval. A member that stays cut off then
+// asks once in each election timeout.
 const maxQuickPreVotes = 6
 
 // resetElectionTimer draws a new election timeout and starts it.
