--- a/state/raft/restart_test.go
+++ b/state/raft/restart_test.go
@@ -15,7 +15,9 @@
 	timings := Timings{HeartbeatInterval: 75 * time.Millisecond, ElectionTimeout: 400 * time.Millisecond}
 	for seed := range seeds {
 		simulate(t, 100+seed, size, func(_ *testing.T, w *world) {
+			w.mu.Lock()
 			w.maxDelay = delay
+			w.mu.Unlock()
 			w.commitCommands("a", 1)
 			w.waitForConvergence()
 			disks := map[string]*store.MemoryFolder{}
