--- a/review/rig2/client.go
+++ b/review/rig2/client.go
@@ -33,7 +33,9 @@
 var attempts atomic.Uint64
 
 // newAttempt returns an id that no other attempt has.
-func newAttempt() string { return fmt.Sprintf("%08x%08x", uint32(time.Now().UnixNano()), attempts.Add(1)) }
+func newAttempt() string {
+	return fmt.Sprintf("%08x%08x", uint32(time.Now().UnixNano()), attempts.Add(1))
+}
 
 // send sends a request to a machine on a new channel and reads its answer.
 func (s *site) send(m *machine, q request) reply {
--- a/review/rig2/runner.go
+++ b/review/rig2/runner.go
@@ -72,12 +72,12 @@
 // work is a request at a runner.
 type work struct {
 	*http.Request
-	ctx  context.Context // ends when the channel or the time of the request does
+	ctx context.Context // ends when the channel or the time of the request does
 	// closed ends when the channel does.
 	closed context.Context
-	body []byte
-	conn net.Conn
-	boot int
+	body   []byte
+	conn   net.Conn
+	boot   int
 }
 
 func (q *work) attempt() string { return q.Header.Get("Attempt-Id") }
