--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -28,6 +28,7 @@
 	"refused":  playRefused,
 	"repeated": playRepeated,
 	"listed":   playListed,
+	"first":    playFirst,
 }
 
 func main() {
--- a/review/rig2/site.go
+++ b/review/rig2/site.go
@@ -153,8 +153,11 @@
 }
 
 // start starts all processes.
-func (s *site) start() error {
-	for _, m := range s.machines {
+func (s *site) start() error { return s.startMachines(s.machines) }
+
+// startMachines starts the processes of machines for the first time.
+func (s *site) startMachines(list []*machine) error {
+	for _, m := range list {
 		for _, role := range []string{"state", "gate"} {
 			p, err := s.startProcess(m, role, true)
 			if err != nil {
