--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -29,6 +29,7 @@
 	"repeated": playRepeated,
 	"listed":   playListed,
 	"first":    playFirst,
+	"cut":      playCut,
 }
 
 func main() {
--- a/review/rig2/site.go
+++ b/review/rig2/site.go
@@ -46,6 +46,8 @@
 	block    string // first three bytes of all addresses
 	machines []*machine
 	list     *runnerList
+	// env is added to the environment of the processes.
+	env []string
 }
 
 // newSite prepares a deployment of three edge machines with a disk.
@@ -128,6 +130,7 @@
 	cmd := exec.Command("target/"+role, "--platform", "--config", "deploy/"+role+".yaml")
 	cmd.Dir = s.root
 	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "CITRONLEDGE_NODE_FILE=" + file}
+	cmd.Env = append(cmd.Env, s.env...)
 	cmd.Stdout, cmd.Stderr = log, log
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := cmd.Start(); err != nil {
