gate/conn: a reset that only the request's write was told of broke answers unseen

Callers saw: a server that answered a long upload at once with a 200 without a length, sent a part of the body and reset the connection, had that part passed on as a complete answer; the same for failures (404, 500) and for streams.

Cause: the system reports a reset once. While the request is still being written, its write may be told, and the read of the answer finds an orderly end, which is what ends a body without a length. The write's error was looked at only to decide whether the connection may be reused.

Change: core/reply.Conn remembers what a write was told. A read that finds the end stops a write that is under way, waits for its result and returns the loss instead of the end. EPIPE means that the server had ended its side in order before, so such an answer stays whole, as does one whose server reads on.

--- a/gate/conn/conn.go
+++ b/gate/conn/conn.go
@@ -19,6 +19,7 @@
 	"golang.org/x/sys/unix"
 
 	"citronledge.example/core/link"
+	"citronledge.example/core/reply"
 )
 
 const (
@@ -115,7 +116,7 @@
 
 // pooledConn is a connection that the pool may reuse.
 type pooledConn struct {
-	net.Conn
+	*reply.Conn
 	addr        string
 	limiter     *limiter
 	r           *bufio.Reader // reads from limiter
@@ -124,8 +125,9 @@
 }
 
 func newPooledConn(c net.Conn, addr string) *pooledConn {
-	l := &limiter{Reader: c}
-	return &pooledConn{Conn: c, addr: addr, limiter: l, r: bufio.NewReaderSize(l, readBufferBytes)}
+	checked := reply.NewConn(c)
+	l := &limiter{Reader: checked}
+	return &pooledConn{Conn: checked, addr: addr, limiter: l, r: bufio.NewReaderSize(l, readBufferBytes)}
 }
 
 // Option configures a Pool.
@@ -207,7 +209,7 @@
 	if pc.r.Buffered() > 0 {
 		return false
 	}
-	sc, ok := pc.Conn.(syscall.Conn)
+	sc, ok := pc.NetConn().(syscall.Conn)
 	if !ok {
 		return true
 	}
@@ -291,9 +293,7 @@
 	} else {
 		a.writeDone = make(chan error, 1)
 		go func() {
-			buffers := net.Buffers{buf, q.Body}
-			_, err := buffers.WriteTo(a.conn.Conn)
-			a.writeDone <- err
+			a.writeDone <- a.conn.WriteBuffers(net.Buffers{buf, q.Body})
 		}()
 	}
 	for skipped := range maxForeignAnswers + 1 {
--- /dev/null
+++ b/gate/relay/early_test.go
@@ -0,0 +1,131 @@
+package relay_test
+
+import (
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	"citronledge.example/stub/runner"
+)
+
+const (
+	// uploadBytes is more than the buffers of a connection hold, so that the gate
+	// is still writing the request when its answer comes.
+	uploadBytes = 4 << 20
+	// uploads is how often each answer is sent: which end of a connection learns of
+	// a reset first depends on the scheduler.
+	uploads = 5
+)
+
+// unsized answers with a status and a body without a length, and then resets the
+// connection if the request is still being sent.
+func unsized(status int, body string) runner.Reply {
+	return func(c net.Conn, r *runner.Request) bool {
+		runner.Write(c, runner.ResponseHead(status, r, "\r\n"+body))
+		return false
+	}
+}
+
+// A server that answers an upload before it has read it, and resets the connection
+// in the middle of an answer without a length, must not have its part taken for
+// the whole answer. The system may report the reset to the write of the request
+// only, and the end of the connection to the read of the answer.
+func TestResetDuringUpload(t *testing.T) {
+	upload := strings.Repeat("x", uploadBytes)
+	long := strings.Repeat("y", 200<<10)
+	for name, x := range map[string]struct {
+		target string
+		reply  runner.Reply
+	}{
+		"safe":              {"/safe/x", unsized(200, "part")},
+		"safe, empty":       {"/safe/x", unsized(200, "")},
+		"safe, long part":   {"/safe/x", unsized(200, long)},
+		"safe, failure":     {"/safe/x", unsized(500, "part")},
+		"once":              {"/once/x", unsized(200, "part")},
+		"once, long part":   {"/once/x", unsized(200, long)},
+		"once, failure":     {"/once/x", unsized(500, "part")},
+		"once, 404":         {"/once/x", unsized(404, "part")},
+		"stream":            {"/stream/x", unsized(200, events(1, 3))},
+		"sized once":        {"/sizedonce/x", unsized(200, "part")},
+		"public, long part": {"/public/x", unsized(200, long)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			for range uploads {
+				r := newRigOf(t, runner.StartEarly, x.reply)
+				// An answer of which the caller has a part has to break off.
+				if got := r.sendBody(http.MethodPost, x.target, "1", upload, nil); got.err == nil && got.status != http.StatusBadGateway {
+					t.Errorf("got %d with %d bytes as a whole answer, want 502 or a broken one", got.status, len(got.body))
+				}
+			}
+		})
+	}
+}
+
+// After a reset, a request that may be repeated gets the answer of another server,
+// and one that must not be repeated runs no second time.
+func TestRepeatAfterReset(t *testing.T) {
+	upload := strings.Repeat("x", uploadBytes)
+	for name, x := range map[string]struct {
+		target, part string
+		sound        func(firstEvent int) runner.Reply
+		whole        string
+		once         bool
+	}{
+		"safe":   {"/safe/x", "part", func(int) runner.Reply { return runner.OK("whole") }, "whole", false},
+		"once":   {"/once/x", "part", func(int) runner.Reply { return runner.OK("whole") }, "whole", true},
+		"stream": {"/stream/x", events(1, 2), func(first int) runner.Reply { return runner.Events(first, 3, 0, "") }, events(1, 3), false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			sound := func(c net.Conn, q *runner.Request) bool { return x.sound(q.LastEventID()+1)(c, q) }
+			broken := func(c net.Conn, q *runner.Request) bool {
+				if q.LastEventID() > 0 {
+					return sound(c, q)
+				}
+				return unsized(200, x.part)(c, q)
+			}
+			for range uploads {
+				r := newRigOf(t, runner.StartEarly, broken, sound)
+				got := r.sendBody(http.MethodPost, x.target, "1", upload, nil)
+				whole := got.err == nil && got.status == 200 && got.body == x.whole
+				if !whole && !(x.once && got.status == http.StatusBadGateway) {
+					t.Errorf("got %d %q (%v), want %q", got.status, got.body, got.err, x.whole)
+				}
+				if runs := r.runs(); runs > 2 || x.once && runs > 1 {
+					t.Errorf("got %d runs", runs)
+				}
+			}
+		})
+	}
+}
+
+// An answer without a length stays whole if its server ends its own side of the
+// connection in order, also before it has read the request, and whether or not it
+// reads the rest.
+func TestOrderlyEndDuringUpload(t *testing.T) {
+	upload := strings.Repeat("x", uploadBytes)
+	for name, x := range map[string]struct {
+		body    string
+		readsOn bool
+	}{
+		"reads on":              {"whole", true},
+		"long answer, reads on": {strings.Repeat("y", 200<<10), true},
+		"closes":                {"whole", false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			for range uploads {
+				r := newRigOf(t, runner.StartEarly, func(c net.Conn, q *runner.Request) bool {
+					unsized(200, x.body)(c, q)
+					return c.(*net.TCPConn).CloseWrite() == nil && x.readsOn
+				})
+				got := r.sendBody(http.MethodPost, "/once/x", "1", upload, nil)
+				if got.err != nil || got.status != 200 || got.body != x.body {
+					t.Errorf("got %d with %d bytes (%v), want 200 with %d", got.status, len(got.body), got.err, len(x.body))
+				}
+			}
+		})
+	}
+}
--- a/gate/relay/rig_test.go
+++ b/gate/relay/rig_test.go
@@ -44,9 +44,14 @@
 )
 
 func newRig(t testing.TB, replies ...runner.Reply) *rig {
+	return newRigOf(t, runner.Start, replies...)
+}
+
+// newRigOf starts each runner with start.
+func newRigOf(t testing.TB, start func(runner.Reply) (*runner.Backend, error), replies ...runner.Reply) *rig {
 	r := &rig{t: t, fleet: fleet.New("a"), routeTimeout: 3 * time.Second}
 	for i, reply := range replies {
-		x, err := runner.Start(reply)
+		x, err := start(reply)
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/stub/runner/runner.go
+++ b/stub/runner/runner.go
@@ -42,7 +42,8 @@
 
 // Backend is a running stand-in for a backend server.
 type Backend struct {
-	ln net.Listener
+	ln    net.Listener
+	early bool // answers before it reads the body of a request
 
 	mu       sync.Mutex
 	reply    Reply
@@ -55,13 +56,20 @@
 // Start starts a backend server on a free port of the loopback address.
 func Start(reply Reply) (*Backend, error) { return StartAt("127.0.0.1:0", reply) }
 
+// StartEarly starts a backend server that answers as soon as it has read the head
+// of a request. It reads and discards the body after its answer, or resets the
+// connection if reply returns false before the body has arrived.
+func StartEarly(reply Reply) (*Backend, error) { return start("127.0.0.1:0", reply, true) }
+
 // StartAt starts a backend server on an address.
-func StartAt(addr string, reply Reply) (*Backend, error) {
+func StartAt(addr string, reply Reply) (*Backend, error) { return start(addr, reply, false) }
+
+func start(addr string, reply Reply, early bool) (*Backend, error) {
 	ln, err := net.Listen("tcp", addr)
 	if err != nil {
 		return nil, err
 	}
-	r := &Backend{ln: ln, reply: reply, conns: map[net.Conn]bool{}}
+	r := &Backend{ln: ln, early: early, reply: reply, conns: map[net.Conn]bool{}}
 	r.wait.Go(r.accept)
 	return r, nil
 }
@@ -129,9 +137,11 @@
 		if err != nil {
 			return
 		}
-		body, err := io.ReadAll(q.Body)
-		if err != nil {
-			return
+		var body []byte
+		if !b.early {
+			if body, err = io.ReadAll(q.Body); err != nil {
+				return
+			}
 		}
 		req := &Request{Request: q, Content: body, ConnIndex: n, RequestIndex: turn}
 		b.mu.Lock()
@@ -141,6 +151,9 @@
 		if !reply(c, req) {
 			return
 		}
+		if _, err := io.Copy(io.Discard, q.Body); err != nil {
+			return
+		}
 	}
 }
 
