gate/conn: an answer ended before its request was written passes no longer as whole

Callers saw: the part of an answer without a length as a complete one, if the server ended its side of the connection in order and the connection was reset only then. That is how the system ends the connections of a process that has crashed and had read all that had arrived; what arrives later resets the connection.

RFC 9112 section 8 lets an answer without a length be complete only if the connection indicates no error.

Change: while the request is still being written, the end of the answer waits for that write, and any error of it breaks the answer off. A server that reads on gets the whole request, so its answer stays whole. The wait ends with the request.

--- a/gate/conn/conn.go
+++ b/gate/conn/conn.go
@@ -282,18 +282,24 @@
 
 func (a *Answer) exchange(q *Request) error {
 	buf := encodeHead(q)
+	a.conn.BeginRequest()
 	if len(buf)+len(q.Body) <= maxSyncWriteBytes {
 		buf = append(buf, q.Body...)
-		if n, err := a.conn.Write(buf); err != nil {
+		n, err := a.conn.Write(buf)
+		a.conn.EndRequest()
+		if err != nil {
 			if n == 0 && !a.Reused {
 				return NotSentError{err}
 			}
 			return UnansweredError{err, a.Reused}
 		}
 	} else {
-		a.writeDone = make(chan error, 1)
+		pc, done := a.conn, make(chan error, 1)
+		a.writeDone = done
 		go func() {
-			a.writeDone <- a.conn.WriteBuffers(net.Buffers{buf, q.Body})
+			err := pc.WriteBuffers(net.Buffers{buf, q.Body})
+			pc.EndRequest()
+			done <- err
 		}()
 	}
 	for skipped := range maxForeignAnswers + 1 {
--- a/stub/runner/runner.go
+++ b/stub/runner/runner.go
@@ -40,6 +40,10 @@
 // returns false, the backend server closes it.
 type Reply func(c net.Conn, r *Request) (keep bool)
 
+// earlyReadBuffer is the size of the receive buffer, in bytes, of a backend server
+// that answers early.
+const earlyReadBuffer = 64 << 10
+
 // Backend is a running stand-in for a backend server.
 type Backend struct {
 	ln    net.Listener
@@ -58,7 +62,8 @@
 
 // StartEarly starts a backend server that answers as soon as it has read the head
 // of a request. It reads and discards the body after its answer, or resets the
-// connection if reply returns false before the body has arrived.
+// connection if reply returns false before the body has arrived. Its receive buffer
+// is small, so that a long request is still being sent meanwhile.
 func StartEarly(reply Reply) (*Backend, error) { return start("127.0.0.1:0", reply, true) }
 
 // StartAt starts a backend server on an address.
@@ -115,6 +120,9 @@
 		if err != nil {
 			return
 		}
+		if b.early {
+			_ = c.(*net.TCPConn).SetReadBuffer(earlyReadBuffer)
+		}
 		b.mu.Lock()
 		b.conns[c] = true
 		n := b.accepted
