side: a part of a service's or engine's answer is not taken for the whole

Callers saw: a call to a plain service, or an engine's failure, that was answered before the whole request was read and reset: the part came as a complete answer. The part of an operation's answer was stored in the ledger as its outcome.

Cause: net/http closes the connection when the write of a request fails, but an answer whose end is that of the connection may be read to its end before.

Change: core/reply.Transport gives net/http connections that know when a request has been written, in plain text or TLS; side/caller and side/engine use it.

TestOrderlyEndDuringUpload passes with and without.

--- /dev/null
+++ b/core/reply/transport.go
@@ -0,0 +1,72 @@
+package reply
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
+)
+
+// Transport is an http.Transport that uses a Conn for each connection.
+type Transport struct{ *http.Transport }
+
+// NewTransport returns a Transport with the settings of t, which it takes over. It
+// sets the DialTLSContext of t.
+func NewTransport(t *http.Transport) *Transport {
+	dial := t.DialContext
+	if dial == nil {
+		dial = (&net.Dialer{}).DialContext
+	}
+	t.DialContext = func(ctx context.Context, network, addr string) (net.Conn, error) {
+		c, err := dial(ctx, network, addr)
+		if err != nil {
+			return nil, err
+		}
+		return NewConn(c), nil
+	}
+	cfg := t.TLSClientConfig
+	t.DialTLSContext = func(ctx context.Context, network, addr string) (net.Conn, error) {
+		c, err := dial(ctx, network, addr)
+		if err != nil {
+			return nil, err
+		}
+		return secure(ctx, c, addr, cfg)
+	}
+	return &Transport{t}
+}
+
+// secure makes the TLS handshake with the server at addr. cfg may be nil.
+func secure(ctx context.Context, raw net.Conn, addr string, cfg *tls.Config) (net.Conn, error) {
+	if cfg = cfg.Clone(); cfg == nil {
+		cfg = &tls.Config{}
+	}
+	if cfg.ServerName == "" {
+		host, _, err := net.SplitHostPort(addr)
+		if err != nil {
+			_ = raw.Close()
+			return nil, err
+		}
+		cfg.ServerName = host
+	}
+	c := tls.Client(raw, cfg)
+	if err := c.HandshakeContext(ctx); err != nil {
+		_ = raw.Close()
+		return nil, err
+	}
+	return NewConn(c), nil
+}
+
+// RoundTrip implements http.RoundTripper.
+func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
+	var c atomic.Pointer[Conn] // a failed attempt of the transport may still report its write during the next one
+	trace := &httptrace.ClientTrace{
+		GotConn: func(i httptrace.GotConnInfo) {
+			c.Store(i.Conn.(*Conn))
+			c.Load().BeginRequest()
+		},
+		WroteRequest: func(httptrace.WroteRequestInfo) { c.Load().EndRequest() },
+	}
+	return t.Transport.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
+}
--- a/side/caller/caller.go
+++ b/side/caller/caller.go
@@ -20,6 +20,7 @@
 
 	"citronledge.example/core/fault"
 	"citronledge.example/core/ident"
+	"citronledge.example/core/reply"
 	"citronledge.example/core/wire"
 	"citronledge.example/side/engine"
 	"citronledge.example/side/guard"
@@ -52,7 +53,7 @@
 	name      ident.Service
 	base      *url.URL
 	dial      DialFunc
-	transport *http.Transport
+	transport *reply.Transport
 	slots     int
 	notifier  guard.Notifier
 
@@ -67,9 +68,9 @@
 	if dial == nil {
 		dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
 	}
-	return &Client{name: name, base: base, dial: dial, slots: slots, transport: &http.Transport{
+	return &Client{name: name, base: base, dial: dial, slots: slots, transport: reply.NewTransport(&http.Transport{
 		DialContext: dial, MaxIdleConnsPerHost: maxIdleConns, DisableCompression: true, MaxResponseHeaderBytes: engine.MaxHeadBytes,
-	}}
+	})}
 }
 
 // LoadReport returns the state of the service. It leaves out the number of
@@ -209,10 +210,10 @@
 	// net/http resends a request that has an Idempotency-Key when a reused
 	// connection breaks. A separate connection that is used once and a body
 	// that cannot be read again prevent that.
-	transport := &http.Transport{
+	transport := reply.NewTransport(&http.Transport{
 		DialContext:       singleUseDialer(conn),
 		DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: engine.MaxHeadBytes,
-	}
+	})
 	resp, err := transport.RoundTrip(req)
 	if err != nil {
 		return nil, unknownOutcome(engine.FailedOutcome(ctx, err))
--- a/side/engine/engine.go
+++ b/side/engine/engine.go
@@ -19,6 +19,7 @@
 
 	"citronledge.example/core/fault"
 	"citronledge.example/core/ident"
+	"citronledge.example/core/reply"
 	"citronledge.example/side/guard"
 )
 
@@ -58,11 +59,11 @@
 // uses HTTP over TCP.
 func New(url string, transport http.RoundTripper) *Client {
 	if transport == nil {
-		transport = &http.Transport{
+		transport = reply.NewTransport(&http.Transport{
 			DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
 			MaxIdleConnsPerHost: maxIdleConns, MaxResponseHeaderBytes: MaxHeadBytes,
 			DisableCompression: true, // answers are forwarded unchanged
-		}
+		})
 	}
 	return &Client{url: url, http: &http.Client{
 		Transport: transport,
