core/reply: a status that HTTP does not have makes an answer a broken one

Callers saw: through the gate, an answer with a status from 600 to 999 as a failure of that status, and the answer after one with status 000 as their own. Through a side process, an answer with status 000 or 999 of a plain service; the ledger stored status 0 as the outcome of an operation. An answer with status 000 alone was refused by the gate before (502, or another server's answer), as it was taken for an interim one; that test stays.

Cause: net/http reads any three characters that make a number from 0 to 999 as a status, and its caller has to know the range (RFC 9110 section 15: 100 to 599).

Change: reply.Conn checks the heads of answers as their bytes arrive and returns a HeadError at the first byte that is not allowed. An answer with such a head is none: its request may have run, is sent to another server only if its route allows that, and is not blamed for an end of the server.

--- a/core/reply/conn.go
+++ b/core/reply/conn.go
@@ -16,7 +16,8 @@
 // fails may cause it too. While a request is still being written, the operating
 // system may report a reset to the write only, and the end of the connection to
 // the read. So a read returns io.EOF within an answer only after the whole request
-// has been written; it returns the error of a write that failed.
+// has been written; it returns the error of a write that failed. It returns a
+// HeadError if the head of an answer is none that HTTP allows.
 type Conn struct {
 	net.Conn
 
@@ -29,6 +30,8 @@
 	mu       sync.Mutex    // guards the fields below
 	sent     chan struct{} // closed when the request has been written; nil before the first one
 	answered bool          // a part of the answer has been read
+	head     headScanner
+	broken   error // of the head
 }
 
 // NewConn returns a Conn that uses c.
@@ -37,11 +40,23 @@
 // NetConn returns the connection that c uses.
 func (c *Conn) NetConn() net.Conn { return c.Conn }
 
-// BeginRequest is called before a request is written.
+// BeginRequest is called before a request is written. The bytes that are read next
+// are the head of its answer.
 func (c *Conn) BeginRequest() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.sent, c.answered = make(chan struct{}), false
+	c.head.expect()
+}
+
+// ExpectHead is called before another answer to the same request is read. buffered
+// has been read from the connection already.
+func (c *Conn) ExpectHead(buffered []byte) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.head.expect()
+	_, c.broken = c.head.scan(buffered)
+	return c.broken
 }
 
 // EndRequest is called when the write of the request has ended, also if it failed.
@@ -83,11 +98,11 @@
 // Read implements net.Conn.
 func (c *Conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
-	c.mu.Lock()
-	c.answered = c.answered || n > 0
-	sent, answered := c.sent, c.answered
-	c.mu.Unlock()
-	if errors.Is(err, io.EOF) && sent != nil && answered {
+	n, sent, broken := c.check(b[:n])
+	if broken != nil {
+		return n, broken
+	}
+	if errors.Is(err, io.EOF) && sent != nil {
 		if e := c.awaitSent(sent); e != nil {
 			return n, e
 		}
@@ -95,6 +110,29 @@
 	return n, err
 }
 
+// check checks what has been read. It returns how much of it is sound, and the
+// channel to await before the answer may end, if one has begun.
+func (c *Conn) check(b []byte) (n int, sent chan struct{}, err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.broken != nil {
+		return 0, nil, c.broken
+	}
+	if c.answered = c.answered || len(b) > 0; c.answered {
+		sent = c.sent
+	}
+	n, c.broken = c.head.scan(b)
+	return n, sent, c.broken
+}
+
+// HeadError returns the HeadError that reads have returned, or nil. A parser may
+// replace it by an error of its own.
+func (c *Conn) HeadError() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.broken
+}
+
 // awaitSent waits until the request has been written, and returns the error of a
 // write. It need not wait for long: a server that has ended its side of the
 // connection either reads on or has the connection reset.
--- a/core/reply/conn_test.go
+++ b/core/reply/conn_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net"
+	"strings"
 	"syscall"
 	"testing"
 	"testing/synctest"
@@ -43,16 +44,17 @@
 // An answer must not end in order while its request is still being written, nor if
 // that fails.
 func TestEndDuringWrite(t *testing.T) {
+	const begun = "HTTP/1.1 200 OK\r\n"
 	for name, x := range map[string]struct {
 		part           string
 		writeErr, want error
 		wait           time.Duration
 		closed         bool // by this end, before the write has ended
 	}{
-		"written":               {part: "part", want: io.EOF, wait: time.Second},
-		"reset":                 {part: "part", writeErr: syscall.ECONNRESET, want: syscall.ECONNRESET, wait: time.Second},
-		"end, then reset":       {part: "part", writeErr: syscall.EPIPE, want: syscall.EPIPE, wait: time.Second},
-		"closed":                {part: "part", want: net.ErrClosed, closed: true},
+		"written":               {part: begun, want: io.EOF, wait: time.Second},
+		"reset":                 {part: begun, writeErr: syscall.ECONNRESET, want: syscall.ECONNRESET, wait: time.Second},
+		"end, then reset":       {part: begun, writeErr: syscall.EPIPE, want: syscall.EPIPE, wait: time.Second},
+		"closed":                {part: begun, want: net.ErrClosed, closed: true},
 		"before an answer":      {want: io.EOF},
 		"reset before answered": {writeErr: syscall.ECONNRESET, want: io.EOF},
 	} {
@@ -82,3 +84,41 @@
 		})
 	}
 }
+
+// The verdict on a head must not depend on how it is split into reads.
+func TestHeadInParts(t *testing.T) {
+	for name, x := range map[string]struct {
+		answer string
+		broken bool
+	}{
+		"sound":            {"HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\nHTTP/1.1 200 OK\r\nA: 1\r\n\r\n \x00\n body", false},
+		"bare line feeds":  {"HTTP/1.0 404\nA: 1\n\n\r\n", false},
+		"status 000":       {"HTTP/1.1 000 OK\r\n", true},
+		"four digits":      {"HTTP/1.1 2000 OK\r\n", true},
+		"HTTP/2":           {"HTTP/2.0 200 OK\r\n", true},
+		"after an interim": {"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nA: 1\r\n\r\n", false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for _, size := range []int{1, 2, 7, 1000} {
+				c := reply.NewConn(&endedConn{part: x.answer})
+				c.BeginRequest()
+				c.EndRequest()
+				var got []byte
+				var err error
+				for err == nil {
+					b := make([]byte, size)
+					var n int
+					n, err = c.Read(b)
+					got = append(got, b[:n]...)
+				}
+				var head reply.HeadError
+				if broken := errors.As(err, &head); broken != x.broken || !broken && string(got) != x.answer || !strings.HasPrefix(x.answer, string(got)) {
+					t.Errorf("reads of %d bytes: got %q, %v", size, got, err)
+				}
+				if _, again := c.Read(make([]byte, 1)); x.broken && !errors.Is(again, err) {
+					t.Errorf("got %v after %v", again, err)
+				}
+			}
+		})
+	}
+}
--- /dev/null
+++ b/core/reply/head.go
@@ -0,0 +1,122 @@
+package reply
+
+// HeadError reports that a server sent what HTTP/1 does not allow as the head of an
+// answer. The server is faulty: replace it.
+type HeadError struct {
+	// Why names what is not allowed.
+	Why string
+}
+
+// Error implements error.
+func (e HeadError) Error() string {
+	return "the server's answer is not HTTP: " + e.Why + "; replace the server"
+}
+
+// headPart is a part of the head of an answer.
+type headPart uint8
+
+const (
+	noHead     headPart = iota // no head is expected, or the final one has ended
+	statusLine                 // up to the status code
+	codeEnd                    // after the status code
+	lineRest                   // after the status code or the name of a field, up to the end of the line
+	lineStart
+	fieldName
+	blankLine // after its CR
+)
+
+// statusPattern is the start of a status line; 0 stands for any digit.
+const statusPattern = "HTTP/1.0 000"
+
+// firstDigitAt is the place of the status code in it.
+const firstDigitAt = len("HTTP/1.0 ")
+
+// headScanner checks the heads of an answer, the interim ones and the final one, as
+// their bytes arrive (RFC 9112 section 4, RFC 9110 section 15). net/http accepts
+// more: statuses from 000 to 999.
+type headScanner struct {
+	part    headPart
+	matched int // bytes of statusPattern
+	interim bool
+}
+
+// expect begins a head.
+func (s *headScanner) expect() { *s = headScanner{part: statusLine} }
+
+// scan checks the next bytes of an answer. It returns how many of them are sound,
+// and an error if that is not all.
+func (s *headScanner) scan(b []byte) (int, error) {
+	for i, c := range b {
+		if s.part == noHead {
+			break
+		}
+		if why := s.next(c); why != "" {
+			return i, HeadError{why}
+		}
+	}
+	return len(b), nil
+}
+
+// next checks one byte. It returns what is wrong with it, or an empty text.
+func (s *headScanner) next(c byte) string {
+	switch s.part {
+	case noHead:
+	case statusLine:
+		return s.nextOfStatus(c)
+	case codeEnd:
+		if c != ' ' && c != '\r' && c != '\n' {
+			return "its status code has more than three digits"
+		}
+		s.part = lineRest
+		return s.next(c)
+	case lineRest:
+		if c == '\n' {
+			s.part = lineStart
+		}
+	case lineStart:
+		s.nextOfLine(c)
+	case fieldName:
+		if c == ':' {
+			s.part = lineRest
+		}
+	case blankLine:
+		if c == '\n' {
+			s.endHead()
+		}
+	}
+	return ""
+}
+
+func (s *headScanner) nextOfStatus(c byte) string {
+	want, isDigit := statusPattern[s.matched], '0' <= c && c <= '9'
+	switch {
+	case want == '0' && !isDigit, want != '0' && c != want:
+		return "it does not begin with a status line"
+	case s.matched == firstDigitAt && (c < '1' || c > '5'):
+		return "its status code is not between 100 and 599"
+	case s.matched == firstDigitAt:
+		s.interim = c == '1'
+	}
+	if s.matched++; s.matched == len(statusPattern) {
+		s.part = codeEnd
+	}
+	return ""
+}
+
+func (s *headScanner) nextOfLine(c byte) {
+	switch c {
+	case '\r':
+		s.part = blankLine
+	case '\n':
+		s.endHead()
+	default:
+		s.part = fieldName
+	}
+}
+
+// endHead is called for the line feed of the blank line that ends a head.
+func (s *headScanner) endHead() {
+	if s.part = noHead; s.interim {
+		s.expect()
+	}
+}
--- a/core/reply/transport.go
+++ b/core/reply/transport.go
@@ -1,6 +1,7 @@
 package reply
 
 import (
+	"cmp"
 	"context"
 	"crypto/tls"
 	"net"
@@ -68,5 +69,9 @@
 		},
 		WroteRequest: func(httptrace.WroteRequestInfo) { c.Load().EndRequest() },
 	}
-	return t.Transport.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
+	resp, err := t.Transport.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
+	if err != nil && c.Load() != nil {
+		err = cmp.Or(c.Load().HeadError(), err)
+	}
+	return resp, err
 }
--- a/gate/conn/conn.go
+++ b/gate/conn/conn.go
@@ -315,6 +315,10 @@
 		if err := a.conn.skipBody(resp); err != nil {
 			return UnansweredError{err, a.Reused}
 		}
+		buffered, _ := a.conn.r.Peek(a.conn.r.Buffered())
+		if err := a.conn.ExpectHead(buffered); err != nil {
+			return UnansweredError{err, a.Reused}
+		}
 	}
 	return UnansweredError{errForeign, a.Reused}
 }
--- a/gate/conn/limit.go
+++ b/gate/conn/limit.go
@@ -1,6 +1,7 @@
 package conn
 
 import (
+	"cmp"
 	"fmt"
 	"io"
 	"net/http"
@@ -75,7 +76,7 @@
 	for range maxInterimAnswers + 1 {
 		resp, err := http.ReadResponse(pc.r, &http.Request{Method: method})
 		if err != nil {
-			return nil, err
+			return nil, cmp.Or(pc.HeadError(), err)
 		}
 		fields := 0
 		for _, values := range resp.Header {
--- a/side/caller/broken_test.go
+++ b/side/caller/broken_test.go
@@ -92,3 +92,31 @@
 		}
 	}
 }
+
+// An answer with a head that HTTP does not allow must neither be stored as that of
+// an operation nor reach a caller, and must not count as an end of the service that
+// the request has caused.
+func TestBrokenHead(t *testing.T) {
+	for name, head := range map[string]string{
+		"status 000": "HTTP/1.1 000 Trouble\r\n",
+		"status 999": "HTTP/1.1 999 Trouble\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			service, err := runner.Start(runner.ReplyRawAndClose(func(*runner.Request) string { return head + "Content-Length: 2\r\n\r\nok" }))
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer service.Close()
+			c := New("pay", &url.URL{Scheme: "http", Host: service.Addr()}, 0, nil)
+			answer, out := c.CallOnce(t.Context(), &wire.Work{Method: "POST", Path: "/p", Operation: "c/pay/k", Fence: 1}, func() *fault.Fault { return nil })
+			if answer != nil || !out.Ran || out.Fault == nil || out.Fault.Kind != fault.Unknown || out.Broke {
+				t.Errorf("got %+v and the answer %+v of an operation, want unknown without one", out, answer)
+			}
+			sink := &answerSink{}
+			if out := c.Call(t.Context(), &wire.Work{Method: "GET", Path: "/p"}, sink); out.Fault == nil || !out.Ran || out.Broke || sink.status != 0 {
+				t.Errorf("got %+v and %d %q of a call, want a fault", out, sink.status, sink.body.String())
+			}
+		})
+	}
+}
--- a/side/engine/chat.go
+++ b/side/engine/chat.go
@@ -14,6 +14,7 @@
 
 	"citronledge.example/core/fault"
 	"citronledge.example/core/ident"
+	"citronledge.example/core/reply"
 	"citronledge.example/core/wire"
 )
 
@@ -144,6 +145,10 @@
 	case ctx.Err() != nil:
 		return Outcome{Ran: true, Fault: fault.New(fault.Upstream, "the work was cancelled")}
 	}
+	var head reply.HeadError
+	if errors.As(err, &head) {
+		return Outcome{Ran: true, Fault: fault.New(fault.Upstream, head.Error())}
+	}
 	return Outcome{Ran: true, Broke: true, Fault: fault.New(fault.Upstream, "the connection to the backend server broke; retry")}
 }
 
