core/reply: lines that HTTP does not allow in a head make an answer a broken one

Callers saw: an answer in whose head the name of a field held a blank, with that line passed on; or with a body that was not the server's, where the line was one of those that frame it ("Content-Length : 1"). A line that began with a blank or a tab was joined to the value before it, also to the signature. A line feed before a name ended the head there, and the rest of the head came as the body. Other control bytes in a name were refused before; their tests stay.

Cause: net/http takes such lines (RFC 9112 sections 2.2, 5.1 and 5.2 let a proxy refuse them): it keeps names with blanks, unfolds lines, and lets a single line feed end a line of a head whose other lines end with CR LF.

Change: the reader of heads refuses names that are no tokens, lines that begin with a blank, and heads whose lines do not all end alike. Heads with bare line feeds throughout are taken as before.

Evidence: without the change TestBrokenHead fails in 8 more of 19 cases at the gate and 4 of 5 at the side process, where the fifth, a control byte, was blamed on the request as an end of the service; with it all pass, as does TestUnusualHead.

--- a/core/reply/conn_test.go
+++ b/core/reply/conn_test.go
@@ -91,12 +91,16 @@
 		answer string
 		broken bool
 	}{
-		"sound":            {"HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\nHTTP/1.1 200 OK\r\nA: 1\r\n\r\n \x00\n body", false},
-		"bare line feeds":  {"HTTP/1.0 404\nA: 1\n\n\r\n", false},
-		"status 000":       {"HTTP/1.1 000 OK\r\n", true},
-		"four digits":      {"HTTP/1.1 2000 OK\r\n", true},
-		"HTTP/2":           {"HTTP/2.0 200 OK\r\n", true},
-		"after an interim": {"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nA: 1\r\n\r\n", false},
+		"sound":             {"HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\nHTTP/1.1 200 OK\r\nA: 1\r\n\r\n \x00\n body", false},
+		"bare line feeds":   {"HTTP/1.0 404\nA: 1\n\n\r\n", false},
+		"status 000":        {"HTTP/1.1 000 OK\r\n", true},
+		"four digits":       {"HTTP/1.1 2000 OK\r\n", true},
+		"HTTP/2":            {"HTTP/2.0 200 OK\r\n", true},
+		"after an interim":  {"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nA B: 1\r\n", true},
+		"blank after name":  {"HTTP/1.1 200 OK\r\nA : 1\r\n", true},
+		"blank before name": {"HTTP/1.1 200 OK\r\nA: 1\r\n B: 1\r\n", true},
+		"line feed":         {"HTTP/1.1 200 OK\r\nA: 1\r\n\nB: 1\r\n", true},
+		"carriage return":   {"HTTP/1.1 200 OK\r\nA: 1\r\n\rB: 1\r\n", true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			for _, size := range []int{1, 2, 7, 1000} {
--- a/core/reply/head.go
+++ b/core/reply/head.go
@@ -1,5 +1,7 @@
 package reply
 
+import "strings"
+
 // HeadError reports that a server sent what HTTP/1 does not allow as the head of an
 // answer. The server is faulty: replace it.
 type HeadError struct {
@@ -32,12 +34,18 @@
 const firstDigitAt = len("HTTP/1.0 ")
 
 // headScanner checks the heads of an answer, the interim ones and the final one, as
-// their bytes arrive (RFC 9112 section 4, RFC 9110 section 15). net/http accepts
-// more: statuses from 000 to 999.
+// their bytes arrive (RFC 9112 sections 4 and 5, RFC 9110 sections 5.1 and 15).
+// net/http accepts more: statuses from 000 to 999, blanks in the names of fields,
+// lines that begin with a blank, and single line feeds, which may end a head where
+// its server meant a byte of a name.
 type headScanner struct {
 	part    headPart
 	matched int // bytes of statusPattern
 	interim bool
+	// lines counts those that have ended. A bare line feed ends them all or none.
+	lines   int
+	bare    bool
+	afterCR bool
 }
 
 // expect begins a head.
@@ -53,6 +61,7 @@
 		if why := s.next(c); why != "" {
 			return i, HeadError{why}
 		}
+		s.afterCR = c == '\r'
 	}
 	return len(b), nil
 }
@@ -71,18 +80,22 @@
 		return s.next(c)
 	case lineRest:
 		if c == '\n' {
-			s.part = lineStart
+			return s.endLine()
 		}
 	case lineStart:
-		s.nextOfLine(c)
+		return s.nextOfLine(c)
 	case fieldName:
-		if c == ':' {
+		switch {
+		case c == ':':
 			s.part = lineRest
+		case !isTokenByte(c):
+			return "the name of a field holds a byte that names must not have"
 		}
 	case blankLine:
-		if c == '\n' {
-			s.endHead()
+		if c != '\n' {
+			return "the name of a field begins with a carriage return"
 		}
+		return s.endHead()
 	}
 	return ""
 }
@@ -103,20 +116,47 @@
 	return ""
 }
 
-func (s *headScanner) nextOfLine(c byte) {
-	switch c {
-	case '\r':
+func (s *headScanner) nextOfLine(c byte) string {
+	switch {
+	case c == '\r':
 		s.part = blankLine
-	case '\n':
-		s.endHead()
+	case c == '\n':
+		return s.endHead()
+	case c == ' ' || c == '\t':
+		return "a line begins with a blank"
+	case !isTokenByte(c):
+		return "the name of a field is empty or holds a byte that names must not have"
 	default:
 		s.part = fieldName
 	}
+	return ""
+}
+
+// endLine is called for each line feed.
+func (s *headScanner) endLine() string {
+	if s.lines++; s.lines == 1 {
+		s.bare = !s.afterCR
+	}
+	if s.bare == s.afterCR {
+		return "its lines do not all end alike"
+	}
+	s.part = lineStart
+	return ""
 }
 
 // endHead is called for the line feed of the blank line that ends a head.
-func (s *headScanner) endHead() {
+func (s *headScanner) endHead() string {
+	if why := s.endLine(); why != "" {
+		return why
+	}
 	if s.part = noHead; s.interim {
 		s.expect()
 	}
+	return ""
+}
+
+// isTokenByte reports whether the name of a field may have the byte (RFC 9110
+// section 5.6.2).
+func isTokenByte(c byte) bool {
+	return 'a' <= c && c <= 'z' || 'A' <= c && c <= 'Z' || '0' <= c && c <= '9' || strings.IndexByte("!#$%&'*+-.^_`|~", c) >= 0
 }
--- a/gate/relay/head_test.go
+++ b/gate/relay/head_test.go
@@ -21,8 +21,8 @@
 	}
 }
 
-// brokenHeads are answers that HTTP does not allow (RFC 9112 section 4, RFC 9110
-// section 15).
+// brokenHeads are answers that HTTP does not allow (RFC 9112 sections 4 and 5, RFC
+// 9110 sections 5.1 and 15).
 var brokenHeads = map[string]func(*runner.Request) string{
 	"status 000":               withStatus("000 Trouble"),
 	"status 000, then another": func(r *runner.Request) string { return "HTTP/1.1 000 Trouble\r\n\r\n" + headWith("")(r) },
@@ -31,6 +31,25 @@
 	"status 999":               withStatus("999 Trouble"),
 	"status with a sign":       withStatus("+20 OK"),
 	"status without a reason":  withStatus("000"),
+	"blank in a name":          headWith("X Odd: 1\r\n"),
+	"blank after a name":       headWith("X-Odd : 1\r\n"),
+	"blank before a name":      headWith(" X-Odd: 1\r\n"),
+	"tab in a name":            headWith("X\tOdd: 1\r\n"),
+	"tab before a name":        headWith("\tX-Odd: 1\r\n"),
+	"blank after the length":   headWith("Content-Length : 1\r\n"),
+	"blank before the length":  headWith(" Content-Length: 1\r\n"),
+	"blank after the encoding": headWith("Transfer-Encoding : chunked\r\n"),
+	"NUL in a name":            headWith("X\x00Odd: 1\r\n"),
+	"control byte in a name":   headWith("X\x01Odd: 1\r\n"),
+	"DEL in a name":            headWith("X\x7fOdd: 1\r\n"),
+	"CR in a name":             headWith("X\rOdd: 1\r\n"),
+	"CR before a name":         headWith("\rX-Odd: 1\r\n"),
+	"LF in a name":             headWith("X\nOdd: 1\r\n"),
+	"LF before a name":         headWith("\nX-Odd: 1\r\n"),
+	"LF and blank":             headWith("X\n Odd: 1\r\n"),
+	"letter beyond ASCII":      headWith("X-Ödd: 1\r\n"),
+	"no name":                  headWith(": 1\r\n"),
+	"no colon":                 headWith("X-Odd\r\n"),
 }
 
 // An answer with a head that HTTP does not allow must not reach a caller, nor any of
@@ -60,14 +79,15 @@
 func TestUnusualHead(t *testing.T) {
 	const fields = "Attempt-Id: 1\r\nServer-Signature: sig-1\r\n"
 	for name, raw := range map[string]string{
-		"no reason":       "HTTP/1.1 200\r\n" + fields + "Content-Length: 2\r\n\r\nok",
-		"empty reason":    "HTTP/1.1 200 \r\n" + fields + "Content-Length: 2\r\n\r\nok",
-		"HTTP/1.0":        "HTTP/1.0 200 OK\r\n" + fields + "\r\nok",
-		"bare line ends":  strings.ReplaceAll("HTTP/1.1 200 OK\r\n"+fields+"Content-Length: 2\r\n\r\nok", "\r\n", "\n"),
-		"odd name":        "HTTP/1.1 200 OK\r\n!#$%&'*+-.^_`|~09aZ: 1\r\n" + fields + "Content-Length: 2\r\n\r\nok",
-		"empty value":     "HTTP/1.1 200 OK\r\nX-Odd:\r\n" + fields + "Content-Length: 2\r\n\r\nok",
-		"long head":       "HTTP/1.1 200 OK\r\nX-Long: " + strings.Repeat("x", 10<<10) + "\r\n" + fields + "Content-Length: 2\r\n\r\nok",
-		"interim answers": "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\nHTTP/1.1 200 OK\r\n" + fields + "Content-Length: 2\r\n\r\nok",
+		"no reason":            "HTTP/1.1 200\r\n" + fields + "Content-Length: 2\r\n\r\nok",
+		"empty reason":         "HTTP/1.1 200 \r\n" + fields + "Content-Length: 2\r\n\r\nok",
+		"HTTP/1.0":             "HTTP/1.0 200 OK\r\n" + fields + "\r\nok",
+		"bare line ends":       strings.ReplaceAll("HTTP/1.1 200 OK\r\n"+fields+"Content-Length: 2\r\n\r\nok", "\r\n", "\n"),
+		"odd name":             "HTTP/1.1 200 OK\r\n!#$%&'*+-.^_`|~09aZ: 1\r\n" + fields + "Content-Length: 2\r\n\r\nok",
+		"empty value":          "HTTP/1.1 200 OK\r\nX-Odd:\r\n" + fields + "Content-Length: 2\r\n\r\nok",
+		"blanks around values": "HTTP/1.1 200 OK\r\nX-Odd:\t a : b \t\r\n" + fields + "Content-Length: 2\r\n\r\nok",
+		"long head":            "HTTP/1.1 200 OK\r\nX-Long: " + strings.Repeat("x", 10<<10) + "\r\n" + fields + "Content-Length: 2\r\n\r\nok",
+		"interim answers":      "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\nHTTP/1.1 200 OK\r\n" + fields + "Content-Length: 2\r\n\r\nok",
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
--- a/side/caller/broken_test.go
+++ b/side/caller/broken_test.go
@@ -98,8 +98,13 @@
 // the request has caused.
 func TestBrokenHead(t *testing.T) {
 	for name, head := range map[string]string{
-		"status 000": "HTTP/1.1 000 Trouble\r\n",
-		"status 999": "HTTP/1.1 999 Trouble\r\n",
+		"status 000":              "HTTP/1.1 000 Trouble\r\n",
+		"status 999":              "HTTP/1.1 999 Trouble\r\n",
+		"blank in a name":         "HTTP/1.1 200 OK\r\nX Odd: 1\r\n",
+		"blank after a name":      "HTTP/1.1 200 OK\r\nX-Odd : 1\r\n",
+		"blank before a name":     "HTTP/1.1 200 OK\r\nDate: now\r\n X-Odd: 1\r\n",
+		"control byte in a name":  "HTTP/1.1 200 OK\r\nX\x01Odd: 1\r\n",
+		"line feed before a name": "HTTP/1.1 200 OK\r\n\nX-Odd: 1\r\n",
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
