all: every reader of HTTP answers refuses broken ones

Callers saw: nothing yet; found by looking at the other places that read answers for the incident of broken answers.

Cause: each used net/http, which takes such heads, on connections of its own.

Change: the lists, the rating service, ctl, the demo, the load tools and the soak read their answers over core/reply, as the gate and the side process do. The soak now also notices what a gate sends that HTTP does not allow.

Looked at and left: the links between processes and core/client end each message by its length and each answer by its last message, and a lost session is an error (gate/pool: TestCutStream). The soak's proxy forwards bytes to readers of their own.

--- a/core/reply/transport.go
+++ b/core/reply/transport.go
@@ -13,6 +13,9 @@
 // Transport is an http.Transport that uses a Conn for each connection.
 type Transport struct{ *http.Transport }
 
+// DefaultClient is used like http.DefaultClient.
+var DefaultClient = &http.Client{Transport: NewTransport(http.DefaultTransport.(*http.Transport).Clone())}
+
 // NewTransport returns a Transport with the settings of t, which it takes over. It
 // sets the DialTLSContext of t.
 func NewTransport(t *http.Transport) *Transport {
@@ -64,10 +67,16 @@
 	var c atomic.Pointer[Conn] // a failed attempt of the transport may still report its write during the next one
 	trace := &httptrace.ClientTrace{
 		GotConn: func(i httptrace.GotConnInfo) {
-			c.Store(i.Conn.(*Conn))
-			c.Load().BeginRequest()
+			if own, ok := i.Conn.(*Conn); ok { // a proxy's TLS connection is not
+				c.Store(own)
+				own.BeginRequest()
+			}
+		},
+		WroteRequest: func(httptrace.WroteRequestInfo) {
+			if own := c.Load(); own != nil {
+				own.EndRequest()
+			}
 		},
-		WroteRequest: func(httptrace.WroteRequestInfo) { c.Load().EndRequest() },
 	}
 	resp, err := t.Transport.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
 	if err != nil && c.Load() != nil {
--- a/ctl/admin/tools.go
+++ b/ctl/admin/tools.go
@@ -13,6 +13,7 @@
 	"citronledge.example/core/conf"
 	"citronledge.example/core/fault"
 	"citronledge.example/core/ident"
+	"citronledge.example/core/reply"
 )
 
 // PrintNewKey generates a bearer key and prints it with its digest. The key
@@ -36,7 +37,7 @@
 	if err != nil {
 		return usageError(err.Error())
 	}
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := reply.DefaultClient.Do(req)
 	if err != nil {
 		return eris.Wrap(err, "the gate does not answer; check --gate")
 	}
--- a/demo/launch/call.go
+++ b/demo/launch/call.go
@@ -10,6 +10,8 @@
 	"strings"
 
 	"github.com/rotisserie/eris"
+
+	"citronledge.example/core/reply"
 )
 
 // Caller sends requests to a gate with a bearer key.
@@ -44,7 +46,7 @@
 	for name, value := range header {
 		req.Header.Set(name, value)
 	}
-	return http.DefaultClient.Do(req)
+	return reply.DefaultClient.Do(req)
 }
 
 // CallService calls a plain service with an idempotency key.
--- a/demo/launch/launch.go
+++ b/demo/launch/launch.go
@@ -19,6 +19,7 @@
 
 	"citronledge.example/core/client"
 	"citronledge.example/core/link"
+	"citronledge.example/core/reply"
 	"citronledge.example/stub/roster"
 )
 
@@ -210,7 +211,7 @@
 	if err != nil {
 		return err
 	}
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := reply.DefaultClient.Do(req)
 	if err != nil {
 		return err
 	}
--- a/demo/launch/proc.go
+++ b/demo/launch/proc.go
@@ -15,6 +15,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"citronledge.example/core/reply"
 )
 
 const (
@@ -184,7 +186,7 @@
 	if err != nil {
 		return err
 	}
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := reply.DefaultClient.Do(req)
 	if err != nil {
 		return err
 	}
--- a/demo/load/load.go
+++ b/demo/load/load.go
@@ -15,6 +15,8 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/rotisserie/eris"
 	"github.com/sourcegraph/conc/pool"
+
+	"citronledge.example/core/reply"
 )
 
 const (
@@ -65,7 +67,7 @@
 
 // Run sends requests to a target. Connections are kept open and reused.
 func Run(ctx context.Context, t Target, p Plan) Result {
-	transport := &http.Transport{MaxIdleConns: p.Clients, MaxIdleConnsPerHost: p.Clients}
+	transport := reply.NewTransport(&http.Transport{MaxIdleConns: p.Clients, MaxIdleConnsPerHost: p.Clients})
 	defer transport.CloseIdleConnections()
 	client := &http.Client{Transport: transport}
 	ctx, cancel := context.WithTimeout(ctx, p.Duration)
--- a/demo/slope/tokens.go
+++ b/demo/slope/tokens.go
@@ -14,6 +14,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"citronledge.example/core/reply"
 	"citronledge.example/demo/launch"
 )
 
@@ -103,7 +104,7 @@
 // answers and of their events.
 func streamChats(ctx context.Context, addr string, count, tokens int) (done, events int64, err error) {
 	body := fmt.Sprintf(`{"model":"swift","stream":true,"max_tokens":%d,"messages":[{"role":"user","content":"hello"}]}`, tokens)
-	transport := &http.Transport{MaxIdleConnsPerHost: clientCount}
+	transport := reply.NewTransport(&http.Transport{MaxIdleConnsPerHost: clientCount})
 	defer transport.CloseIdleConnections()
 	client := &http.Client{Transport: transport}
 	var remaining, completed, seen atomic.Int64
--- a/gate/route/rating.go
+++ b/gate/route/rating.go
@@ -13,6 +13,7 @@
 	"citronledge.example/core/conf"
 	"citronledge.example/core/ident"
 	"citronledge.example/core/policy"
+	"citronledge.example/core/reply"
 )
 
 const (
@@ -55,7 +56,7 @@
 func NewHTTPRater(url string) Rater {
 	return &httpRater{url: url, client: &http.Client{
 		Timeout:   ratingTimeout,
-		Transport: &http.Transport{MaxResponseHeaderBytes: maxRatingBytes, MaxIdleConnsPerHost: maxIdleRatingConns, IdleConnTimeout: ratingIdleTimeout},
+		Transport: reply.NewTransport(&http.Transport{MaxResponseHeaderBytes: maxRatingBytes, MaxIdleConnsPerHost: maxIdleRatingConns, IdleConnTimeout: ratingIdleTimeout}),
 	}}
 }
 
--- a/gate/route/rating_test.go
+++ b/gate/route/rating_test.go
@@ -48,3 +48,20 @@
 		})
 	}
 }
+
+// A rating in an answer whose head is none that HTTP allows must not count.
+func TestBrokenRatingAnswer(t *testing.T) {
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		c, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		defer func() { _ = c.Close() }()
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nX Odd: 1\r\n\r\n"+`{"rating":0.5}`)
+	}))
+	defer srv.Close()
+	if q, err := NewHTTPRater(srv.URL).Rate(t.Context(), RatingRequest{}); err == nil {
+		t.Errorf("got the rating %v, want an error", q)
+	}
+}
--- a/soak/load.go
+++ b/soak/load.go
@@ -15,6 +15,7 @@
 	"sync/atomic"
 	"time"
 
+	"citronledge.example/core/reply"
 	"citronledge.example/stub/users"
 )
 
@@ -63,7 +64,7 @@
 }
 
 func (b *loadBalancer) run(ctx context.Context) {
-	client := &http.Client{Timeout: probeInterval, Transport: &http.Transport{DisableKeepAlives: true}}
+	client := &http.Client{Timeout: probeInterval, Transport: reply.NewTransport(&http.Transport{DisableKeepAlives: true})}
 	for ctx.Err() == nil {
 		for i, g := range b.gates {
 			resp, err := client.Get("http://" + hostPort(g.ip, readyPort) + users.ReadyPath)
@@ -107,7 +108,7 @@
 	name     string
 	sent     int
 
-	conn     net.Conn
+	conn     *reply.Conn
 	reader   *bufio.Reader
 	gateBoot string // name and start number of the gate that conn leads to
 }
@@ -125,7 +126,8 @@
 	if err != nil {
 		return false
 	}
-	c.conn, c.reader, c.gateBoot = conn, bufio.NewReader(conn), fmt.Sprintf("%s#%d", g.name, boot)
+	c.conn = reply.NewConn(conn)
+	c.reader, c.gateBoot = bufio.NewReader(c.conn), fmt.Sprintf("%s#%d", g.name, boot)
 	return true
 }
 
@@ -166,7 +168,9 @@
 	_ = c.conn.SetDeadline(start.Add(callerTimeout))
 	a := answer{}
 	q := users.Request{Path: path, Host: host, ID: id, Key: key, Body: content, Deadline: callerDeadline, MaxEvents: eventsPerStream}
+	c.conn.BeginRequest()
 	_, a.err = q.WriteTo(c.conn)
+	c.conn.EndRequest()
 	var resp *http.Response
 	if a.err == nil {
 		resp, a.err = http.ReadResponse(c.reader, nil)
--- a/soak/operator.go
+++ b/soak/operator.go
@@ -12,6 +12,7 @@
 	"sync"
 	"time"
 
+	"citronledge.example/core/reply"
 	"citronledge.example/stub/users"
 )
 
@@ -39,7 +40,7 @@
 func newOperator(rec *recorder, states []*member) *operator {
 	return &operator{
 		recorder: rec, states: states, documents: map[int]string{},
-		client: &http.Client{Timeout: operatorTimeout, Transport: &http.Transport{DisableKeepAlives: true}},
+		client: &http.Client{Timeout: operatorTimeout, Transport: reply.NewTransport(&http.Transport{DisableKeepAlives: true})},
 	}
 }
 
--- a/soak/restart.go
+++ b/soak/restart.go
@@ -17,6 +17,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"citronledge.example/core/reply"
 	"citronledge.example/stub/users"
 )
 
@@ -200,14 +201,18 @@
 
 // sendOnce sends one request and returns the status of the answer; 0 without one.
 func sendOnce(g *member, id string) int {
-	conn, err := net.DialTimeout("tcp", hostPort(g.ip, callerPort), time.Second)
+	raw, err := net.DialTimeout("tcp", hostPort(g.ip, callerPort), time.Second)
 	if err != nil {
 		return 0
 	}
+	conn := reply.NewConn(raw)
 	defer func() { _ = conn.Close() }()
 	_ = conn.SetDeadline(time.Now().Add(callerTimeout))
 	q := users.Request{Path: "/once/x", Host: host, ID: id, Key: key, Body: "question", Deadline: restartDeadline}
-	if _, err := q.WriteTo(conn); err != nil {
+	conn.BeginRequest()
+	_, err = q.WriteTo(conn)
+	conn.EndRequest()
+	if err != nil {
 		return 0
 	}
 	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
--- a/state/node/poll.go
+++ b/state/node/poll.go
@@ -14,6 +14,7 @@
 
 	"citronledge.example/core/conf"
 	"citronledge.example/core/ident"
+	"citronledge.example/core/reply"
 	"citronledge.example/core/wire"
 )
 
@@ -70,7 +71,7 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "the URL of the list of members is not valid")
 	}
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := reply.DefaultClient.Do(req)
 	if err != nil {
 		return nil, err
 	}
--- a/state/node/poll_test.go
+++ b/state/node/poll_test.go
@@ -4,8 +4,10 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -71,3 +73,20 @@
 	b.ReportMetric(float64(sent.Load()-bytes)/float64(b.N)/1000, "KB/poll")
 	b.ReportMetric(float64((cpuTime()-cpu).Microseconds())/float64(b.N), "cpu-us/poll")
 }
+
+// A list whose head is none that HTTP allows must not change what is recorded.
+func TestBrokenMembersAnswer(t *testing.T) {
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		c, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		defer func() { _ = c.Close() }()
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nX Odd: 1\r\n\r\n"+`[{"name":"members/a","state":"live"}]`)
+	}))
+	defer srv.Close()
+	if list, err := fetchMembers(t.Context(), srv.URL); err == nil {
+		t.Errorf("got the list %v, want an error", list)
+	}
+}
