gate: an answer that breaks off does not look whole to a caller of HTTP/1.0

Callers of HTTP/1.0 saw the part of a broken answer as a complete one: 127,941 of 204,800 bytes with a 200.

Cause: an answer without a length goes to them without chunks and ends with its connection; the gate ended that in order, as net/http does when a handler is aborted.

Change: intake.Abort resets the connection for them. Both gates use it where a part of an answer has been sent.

--- a/core/intake/listen.go
+++ b/core/intake/listen.go
@@ -345,6 +345,14 @@
 	return nil
 }
 
+// SetLinger lets Abort reset the connection.
+func (c *conn) SetLinger(seconds int) error {
+	if l, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
+		return l.SetLinger(seconds)
+	}
+	return nil
+}
+
 // Close implements net.Conn.
 func (c *conn) Close() error {
 	l := c.listener
--- a/gate/front/front.go
+++ b/gate/front/front.go
@@ -145,7 +145,7 @@
 		return
 	}
 	if errors.Is(err, route.ErrTruncated) || errors.Is(err, context.Canceled) {
-		panic(http.ErrAbortHandler)
+		intake.Abort(x.w, x.r)
 	}
 	failure := &route.Failure{}
 	if !errors.As(err, &failure) {
--- a/gate/relay/call.go
+++ b/gate/relay/call.go
@@ -255,7 +255,7 @@
 	switch {
 	case c.headSent:
 		c.recordEnd("broken off", 0)
-		panic(http.ErrAbortHandler)
+		intake.Abort(c.w, c.req)
 	case c.req.Context().Err() != nil:
 		c.recordEnd("caller left", 0)
 		panic(http.ErrAbortHandler)
--- a/gate/relay/early_test.go
+++ b/gate/relay/early_test.go
@@ -1,6 +1,7 @@
 package relay_test
 
 import (
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -131,3 +132,19 @@
 		})
 	}
 }
+
+// An answer that breaks off must not look complete to a caller of HTTP/1.0 either,
+// which gets it without chunks.
+func TestBreakOffWithoutChunks(t *testing.T) {
+	long := strings.Repeat("y", 200<<10)
+	r := newRig(t, func(c net.Conn, q *runner.Request) bool {
+		runner.Write(c, runner.ResponseHead(200, q, "\r\n"+long))
+		_ = c.(*net.TCPConn).SetLinger(0)
+		return false
+	})
+	resp := r.raw("GET /safe/x HTTP/1.0\r\nHost: h.example\r\nAttempt-Id: 1\r\nKey: " + key + "\r\nDeadline-Ms: 2000\r\n\r\n")
+	got, err := io.ReadAll(resp.Body)
+	if err == nil && resp.StatusCode == http.StatusOK {
+		t.Errorf("got %d bytes as a whole answer", len(got))
+	}
+}
