core/reply: a transfer encoding in an answer of HTTP/1.0 makes it a broken one

Callers saw: "2\r\nok\r\n0\r\n\r\n" as the body of an answer whose body was "ok".

Cause: net/http drops the field from heads of HTTP/1.0 and reads the chunks as the body; RFC 9112 section 6.1 has such an answer treated as wrongly framed.

Change: the reader of heads refuses it.

--- a/core/reply/head.go
+++ b/core/reply/head.go
@@ -30,8 +30,11 @@
 // statusPattern is the start of a status line; 0 stands for any digit.
 const statusPattern = "HTTP/1.0 000"
 
-// firstDigitAt is the place of the status code in it.
-const firstDigitAt = len("HTTP/1.0 ")
+// Places in statusPattern of the minor version and of the status code.
+const (
+	versionDigitAt = len("HTTP/1.")
+	firstDigitAt   = len("HTTP/1.0 ")
+)
 
 // headScanner checks the heads of an answer, the interim ones and the final one, as
 // their bytes arrive (RFC 9112 sections 4 and 5, RFC 9110 sections 5.1 and 15).
@@ -42,6 +45,8 @@
 	part    headPart
 	matched int // bytes of statusPattern
 	interim bool
+	old     bool   // HTTP/1.0, which has no transfer encodings (RFC 9112 section 6.1)
+	name    []byte // of the field, in an old head
 	// lines counts those that have ended. A bare line feed ends them all or none.
 	lines   int
 	bare    bool
@@ -85,12 +90,7 @@
 	case lineStart:
 		return s.nextOfLine(c)
 	case fieldName:
-		switch {
-		case c == ':':
-			s.part = lineRest
-		case !isTokenByte(c):
-			return "the name of a field holds a byte that names must not have"
-		}
+		return s.nextOfName(c)
 	case blankLine:
 		if c != '\n' {
 			return "the name of a field begins with a carriage return"
@@ -109,6 +109,8 @@
 		return "its status code is not between 100 and 599"
 	case s.matched == firstDigitAt:
 		s.interim = c == '1'
+	case s.matched == versionDigitAt:
+		s.old = c == '0'
 	}
 	if s.matched++; s.matched == len(statusPattern) {
 		s.part = codeEnd
@@ -127,7 +129,22 @@
 	case !isTokenByte(c):
 		return "the name of a field is empty or holds a byte that names must not have"
 	default:
-		s.part = fieldName
+		s.part, s.name = fieldName, s.name[:0]
+		return s.nextOfName(c)
+	}
+	return ""
+}
+
+func (s *headScanner) nextOfName(c byte) string {
+	switch {
+	case c == ':' && strings.EqualFold(string(s.name), "Transfer-Encoding"):
+		return "an answer of HTTP/1.0 has a transfer encoding"
+	case c == ':':
+		s.part = lineRest
+	case !isTokenByte(c):
+		return "the name of a field holds a byte that names must not have"
+	case s.old:
+		s.name = append(s.name, c)
 	}
 	return ""
 }
--- a/gate/relay/head_test.go
+++ b/gate/relay/head_test.go
@@ -48,8 +48,11 @@
 	"LF before a name":         headWith("\nX-Odd: 1\r\n"),
 	"LF and blank":             headWith("X\n Odd: 1\r\n"),
 	"letter beyond ASCII":      headWith("X-Ödd: 1\r\n"),
-	"no name":                  headWith(": 1\r\n"),
-	"no colon":                 headWith("X-Odd\r\n"),
+	"encoding of HTTP/1.0": func(r *runner.Request) string {
+		return strings.Replace(runner.ResponseHead(200, r, "transfer-encoding: chunked\r\nX-Last: 1\r\n\r\n2\r\nok\r\n0\r\n\r\n"), "HTTP/1.1", "HTTP/1.0", 1)
+	},
+	"no name":  headWith(": 1\r\n"),
+	"no colon": headWith("X-Odd\r\n"),
 }
 
 // An answer with a head that HTTP does not allow must not reach a caller, nor any of
