--- a/core/reply/conn.go
+++ b/core/reply/conn.go
@@ -135,7 +135,7 @@
 
 // awaitSent waits until the request has been written, and returns the error of a
 // write. It need not wait for long: a server that has ended its side of the
-// connection either reads on or has the connection reset.
+// connection reads on, or the connection is reset. Close ends the wait.
 func (c *Conn) awaitSent(sent chan struct{}) error {
 	select {
 	case <-sent:
--- a/core/reply/head.go
+++ b/core/reply/head.go
@@ -45,8 +45,8 @@
 	part    headPart
 	matched int // bytes of statusPattern
 	interim bool
-	old     bool   // HTTP/1.0, which has no transfer encodings (RFC 9112 section 6.1)
-	name    []byte // of the field, in an old head
+	http10  bool   // has no transfer encodings (RFC 9112 section 6.1)
+	name    []byte // of the field, in HTTP/1.0
 	// lines counts those that have ended. A bare line feed ends them all or none.
 	lines   int
 	bare    bool
@@ -110,7 +110,7 @@
 	case s.matched == firstDigitAt:
 		s.interim = c == '1'
 	case s.matched == versionDigitAt:
-		s.old = c == '0'
+		s.http10 = c == '0'
 	}
 	if s.matched++; s.matched == len(statusPattern) {
 		s.part = codeEnd
@@ -143,7 +143,7 @@
 		s.part = lineRest
 	case !isTokenByte(c):
 		return "the name of a field holds a byte that names must not have"
-	case s.old:
+	case s.http10:
 		s.name = append(s.name, c)
 	}
 	return ""
--- a/core/reply/transport.go
+++ b/core/reply/transport.go
@@ -10,7 +10,8 @@
 	"sync/atomic"
 )
 
-// Transport is an http.Transport that uses a Conn for each connection.
+// Transport is an http.Transport that uses a Conn for each connection. It speaks
+// HTTP/1.1 only.
 type Transport struct{ *http.Transport }
 
 // DefaultClient is used like http.DefaultClient.
@@ -54,6 +55,7 @@
 		}
 		cfg.ServerName = host
 	}
+	cfg.NextProtos = []string{"http/1.1"}
 	c := tls.Client(raw, cfg)
 	if err := c.HandshakeContext(ctx); err != nil {
 		_ = raw.Close()
@@ -64,10 +66,10 @@
 
 // RoundTrip implements http.RoundTripper.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
-	var c atomic.Pointer[Conn] // a failed attempt of the transport may still report its write during the next one
+	var c atomic.Pointer[Conn] // the transport may try again, and report the end of an earlier write meanwhile
 	trace := &httptrace.ClientTrace{
 		GotConn: func(i httptrace.GotConnInfo) {
-			if own, ok := i.Conn.(*Conn); ok { // a proxy's TLS connection is not
+			if own, ok := i.Conn.(*Conn); ok { // false for TLS through a proxy, which net/http makes itself
 				c.Store(own)
 				own.BeginRequest()
 			}
--- a/core/reply/transport_test.go
+++ b/core/reply/transport_test.go
@@ -11,9 +11,19 @@
 	"citronledge.example/core/reply"
 )
 
+// startHTTP2 starts a server that prefers HTTP/2.
+func startHTTP2(h http.Handler) *httptest.Server {
+	srv := httptest.NewUnstartedServer(h)
+	srv.EnableHTTP2 = true
+	srv.StartTLS()
+	return srv
+}
+
 // Answers arrive whole over a connection that is kept open, also with TLS.
 func TestTransport(t *testing.T) {
-	for name, start := range map[string]func(http.Handler) *httptest.Server{"plain": httptest.NewServer, "TLS": httptest.NewTLSServer} {
+	for name, start := range map[string]func(http.Handler) *httptest.Server{
+		"plain": httptest.NewServer, "TLS": httptest.NewTLSServer, "server of HTTP/2": startHTTP2,
+	} {
 		t.Run(name, func(t *testing.T) {
 			var mu sync.Mutex
 			callers := map[string]bool{} // by their address
@@ -24,11 +34,7 @@
 				_, _ = io.Copy(w, r.Body)
 			}))
 			defer srv.Close()
-			base := &http.Transport{}
-			if srv.TLS != nil {
-				base.TLSClientConfig = srv.Client().Transport.(*http.Transport).TLSClientConfig
-			}
-			c := &http.Client{Transport: reply.NewTransport(base)}
+			c := &http.Client{Transport: reply.NewTransport(srv.Client().Transport.(*http.Transport).Clone())}
 			defer c.CloseIdleConnections()
 			for _, want := range []string{"short", strings.Repeat("long", 1<<20)} {
 				resp, err := c.Post(srv.URL, "text/plain", strings.NewReader(want))
