--- a/stub/runner/runner.go
+++ b/stub/runner/runner.go
@@ -17,7 +17,7 @@
 // Request is a request that the backend server has read.
 type Request struct {
 	*http.Request
-	Content []byte // body
+	Content []byte // body; not read if the backend server answers early
 	// ConnIndex numbers the connection, and RequestIndex the request on it,
 	// from 0.
 	ConnIndex, RequestIndex int
