gate/conn: a request of which no byte was written does not count as sent

Callers could see: 502 or 504 for a request that must not be repeated and that no server got, where another server or a true refusal was due.

Cause: Do took a write that fails at its first byte as "not sent" only on a new connection and only for requests of up to 8 KiB. Longer ones are written beside the read of the answer, whose error came first.

Change: no byte written means NotSentError on every connection. A failed exchange waits for the write in the background, which the closed connection ends.

--- a/core/reply/conn.go
+++ b/core/reply/conn.go
@@ -80,13 +80,13 @@
 }
 
 // WriteBuffers writes several buffers, in one system call if the connection
-// allows it.
-func (c *Conn) WriteBuffers(buffers net.Buffers) error {
+// allows it, and returns how many bytes it has written.
+func (c *Conn) WriteBuffers(buffers net.Buffers) (int64, error) {
 	c.writing.Lock()
 	defer c.writing.Unlock()
-	_, err := buffers.WriteTo(c.Conn)
+	n, err := buffers.WriteTo(c.Conn)
 	c.noteWrite(err)
-	return err
+	return n, err
 }
 
 func (c *Conn) noteWrite(err error) {
--- a/core/reply/conn_test.go
+++ b/core/reply/conn_test.go
@@ -63,7 +63,7 @@
 				c := reply.NewConn(&endedConn{part: x.part, writeErr: x.writeErr})
 				c.BeginRequest()
 				go func() {
-					_ = c.WriteBuffers(net.Buffers{[]byte("request")})
+					_, _ = c.WriteBuffers(net.Buffers{[]byte("request")})
 					c.EndRequest()
 				}()
 				synctest.Wait()
--- a/gate/conn/conn.go
+++ b/gate/conn/conn.go
@@ -257,11 +257,22 @@
 	if err := a.exchange(q); err != nil {
 		a.stop()
 		_ = pc.Close()
+		if a.writeDone != nil {
+			if w := <-a.writeDone; w.err != nil && w.n == 0 {
+				return nil, NotSentError{w.err}
+			}
+		}
 		return nil, err
 	}
 	return a, nil
 }
 
+// writeResult is what a write in the background has sent, in bytes.
+type writeResult struct {
+	n   int64
+	err error
+}
+
 // Answer is the answer to a request. Read reads its body.
 type Answer struct {
 	Status int
@@ -275,9 +286,9 @@
 	conn         *pooledConn
 	resp         *http.Response
 	stop         func() bool
-	writeDone    chan error // result of a write in the background; nil without one
-	notReusable  bool       // the connection has carried an answer to another request
-	bodyComplete bool       // the body was read to its end
+	writeDone    chan writeResult // of a write in the background; nil without one
+	notReusable  bool             // the connection has carried an answer to another request
+	bodyComplete bool             // the body was read to its end
 }
 
 func (a *Answer) exchange(q *Request) error {
@@ -288,18 +299,18 @@
 		n, err := a.conn.Write(buf)
 		a.conn.EndRequest()
 		if err != nil {
-			if n == 0 && !a.Reused {
+			if n == 0 {
 				return NotSentError{err}
 			}
 			return UnansweredError{err, a.Reused}
 		}
 	} else {
-		pc, done := a.conn, make(chan error, 1)
+		pc, done := a.conn, make(chan writeResult, 1)
 		a.writeDone = done
 		go func() {
-			err := pc.WriteBuffers(net.Buffers{buf, q.Body})
+			n, err := pc.WriteBuffers(net.Buffers{buf, q.Body})
 			pc.EndRequest()
-			done <- err
+			done <- writeResult{n, err}
 		}()
 	}
 	for skipped := range maxForeignAnswers + 1 {
@@ -345,8 +356,8 @@
 	timeout := a.idleTimeout()
 	if a.writeDone != nil {
 		select {
-		case err := <-a.writeDone:
-			alive = alive && err == nil
+		case w := <-a.writeDone:
+			alive = alive && w.err == nil
 		default:
 			alive = false // answered early; the rest of the request is still being sent
 		}
