side: the second try of a call no longer hides that the first was sent

Callers saw: "ran": "no" of a call that its service had read, if the service ended on a kept connection and nobody listened any more. Only calls of routes that may be repeated, without a body or with an idempotency key.

Cause: net/http sends such a call again by itself, and the round trip ends with the error of the second try. MayHaveReachedServer took a refused connection as proof that nothing had been sent.

Change: reply.Conn notes before a write that a byte of the request may go out, and reply.Transport returns a NotSentError only if none went out on any connection that it tried. MayHaveReachedServer asks for that alone.

Tests of core/reply and side/... pass.

--- a/core/reply/conn.go
+++ b/core/reply/conn.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 )
 
 // Conn is a connection to a server that carries one request at a time. Its user
@@ -24,6 +25,8 @@
 	closing sync.Once
 	closed  chan struct{}
 
+	wrote atomic.Bool // a byte of the request may have gone out
+
 	writing  sync.Mutex // held during a write
 	writeErr error      // of the first write that failed; guarded by writing
 
@@ -45,6 +48,7 @@
 func (c *Conn) BeginRequest() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.wrote.Store(false)
 	c.sent, c.answered = make(chan struct{}), false
 	c.head.expect()
 }
@@ -74,7 +78,9 @@
 func (c *Conn) Write(b []byte) (int, error) {
 	c.writing.Lock()
 	defer c.writing.Unlock()
+	before := c.wrote.Swap(true)
 	n, err := c.Conn.Write(b)
+	c.wrote.Store(before || n > 0)
 	c.noteWrite(err)
 	return n, err
 }
@@ -84,7 +90,9 @@
 func (c *Conn) WriteBuffers(buffers net.Buffers) (int64, error) {
 	c.writing.Lock()
 	defer c.writing.Unlock()
+	before := c.wrote.Swap(true)
 	n, err := buffers.WriteTo(c.Conn)
+	c.wrote.Store(before || n > 0)
 	c.noteWrite(err)
 	return n, err
 }
--- a/core/reply/transport.go
+++ b/core/reply/transport.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"crypto/tls"
+	"errors"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -64,15 +65,38 @@
 	return NewConn(c), nil
 }
 
-// RoundTrip implements http.RoundTripper.
+// NotSentError reports that no byte of a request has gone out, on any connection
+// that was tried.
+type NotSentError struct{ Cause error }
+
+// Error implements error.
+func (e NotSentError) Error() string { return "not sent: " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e NotSentError) Unwrap() error { return e.Cause }
+
+// Timeout reports whether the cause is a timeout, for net/http.
+func (e NotSentError) Timeout() bool {
+	var n net.Error
+	return errors.As(e.Cause, &n) && n.Timeout()
+}
+
+// RoundTrip implements http.RoundTripper. Its error is a NotSentError if the server
+// cannot have got any of the request.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
 	var c atomic.Pointer[Conn] // the transport may try again, and report the end of an earlier write meanwhile
+	var sent atomic.Bool       // on an earlier connection
 	trace := &httptrace.ClientTrace{
 		GotConn: func(i httptrace.GotConnInfo) {
-			if own, ok := i.Conn.(*Conn); ok { // false for TLS through a proxy, which net/http makes itself
-				c.Store(own)
-				own.BeginRequest()
+			own, ok := i.Conn.(*Conn)
+			if !ok { // TLS through a proxy, which net/http makes itself
+				sent.Store(true)
+				return
+			}
+			if last := c.Swap(own); last != nil && last.wrote.Load() {
+				sent.Store(true)
 			}
+			own.BeginRequest()
 		},
 		WroteRequest: func(httptrace.WroteRequestInfo) {
 			if own := c.Load(); own != nil {
@@ -81,8 +105,15 @@
 		},
 	}
 	resp, err := t.Transport.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
-	if err != nil && c.Load() != nil {
-		err = cmp.Or(c.Load().HeadError(), err)
+	if err == nil {
+		return resp, nil
+	}
+	last := c.Load()
+	if !sent.Load() && (last == nil || !last.wrote.Load()) {
+		return nil, NotSentError{err}
+	}
+	if last != nil {
+		err = cmp.Or(last.HeadError(), err)
 	}
-	return resp, err
+	return nil, err
 }
--- a/side/engine/engine.go
+++ b/side/engine/engine.go
@@ -203,8 +203,8 @@
 }
 
 // MayHaveReachedServer reports whether a request whose round trip failed with
-// err may have reached the server. It can't have if there was no connection.
+// err may have reached the server. It can't have if no byte of it has gone out.
 func MayHaveReachedServer(err error) bool {
-	var op *net.OpError
-	return !errors.As(err, &op) || op.Op != "dial"
+	var notSent reply.NotSentError
+	return !errors.As(err, &notSent)
 }
