gate/route: whether a request may have run is counted before it is handed over

Change: as in gate/relay, an attempt is counted before it goes to the side process and taken back by the word of the side process, or if it got nothing.

--- a/gate/pool/do.go
+++ b/gate/pool/do.go
@@ -42,7 +42,8 @@
 
 // Outcome describes an attempt that has ended.
 type Outcome struct {
-	// MayHaveRun is false only if the backend server was certainly not called.
+	// MayHaveRun is false only if the side process got nothing of the attempt, or
+	// has said that the backend server was not called.
 	MayHaveRun bool
 	// Usage is what the attempt consumed; nil if the side process did not report it.
 	Usage *wire.Usage
@@ -195,7 +196,8 @@
 }
 
 func (x *replyReader) end(e *wire.End) error {
-	x.outcome.MayHaveRun = e.GetRan()
+	// A part of an answer or a broken connection refutes "not run".
+	x.outcome.MayHaveRun = e.GetRan() || e.GetBroke() || x.headSeen
 	x.outcome.Usage = e.GetUsage()
 	x.outcome.Broke = e.GetBroke()
 	if x.failure != nil {
--- a/gate/route/attempt.go
+++ b/gate/route/attempt.go
@@ -64,13 +64,16 @@
 		return pool.Outcome{}, "", err
 	}
 	start := time.Now()
+	run := x.runs.Begin()
 	out, err := x.r.pool.Do(ctx, pool.Attempt{Backend: id, Requirements: spec.need, Work: x.newWork(spec, billing, number)}, sink)
 	if err == nil {
 		err = sink.checkReply()
 	}
 	if out.MayHaveRun {
-		x.draft.markSent(id)
+		x.draft.addBackend(id)
 		x.chargeUsage(spec, number, out)
+	} else {
+		run.SetNotRun() // by the word of the side process, or not sent to it
 	}
 	x.tallyAttempt(spec, time.Since(start), err)
 	x.recordCrash(id, out, time.Since(start), err)
@@ -156,7 +159,7 @@
 // attempts.
 func (x *execution) contextFault(ctx context.Context) error {
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		if !x.draft.mayHaveRun() {
+		if !x.runs.MayHaveRun() {
 			return fault.New(fault.Busy, "the request could not start before its deadline; retry later").WithRetryAfter(time.Second)
 		}
 		return fault.New(fault.Timeout, "the request reached its deadline; raise the timeout or ask for less output")
--- a/gate/route/billdraft.go
+++ b/gate/route/billdraft.go
@@ -20,7 +20,6 @@
 	mu       sync.Mutex
 	billing  ident.BillKey
 	attempts ident.Attempt
-	sent     bool // an attempt was sent to a backend server and may have run
 	usages   []*wire.Usage
 	backends []ident.Backend
 	billed   bool
@@ -42,22 +41,15 @@
 	return d.billing, d.attempts, nil
 }
 
-// markSent records that work was sent to a backend server.
-func (d *billDraft) markSent(id ident.Backend) {
+// addBackend records a backend server that may have run an attempt.
+func (d *billDraft) addBackend(id ident.Backend) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.sent = true
 	if !slices.Contains(d.backends, id) {
 		d.backends = append(d.backends, id)
 	}
 }
 
-func (d *billDraft) mayHaveRun() bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.sent
-}
-
 func (d *billDraft) addUsage(u *wire.Usage) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/gate/route/route.go
+++ b/gate/route/route.go
@@ -21,6 +21,7 @@
 	"citronledge.example/core/policy"
 	"citronledge.example/core/wire"
 	"citronledge.example/gate/pool"
+	"citronledge.example/gate/runs"
 )
 
 // State is what a Router needs of the client of the state cluster.
@@ -240,6 +241,7 @@
 	deadline time.Time
 	record   *Record
 	draft    billDraft
+	runs     runs.Count // attempts that a backend server may have run
 	// versionChange holds the old and the new version of a session that had to
 	// move to another version.
 	versionChange [2]ident.Version
@@ -346,5 +348,5 @@
 	// A call refused before the state cluster returned the state of its
 	// idempotency key may have run in an earlier request with that key.
 	f := fault.From(err)
-	return &Failure{Fault: f, MayHaveRun: x.draft.mayHaveRun() || !f.Kind.GuaranteesNotRun() || (x.atMostOnce && !x.keyResolved)}
+	return &Failure{Fault: f, MayHaveRun: x.runs.MayHaveRun() || !f.Kind.GuaranteesNotRun() || (x.atMostOnce && !x.keyResolved)}
 }
