--- a/review/rig3/case12.go
+++ b/review/rig3/case12.go
@@ -62,6 +62,9 @@
 		if r.trouble {
 			x.deadly = deadlyPart
 		}
+		if os.Getenv("CRASH") == "event" {
+			x.crashAt = afterEvent
+		}
 		x.ran = func(q run) {
 			if q.crashed {
 				crashed.Add(1)
--- a/review/rig3/rig.go
+++ b/review/rig3/rig.go
@@ -33,7 +33,7 @@
 const maxRun = 118 * time.Second
 
 // cases are the cases by number. A case returns whether the rule was broken.
-var cases = map[string]func(*rig) (bool, error){"11": lostCore, "12": repeatedPart}
+var cases = map[string]func(*rig) (bool, error){"11": lostCore, "12": repeatedPart, "13": crashWhileAnswering}
 
 func main() {
 	// Processes end with the thread that started them, also when this one is killed.
--- a/review/rig3/runner.go
+++ b/review/rig3/runner.go
@@ -6,14 +6,22 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 )
 
-// backTime is how long a runner is down after a crash.
-const backTime = 3 * time.Second
+const (
+	// backTime is how long a runner is down after a crash.
+	backTime = 3 * time.Second
+	// crashDelay is the time from what was written last to the crash.
+	crashDelay = 2 * time.Millisecond
+	// workTime is how long a plain request runs, and sendTime that on the path /send/.
+	workTime = 30 * time.Millisecond
+	sendTime = 200 * time.Millisecond
+)
 
 // runner is a stand-in for a runner. It answers streams and plain requests at once,
 // and crashes when it begins to write the answer to a request with a deadly part.
@@ -23,7 +31,8 @@
 	service string
 	addr    string
 	zone    string
-	deadly  string // ID of a part; empty for none
+	deadly  string // ID of a part, or body of a request, that crashes it; empty for none
+	crashAt crashPoint
 	ran     func(run)
 
 	crashes  atomic.Int64
@@ -34,6 +43,17 @@
 	srv *http.Server
 }
 
+// crashPoint says how far the answer to a deadly request has come when the runner
+// crashes.
+type crashPoint uint8
+
+const (
+	afterHead  crashPoint = iota // the head of the answer is written
+	beforeHead                   // the request runs, and nothing is written
+	afterPart                    // the head and a part of a plain answer are written
+	afterEvent                   // the head and the first event are written
+)
+
 // run is a request that reached a runner and is run by it.
 type run struct {
 	at      time.Time
@@ -90,16 +110,23 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	if _, err := io.Copy(io.Discard, q.Body); err != nil {
+	body, err := io.ReadAll(q.Body)
+	if err != nil {
 		return
 	}
 	n := x.requests.Add(1)
 	w.Header().Set("Server-Signature", fmt.Sprintf("%s.%d.%d", x.id, x.boot.Load(), n))
 	w.Header().Set("Instance-Load", "1,0,48")
-	ran := run{at: time.Now(), attempt: id, path: q.URL.Path, crashed: x.isDeadly(q)}
+	ran := run{at: time.Now(), attempt: id, path: q.URL.Path, crashed: x.isDeadly(q, body)}
 	x.ran(ran)
+	control := http.NewResponseController(w)
 	if q.Header.Get("Prefix-Hash") == "" {
-		_, _ = io.WriteString(w, "body of "+id)
+		work := workTime
+		if strings.HasPrefix(q.URL.Path, "/send/") {
+			work = sendTime
+		}
+		time.Sleep(work)
+		x.answer(w, control, id, ran.crashed)
 		return
 	}
 	w.Header().Set("Content-Type", "text/event-stream")
@@ -107,9 +134,12 @@
 	w.Header().Set("Weight-Versions", "1")
 	time.Sleep(30 * time.Millisecond) // reads the prompt
 	w.WriteHeader(http.StatusOK)
-	control := http.NewResponseController(w)
 	if ran.crashed {
+		if x.crashAt == afterEvent {
+			_, _ = fmt.Fprintf(w, "id: 1\ndata: piece 1 of %s\n\n", id)
+		}
 		_ = control.Flush()
+		time.Sleep(crashDelay)
 		x.crash()
 		return
 	}
@@ -122,8 +152,28 @@
 	}
 }
 
-// isDeadly reports whether a part of the prompt other than the last is deadly.
-func (x *runner) isDeadly(q *http.Request) bool {
+// answer answers a plain request, or crashes.
+func (x *runner) answer(w http.ResponseWriter, control *http.ResponseController, id string, crashes bool) {
+	text := "body of " + id + strings.Repeat(".", 800)
+	w.Header().Set("Content-Length", strconv.Itoa(len(text)))
+	if !crashes {
+		_, _ = io.WriteString(w, text)
+		return
+	}
+	if x.crashAt == afterPart {
+		_, _ = io.WriteString(w, text[:100])
+		_ = control.Flush()
+		time.Sleep(crashDelay)
+	}
+	x.crash()
+}
+
+// isDeadly reports whether the body, or a part of the prompt other than the last, is
+// deadly.
+func (x *runner) isDeadly(q *http.Request, body []byte) bool {
+	if x.deadly != "" && string(body) == x.deadly {
+		return true
+	}
 	parts := strings.Split(q.Header.Get("Prefix-Hash"), ",")
 	for _, part := range parts[:len(parts)-1] {
 		if name, _, _ := strings.Cut(part, ":"); x.deadly != "" && name == x.deadly {
