--- a/review/rig3/case13.go
+++ b/review/rig3/case13.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -14,45 +15,33 @@
 )
 
 const (
-	contactTime = 3 * time.Second // the bound contact-ms
-	// calmTime is how long sound requests are measured before the first request with
-	// the part that crashes runners.
-	calmTime = 10 * time.Second
-	// soundInterval and tainted are the pauses between two sound requests, and
-	// between two with the part.
-	soundInterval   = 50 * time.Millisecond
-	taintedInterval = 300 * time.Millisecond
-	// measureTime is how long sound requests are measured from two contact-ms after
-	// the fifth crash.
-	measureTime = 20 * time.Second
-	// fifthCrashTime limits the wait for the fifth crash; after it the last one counts.
-	fifthCrashTime = 15 * time.Second
-	// streamDeadline is Deadline-Ms of a stream.
-	streamDeadline = 5 * time.Second
-	// maxTainted is how many requests with the part may reach runners after the fifth
-	// crash and contact-ms.
-	maxTainted = 3
+	// deadlyBody is the body of the request that crashes each runner that begins to run
+	// it.
+	deadlyBody = "a statement that crashes the application"
+	// deadlyInterval is the pause between two of its repeats, and plainInterval that
+	// between two sound requests.
+	deadlyInterval = time.Second
+	plainInterval  = 100 * time.Millisecond
+	plainDeadline  = time.Second
+	// maxRetries is how many retries may reach runners after the third crash and
+	// contact-ms.
+	maxRetries = 3
+	// retryTime is how long retries are counted, and thirdCrashTime limits the wait for
+	// the third crash.
+	retryTime      = 25 * time.Second
+	thirdCrashTime = 20 * time.Second
 )
 
-// deadlyPart is the part of the prompt that crashes each runner that begins to write an
-// answer on it.
-const deadlyPart = "dead0dead0"
+const plainConfig = `{"version":1,"routes":[{"name":"r-status","host":"desk.example","path-prefix":"/status/","type":"safe","timeout-ms":1000,"target-latency-ms":100,"priority":1,"service":"desk","max-attempts":2,"public":false},{"name":"r-send","host":"desk.example","path-prefix":"/send/","type":"unsafe","timeout-ms":1000,"target-latency-ms":300,"priority":1,"service":"desk","max-attempts":1,"public":false}],"services":[{"name":"desk","health-path":"/healthz","max-connections":130,"protocol":"h1","tls":false}],"limits":{"max-header-bytes":16384,"max-body-bytes":4194304,"header-timeout-ms":3000,"idle-timeout-ms":15000},"tenants":[{"name":"t1","api-keys":["k1k1k1k1k1"],"priority":1}]}`
 
-const modelConfig = `{"version":1,"routes":[{"name":"r-chat","host":"desk.example","path-prefix":"/chat/","type":"streaming","timeout-ms":20000,"target-latency-ms":3000,"priority":1,"sizes":["small"],"service":"pool","max-attempts":3,"public":false,"session-affinity":true,"stream-resume":true,"target-itl-ms":1200}],"services":[{"name":"pool","health-path":"/healthz","max-connections":330,"protocol":"h1","tls":false,"engine":{"slots":48,"kv-capacity-tokens":553448,"kv-bytes":35136,"link-mbps":550000.0,"migrations":true,"backups":true,"stride":7,"most":12,"pin-ms":4000.0,"hold-ms":2000.0,"session-ttl-s":5.0,"models":[{"name":"small","cost":0.017}]}}],"limits":{"max-header-bytes":16384,"max-body-bytes":4194304,"header-timeout-ms":3000,"idle-timeout-ms":15000},"tenants":[{"name":"t1","api-keys":["k1k1k1k1k1"],"priority":1}]}`
-
-// tally counts requests of one kind in one span.
-type tally struct{ sent, begun int }
-
-func (t tally) share() float64 { return float64(t.begun) / float64(max(1, t.sent)) }
-
-// crashAfterEvent sends prompts with a part that crashes each runner that begins to
-// write an answer on it: its first event still goes out. Sound requests with the same
-// key and first part come all the while.
-func crashAfterEvent(r *rig) (bool, error) {
-	points := map[string]crashPoint{"": afterEvent, "event": afterEvent, "head": afterHead}
+// crashWhileAnswering sends one request again and again, with the same path, caller
+// and body. It crashes each runner that runs it, after a part of the answer is
+// written. Sound requests, which may run once, come to the same service.
+func crashWhileAnswering(r *rig) (bool, error) {
+	points := map[string]crashPoint{"": afterPart, "part": afterPart, "before": beforeHead}
 	point, ok := points[os.Getenv("CRASH")]
 	if !ok {
-		return false, fmt.Errorf("CRASH is event or head")
+		return false, fmt.Errorf("CRASH is part or before")
 	}
 	zones := []string{"kolkata-a", "howrah-b", "salt-lake-c"}
 	var machines []*machine
@@ -60,28 +49,26 @@
 		machines = append(machines, r.newMachine(i+1, zone))
 	}
 	var mu sync.Mutex
+	var reached []time.Time // when the request reached a runner
 	var crashes []time.Time
-	tainted := map[string]time.Time{} // when each request with the part first reached a runner
+	taken := map[string]bool{} // sound requests that a runner has begun to run
 	var runners []*runner
-	for i := range 9 {
-		x := &runner{
-			r: r, id: fmt.Sprintf("i-%04x", 0x7f30+i), service: "pool", zone: zones[i%len(zones)],
-			addr: fmt.Sprintf("%s%d:%d", r.prefix, 100+i, r.base+portRunner),
-		}
+	for i, zone := range zones {
+		x := &runner{r: r, id: fmt.Sprintf("i-%04x", 0x7f40+i), service: "desk", zone: zone, crashAt: point, addr: fmt.Sprintf("%s%d:%d", r.prefix, 100+i, r.base+portRunner)}
 		if r.trouble {
-			x.deadly = deadlyPart
+			x.deadly = deadlyBody
 		}
-		x.crashAt = point
 		x.ran = func(q run) {
-			if !q.crashed {
-				return
-			}
-			r.note("runner %s runs %s and crashes", x.id, q.attempt)
 			mu.Lock()
 			defer mu.Unlock()
-			crashes = append(crashes, q.at)
-			if _, known := tainted[q.attempt]; !known {
-				tainted[q.attempt] = q.at
+			if !strings.HasPrefix(q.attempt, "de") {
+				taken[q.attempt] = true
+				return
+			}
+			r.note("runner %s runs %s, crashes %v", x.id, q.attempt, q.crashed)
+			reached = append(reached, q.at)
+			if q.crashed {
+				crashes = append(crashes, q.at)
 			}
 		}
 		if err := x.start(); err != nil {
@@ -104,7 +91,7 @@
 		}
 	}
 	o := r.newOperator(machines...)
-	if _, err := o.sendConfig(1, []byte(modelConfig), 15*time.Second); err != nil {
+	if _, err := o.sendConfig(1, []byte(plainConfig), 15*time.Second); err != nil {
 		return false, err
 	}
 	time.Sleep(3 * time.Second)
@@ -114,126 +101,99 @@
 		}
 	}
 
-	// Sound requests all the while, each at the next machine.
 	var calm, after tally
+	var third atomic.Pointer[time.Time]
+	lost := 0 // sound requests that were run and not answered, later than contact-ms after the third crash
 	var measured atomic.Pointer[tally]
 	measured.Store(&calm)
 	stop := make(chan struct{})
 	var clients sync.WaitGroup
-	clients.Go(func() {
-		for i := 0; ; i++ {
-			select {
-			case <-stop:
-				return
-			case <-time.After(soundInterval):
-			}
-			m, into := machines[i%len(machines)], measured.Load()
-			clients.Go(func() {
-				id := fmt.Sprintf("50%014x", rand.Uint64()>>8)
-				prompt := fmt.Sprintf("5c1e07a2:198,50%06x:130,a%07x:300", rand.IntN(40), rand.Uint32()>>4)
-				begun, end := m.stream(id, prompt)
-				if into == nil {
+	every := func(interval time.Duration, send func(*machine)) {
+		clients.Go(func() {
+			for i := 0; ; i++ {
+				select {
+				case <-stop:
 					return
+				case <-time.After(interval):
+					clients.Go(func() { send(machines[i%len(machines)]) })
 				}
-				mu.Lock()
-				defer mu.Unlock()
-				into.sent++
-				if begun {
-					into.begun++
-				} else {
-					r.note("sound request %s at %s: %s", id, m.name, end)
-				}
-			})
+			}
+		})
+	}
+	every(plainInterval, func(m *machine) {
+		id := fmt.Sprintf("50%014x", rand.Uint64()>>8)
+		into := measured.Load()
+		sent := time.Now()
+		status, err := m.post("/send/2f", id, "a payment of "+id)
+		mu.Lock()
+		defer mu.Unlock()
+		into.sent++
+		if status == http.StatusOK && err == nil {
+			into.begun++
+		} else {
+			r.note("sound request %s at %s: %d %v, run %v", id, m.name, status, err, taken[id])
+			if t := third.Load(); taken[id] && t != nil && sent.After(t.Add(contactTime)) {
+				lost++
+			}
 		}
 	})
 	time.Sleep(calmTime)
-	measured.Store(nil)
-
-	// Requests with the part, no two alike, at any machine.
-	clients.Go(func() {
-		for i := 0; ; i++ {
-			select {
-			case <-stop:
-				return
-			case <-time.After(taintedInterval):
-			}
-			m := machines[i%len(machines)]
-			clients.Go(func() {
-				id := fmt.Sprintf("de%014x", rand.Uint64()>>8)
-				_, end := m.stream(id, fmt.Sprintf("5c1e07a2:198,%s:120,b%07x:300", deadlyPart, rand.Uint32()>>4))
-				r.note("request with the part %s at %s: %s", id, m.name, end)
-			})
-		}
+	measured.Store(&after)
+	every(deadlyInterval, func(m *machine) {
+		id := fmt.Sprintf("de%014x", rand.Uint64()>>8)
+		status, err := m.post("/status/2f", id, deadlyBody)
+		r.note("the request, as %s at %s: %d %v", id, m.name, status, err)
 	})
 	crashCount := func() int {
 		mu.Lock()
 		defer mu.Unlock()
 		return len(crashes)
 	}
-	for end := time.Now().Add(fifthCrashTime); crashCount() < 5 && time.Now().Before(end); {
+	for end := time.Now().Add(thirdCrashTime); crashCount() < 3 && time.Now().Before(end) && r.trouble; {
 		time.Sleep(10 * time.Millisecond)
 	}
-	fifth := time.Now()
-	r.note("crashes of runners: %d", crashCount())
-	time.Sleep(2 * contactTime)
-	measured.Store(&after)
-	time.Sleep(measureTime)
-	measured.Store(nil)
+	now := time.Now()
+	third.Store(&now)
+	time.Sleep(contactTime + retryTime)
 	close(stop)
 	clients.Wait()
 
 	mu.Lock()
 	defer mu.Unlock()
+	if r.trouble && len(crashes) < 3 {
+		return false, fmt.Errorf("only %d runners crashed", len(crashes))
+	}
 	late := 0
-	for _, at := range tainted {
-		if at.After(fifth.Add(contactTime)) {
+	for _, at := range reached {
+		if at.After(now.Add(contactTime)) {
 			late++
 		}
 	}
-	r.note("crashes: %d; requests with the part that reached runners later than contact-ms after the fifth: %d, allowed %d", len(crashes), late, maxTainted)
-	r.note("sound requests, in calm: %d sent, %d begun (%.2f); from two contact-ms after the fifth crash: %d sent, %d begun (%.2f)", calm.sent, calm.begun, calm.share(), after.sent, after.begun, after.share())
-	if calm.sent < 20 || after.sent < 20 || calm.share() < 0.9 {
-		return false, fmt.Errorf("too few requests, or none served in calm")
-	}
-	return late > maxTainted, nil
-}
-
-func (m *machine) isReady() bool {
-	c := http.Client{Timeout: time.Second}
-	resp, err := c.Get("http://" + m.addr(portReadiness) + "/api/readyz")
-	if err != nil {
-		return false
-	}
-	_ = resp.Body.Close()
-	return resp.StatusCode == http.StatusOK
+	r.note("crashes: %d; arrivals later than contact-ms after the third: %d, allowed %d", len(crashes), late, maxRetries)
+	r.note("sound requests that were run and lost, later than that: %d", lost)
+	r.note("sound requests served, in calm: %d of %d; since the request came: %d of %d", calm.begun, calm.sent, after.begun, after.sent)
+	return r.trouble && late > maxRetries, nil
 }
 
-// stream sends one request on a new channel. It returns whether its first event came,
-// and how it ended.
-func (m *machine) stream(id, prompt string) (begun bool, end string) {
+// post sends a plain request on a new channel and returns the status of its answer. An
+// error means that no whole answer came.
+func (m *machine) post(path, id, body string) (status int, err error) {
 	c, err := net.DialTimeout("tcp", m.addr(portFrontend), time.Second)
 	if err != nil {
-		return false, "no channel: " + err.Error()
+		return 0, err
 	}
 	defer func() { _ = c.Close() }()
-	_ = c.SetDeadline(time.Now().Add(streamDeadline))
-	body := "prompt of " + id
-	_, err = fmt.Fprintf(c, "POST /chat/2f HTTP/1.1\r\nHost: desk.example\r\nAttempt-Id: %s\r\nModel: *\r\nToken-Usage: 900,40\r\nPrefix-Hash: %s\r\nDeadline-Ms: %d\r\nKey: k1k1k1k1k1\r\nContent-Length: %d\r\n\r\n%s",
-		id, prompt, streamDeadline.Milliseconds(), len(body), body)
+	_ = c.SetDeadline(time.Now().Add(plainDeadline + 500*time.Millisecond))
+	_, err = fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: desk.example\r\nAttempt-Id: %s\r\nDeadline-Ms: %d\r\nKey: k1k1k1k1k1\r\nContent-Length: %d\r\n\r\n%s",
+		path, id, plainDeadline.Milliseconds(), len(body), body)
 	if err != nil {
-		return false, "cannot send: " + err.Error()
+		return 0, err
 	}
 	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
 	if err != nil {
-		return false, "no answer: " + err.Error()
+		return 0, err
 	}
 	defer func() { _ = resp.Body.Close() }()
-	if resp.StatusCode != http.StatusOK {
-		return false, fmt.Sprintf("status %d, Retry-After %q", resp.StatusCode, resp.Header.Get("Retry-After"))
-	}
-	first, err := bufio.NewReader(resp.Body).ReadString('\n')
-	if err != nil {
-		return false, "no event: " + err.Error()
-	}
-	return strings.HasPrefix(first, "id:"), "an answer"
+	_, err = io.Copy(io.Discard, resp.Body)
+	return resp.StatusCode, err
 }
--- a/review/rig3/rig.go
+++ b/review/rig3/rig.go
@@ -1,4 +1,4 @@
-// Command rig3 plays the cases 11 to 13 of this review: it starts the project's own
+// Command rig3 plays the cases 11, 13 and 14 of this review: it starts the project's own
 // programs on loopback addresses, with stand-ins for the platform, the runners, the
 // clients and the operator, and checks a rule of the platform.
 package main
@@ -33,7 +33,7 @@
 const maxRun = 118 * time.Second
 
 // cases are the cases by number. A case returns whether the rule was broken.
-var cases = map[string]func(*rig) (bool, error){"11": lostCore, "12": crashWhileAnswering, "13": crashAfterEvent}
+var cases = map[string]func(*rig) (bool, error){"11": lostCore, "13": crashWhileAnswering, "14": crashAfterEvent}
 
 func main() {
 	// Processes end with the thread that started them, also when this one is killed.
