state/raft: half of the voters goes on once another one's disk is known lost

No process led again: 0 of 19 reads, no change acknowledged.

Cause: two of four voters are no majority, and only a leader can change the members. That the lost vote is gone for good is provable (a process with another disk answers at its address), but quorums did not use it.

Change: half of an even number of voters is a quorum if each of this half has outlived the disk of one and the same voter; a numbered probe to the voter's address is the proof, packets carry it.

--- a/state/cmd/state/platform_test.go
+++ b/state/cmd/state/platform_test.go
@@ -255,6 +255,46 @@
 	h.awaitVersion(c, 7)
 }
 
+// TestPlatformDiskLostBesideRemovedVoter guards against a core that never has a
+// leader again: a VM is removed without SIGTERM after its successor votes, and then
+// another one, or the successor, loses its disk.
+func TestPlatformDiskLostBesideRemovedVoter(t *testing.T) {
+	for name, x := range map[string]struct {
+		host      int // 127.0.host.*
+		lost      int // 2 or 3 is an old VM, 4 the successor
+		lossFirst bool
+	}{
+		"an old VM":               {87, 2, false},
+		"the successor":           {88, 4, false},
+		"before the removal":      {89, 3, true},
+		"successor, then removal": {90, 4, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			ip := func(n int) string { return fmt.Sprintf("127.0.%d.%d", x.host, n) }
+			h := newPlatformCluster(t, ip(1), ip(2), ip(3))
+			for n := 1; n <= 3; n++ {
+				h.start(ip(n), true)
+			}
+			h.replaceUntilAcked(ip(1), 4)
+			h.start(ip(4), false)
+			h.awaitVoter(ip(4))
+			lost := ip(x.lost)
+			h.replaceUntilAcked(lost, 5)
+			for _, gone := range map[bool][]string{false: {ip(1), lost}, true: {lost, ip(1)}}[x.lossFirst] {
+				h.kill(gone)
+			}
+			if err := os.RemoveAll(h.data(lost)); err != nil {
+				t.Fatal(err)
+			}
+			h.start(lost, false)
+			h.awaitVersion(lost, 5)
+			h.awaitVoter(lost)
+			h.replaceUntilAcked(lost, 7)
+		})
+	}
+}
+
 // awaitVoter waits until the log of a process says that it is a voter.
 func (h *platformCluster) awaitVoter(ip string) {
 	h.t.Helper()
--- a/state/raft/append.go
+++ b/state/raft/append.go
@@ -57,7 +57,7 @@
 	return n.stamp()-r.answeredStamp < int64(n.timings.ElectionTimeout)
 }
 
-// quorumStamp returns the latest stamp such that a majority has answered a
+// quorumStamp returns the latest stamp such that a quorum has answered a
 // packet sent at that time or later.
 func (n *Node) quorumStamp() int64 {
 	now := n.stamp()
@@ -274,13 +274,24 @@
 	}
 }
 
-// advanceCommit commits the entries that a majority has made durable. Entries
+// advanceCommit commits the entries that a quorum has made durable. Entries
 // of earlier terms are committed only together with one of the current term: a
-// later leader can still replace them, even if a majority holds them.
+// later leader can still replace them, even if a quorum holds them.
 func (n *Node) advanceCommit() {
 	if n.role != Leader {
 		return
 	}
+	// A committed membership may have a smaller quorum for the entries after it.
+	for n.commitDurable() {
+		// Send the commit index to the followers now, not with the next
+		// heartbeat.
+		n.replicate()
+	}
+}
+
+// commitDurable commits what a quorum of the memberships in effect has made
+// durable, and reports whether that is more than before.
+func (n *Node) commitDurable() bool {
 	index := uint64(n.quorumValue(func(m Member) int64 {
 		if m.Name == n.name {
 			return int64(n.syncedIndex)
@@ -290,12 +301,11 @@
 		}
 		return 0
 	}))
-	if term, ok := n.store.Term(index); ok && index > n.commitIndex && term == n.term {
-		n.commitIndex = index
-		// Send the commit index to the followers now, not with the next
-		// heartbeat.
-		n.replicate()
+	if term, ok := n.store.Term(index); !ok || index <= n.commitIndex || term != n.term {
+		return false
 	}
+	n.commitIndex = index
+	return true
 }
 
 // maxAppliedPerTurn is the maximum number of entries applied in one turn of
--- a/state/raft/change.go
+++ b/state/raft/change.go
@@ -95,7 +95,7 @@
 		return NotLeader{Leader: leader}
 	case n.transfer != nil:
 		return NotLeader{}
-	case !n.hasMajority(func(m Member) bool { return m.Name == n.name || !n.replicas[m.Name].diskFull }):
+	case !n.hasQuorum(func(m Member) bool { return n.replicas[m.Name] == nil || !n.replicas[m.Name].diskFull }):
 		return DiskFull{}
 	case p.kind != kindRoster:
 		return nil
@@ -104,16 +104,18 @@
 	// With two changes in flight, or with one before an entry of the current
 	// term is committed, two majorities could exist that have no common
 	// member.
-	if pending || n.rosters[len(n.rosters)-1].index > n.commitIndex || n.commitIndex < n.termStartIndex {
+	last := n.rosters[len(n.rosters)-1]
+	if pending || !last.settled && last.index > n.commitIndex || n.commitIndex < n.termStartIndex {
 		return Refused{"another membership change is not committed yet; retry"}
 	}
 	roster, err := p.editMembers(slices.Clone(n.roster()))
 	if err != nil {
 		return err
 	}
-	if !isMajority(roster, func(m Member) bool {
-		return m.Name == n.name || n.replicas[m.Name] != nil && n.isLive(n.replicas[m.Name])
-	}) {
+	isLive := func(m Member) bool {
+		return slices.Contains(roster, m) && (m.Name == n.name || n.replicas[m.Name] != nil && n.isLive(n.replicas[m.Name]))
+	}
+	if !isMajority(roster, isLive) || !n.isQuorum(n.roster(), isLive) {
 		return Refused{"no majority of the members would be live after this change; bring a member back first"}
 	}
 	p.data = formatRoster(roster)
@@ -330,5 +332,7 @@
 
 func (n *Node) onProbe(p *Packet) {
 	n.lastProbes[p.From] = p
-	n.reply(p, n.newAnswer(Kind_PROBED, p))
+	a := n.newAnswer(Kind_PROBED, p)
+	a.Ticket = p.Ticket
+	n.reply(p, a)
 }
--- a/state/raft/elect.go
+++ b/state/raft/elect.go
@@ -44,7 +44,7 @@
 	}
 }
 
-// checkQuorum steps down if no majority answered within one election timeout,
+// checkQuorum steps down if no quorum answered within one election timeout,
 // so that a leader that is partitioned from the other members does not keep
 // its callers waiting.
 func (n *Node) checkQuorum(now time.Time) {
@@ -53,7 +53,7 @@
 		n.electionDeadline = quorumEnd
 		return
 	}
-	klog.V(1).InfoS("No majority answered; stepping down as leader", "member", n.name, "term", n.term)
+	klog.V(1).InfoS("No quorum answered; stepping down as leader", "member", n.name, "term", n.term)
 	n.becomeFollower(n.term, "")
 }
 
@@ -148,6 +148,7 @@
 	n.role, n.leader = PreCandidate, ""
 	n.votes = map[string]bool{n.name: true}
 	n.requestVotes(Kind_PREVOTE, n.term+1, false)
+	n.checkDisks()
 	if n.hasWon() {
 		n.campaign(false)
 	}
@@ -183,7 +184,7 @@
 }
 
 func (n *Node) hasWon() bool {
-	return n.hasMajority(func(m Member) bool { return n.votes[m.Name] })
+	return n.hasQuorum(func(m Member) bool { return n.votes[m.Name] })
 }
 
 // leaseMayHold reports whether the last contact with a leader was so recent
--- a/state/raft/node.go
+++ b/state/raft/node.go
@@ -37,6 +37,8 @@
 	electedAt         time.Time
 	termStartIndex    uint64 // index of the first entry of this node's term as leader
 	rosters           []rosterAtIndex
+	outlived          map[string][]string // by disk, the disks that were lost for good while it was in use
+	diskChecks        []diskCheck         // the latest ones
 	commitIndex       uint64
 	appliedIndex      uint64
 	lastLeaderContact time.Time // last packet from a leader
@@ -111,6 +113,7 @@
 		role:       Follower,
 		pending:    map[uint64]*proposal{},
 		lastProbes: map[string]*Packet{},
+		outlived:   map[string][]string{},
 		// Random, so that a late answer to a read of an earlier run matches no
 		// read of this one.
 		lastTicket: rand.Uint64(),
@@ -209,7 +212,7 @@
 	}
 	n.commitIndex, n.appliedIndex = snap.Index, snap.Index
 	old := n.rosters
-	n.rosters = []rosterAtIndex{{index: snap.Index, roster: roster}}
+	n.rosters = []rosterAtIndex{{index: snap.Index, roster: roster, settled: true}}
 	for _, s := range old {
 		if s.index > snap.Index && s.index <= n.store.LastIndex() {
 			n.rosters = append(n.rosters, s)
@@ -236,7 +239,7 @@
 
 // nextWake returns the time at which the loop must act even without input.
 func (n *Node) nextWake() time.Time {
-	if n.appliedIndex < n.commitIndex {
+	if n.appliedIndex < n.commitIndex || n.mustSettle() {
 		return time.Now()
 	}
 	if n.nextHeartbeat.Before(n.electionDeadline) {
@@ -265,6 +268,7 @@
 // flush makes the effects of a batch durable, and only then acknowledges them
 // to callers and to other members.
 func (n *Node) flush() {
+	n.settleRoster()
 	n.appendBatch()
 	n.advanceTransfer()
 	n.replicate()
--- a/state/raft/packet.go
+++ b/state/raft/packet.go
@@ -7,7 +7,7 @@
 	return &Packet{
 		Kind: kind, From: n.name, Addr: n.addr, To: to.Name,
 		Source: n.store.DiskID(), Target: to.DiskID, Cluster: n.store.HardState().ClusterID,
-		Term: n.term, Stamp: n.stamp(), Unpacks: true,
+		Term: n.term, Stamp: n.stamp(), Unpacks: true, Outlived: n.outlived[n.store.DiskID()],
 	}
 }
 
@@ -41,10 +41,14 @@
 // here: its answers would count for entries and votes that were lost with the
 // old disk.
 func (n *Node) isAddressee(p *Packet) bool {
-	if p.To != n.name || p.From == n.name {
+	switch {
+	case p.From == n.name:
 		return false
-	}
-	if p.Kind == Kind_PROBE || p.Kind == Kind_PROBED {
+	case p.Kind == Kind_PROBE:
+		return true // it may ask for the member that used this address before
+	case p.To != n.name:
+		return false
+	case p.Kind == Kind_PROBED:
 		return true
 	}
 	cluster := n.store.HardState().ClusterID
@@ -66,6 +70,7 @@
 	if n.err != nil || !n.isAddressee(p) {
 		return
 	}
+	n.recordOutlived(p)
 	switch p.Kind {
 	case Kind_PREVOTE:
 		n.onPreVote(p)
@@ -95,6 +100,7 @@
 		n.onProbe(p)
 	case Kind_PROBED:
 		n.lastProbes[p.From] = p
+		n.recordDiskCheck(p)
 	}
 }
 
--- a/state/raft/read.go
+++ b/state/raft/read.go
@@ -21,7 +21,7 @@
 	ticket  uint64
 	index   uint64
 	term    uint64
-	stamp   int64     // a majority must answer a packet of this stamp or a later one
+	stamp   int64     // a quorum must answer a packet of this stamp or a later one
 	askedAt time.Time // when the leader was asked
 }
 
@@ -94,7 +94,7 @@
 		}
 		r.phase, r.index, r.term, r.stamp = readConfirming, n.commitIndex, n.term, n.stamp()
 		n.confirmReads = true
-		if n.hasMajority(func(m Member) bool { return m.Name == n.name }) {
+		if n.hasQuorum(func(m Member) bool { return m.Name == n.name }) {
 			r.phase = readConfirmed
 		}
 	case r.phase == readNew || time.Since(r.askedAt) > 2*n.timings.HeartbeatInterval:
--- a/state/raft/roster.go
+++ b/state/raft/roster.go
@@ -23,6 +23,9 @@
 type rosterAtIndex struct {
 	index  uint64
 	roster []Member
+	// settled is set if there is no membership before it that may have other
+	// quorums: that one has the same voters and is committed.
+	settled bool
 }
 
 func parseRoster(data []byte) ([]Member, error) {
@@ -70,10 +73,38 @@
 	if err != nil {
 		return err
 	}
-	n.rosters = append(n.rosters, rosterAtIndex{index: e.Index, roster: roster})
+	// A leader appends a membership only after the one before is settled or
+	// committed.
+	settled := len(n.rosters) == 0 || haveSameVoters(n.roster(), roster)
+	n.rosters = append(n.rosters, rosterAtIndex{index: e.Index, roster: roster, settled: settled})
 	return nil
 }
 
+func haveSameVoters(a, b []Member) bool {
+	isLearner := func(m Member) bool { return !m.Voter }
+	return slices.Equal(slices.DeleteFunc(slices.Clone(a), isLearner), slices.DeleteFunc(slices.Clone(b), isLearner))
+}
+
+// mustSettle reports whether this leader has committed a membership that the other
+// members can't know to be committed after they have all lost power.
+func (n *Node) mustSettle() bool {
+	if n.role != Leader || n.err != nil || n.diskFull || len(n.rosters) == 0 {
+		return false
+	}
+	last := n.rosters[len(n.rosters)-1]
+	return !last.settled && last.index <= n.commitIndex
+}
+
+// settleRoster appends a committed membership once more. Whoever has the second
+// entry knows that the first one is committed, and needs no quorum of the
+// membership before it.
+func (n *Node) settleRoster() {
+	if !n.mustSettle() {
+		return
+	}
+	_ = n.appendEntries(store.Entry{Index: n.store.LastIndex() + 1, Term: n.term, Kind: kindRoster, Data: formatRoster(n.roster())})
+}
+
 // rosterAt returns the membership at an index, for a snapshot.
 func (n *Node) rosterAt(index uint64) []Member {
 	var roster []Member
@@ -88,8 +119,13 @@
 // dropOldRosters removes memberships that were replaced by another one at or
 // before index, which must be committed.
 func (n *Node) dropOldRosters(index uint64) {
+	dropped := false
 	for len(n.rosters) > 1 && n.rosters[1].index <= index {
 		n.rosters = n.rosters[1:]
+		dropped = true
+	}
+	if dropped {
+		n.forgetLosses()
 	}
 }
 
@@ -106,36 +142,3 @@
 	m, ok := n.findMember(n.name)
 	return ok && m.Voter && m.DiskID == n.store.DiskID()
 }
-
-// hasMajority reports whether f is true for a majority of the voters.
-func (n *Node) hasMajority(f func(m Member) bool) bool { return isMajority(n.roster(), f) }
-
-func isMajority(roster []Member, f func(m Member) bool) bool {
-	voters, yes := 0, 0
-	for _, m := range roster {
-		if !m.Voter {
-			continue
-		}
-		voters++
-		if f(m) {
-			yes++
-		}
-	}
-	return yes > voters/2
-}
-
-// quorumValue returns the highest value that a majority of the voters has
-// reached.
-func (n *Node) quorumValue(value func(m Member) int64) int64 {
-	var list []int64
-	for _, m := range n.roster() {
-		if m.Voter {
-			list = append(list, value(m))
-		}
-	}
-	if len(list) == 0 {
-		return 0
-	}
-	slices.Sort(list)
-	return list[(len(list)-1)/2]
-}
