core/crash: one module decides whether a server's process has ended

Cause: recordCrash took a plain answer that breaks off for no sign of a crash unless its prompt had parts, and never probed the server, which refused connections. relayLong and failures reported no end at all. Prompts with parts were blamed without a probe, also for servers that went on listening. gate/route and the side processes decided it a second time, and cleared a request once a piece of its answer had come.

Change: core/crash decides from how far the answer had come and a probe; every path reports the end of its connection to it (no answer, short and long answers, in chunks or not, failures; engines and services of side processes). In the middle of an answer only a refused connection is a crash.

--- a/core/policy/quarantine.go
+++ b/core/policy/quarantine.go
@@ -14,11 +14,11 @@
 	// the one that is to blame.
 	minCrashes          = 3
 	minCrashingRequests = 2
-	// minUnansweredCrashes and minUnansweredRequests are the same for a part if
-	// servers ended before they began to answer: the requests that waited there
-	// beside the one that is to blame look the same.
-	minUnansweredCrashes  = 4
-	minUnansweredRequests = 3
+	// minWeakCrashes and minWeakRequests are the same for a part if the evidence is
+	// weak: others that the servers had beside the request that is to blame look the
+	// same.
+	minWeakCrashes  = 4
+	minWeakRequests = 3
 	// crashBurst is the time within which crashes count as one: a loss of power
 	// ends many servers at once, whatever they were doing. A request that was sent
 	// after the other crash was not part of it.
@@ -43,8 +43,7 @@
 	maxPartNews = 256
 )
 
-// Crash is a server that ended a connection without an answer, or as the answer
-// began.
+// Crash is a server whose process ended while it had a request.
 type Crash struct {
 	Server uint32 // hash of its ID
 	// Request is a hash of the content of the request, which its repeats share; 0
@@ -52,11 +51,11 @@
 	Request uint64
 	// Parts are those that may have caused it.
 	Parts []ident.PromptPart
-	// Unanswered is set if the server ended before it began to answer. The request
-	// may then have waited beside the one that is to blame.
-	Unanswered bool
-	At         time.Time     // of the crash; RecordCrash takes the zero time as now
-	Ran        time.Duration // from sending the request to the crash
+	// Weak is set if the request may have been a bystander: it waited at the server,
+	// or had been answered for some time.
+	Weak bool
+	At   time.Time     // of the crash; RecordCrash takes the zero time as now
+	Ran  time.Duration // from sending the request to the crash
 }
 
 // Suspects returns what may be quarantined of a request: the parts of its prompt
@@ -77,19 +76,19 @@
 // PartNews is what gates tell each other about parts of prompts.
 type PartNews struct {
 	Crashes []Crash
-	Sound   []ident.PromptPart // answers to prompts with them have begun
+	Sound   []ident.PromptPart // prompts with them were answered
 	Blocks  []Block
 }
 
 // Quarantine finds the requests and the parts of prompts that crash each server
-// that begins to answer them, and blocks them. A request is blamed for each crash
-// of a server that had it, and blocked by itself. A part is blamed for each crash
-// of a server that had a prompt with it and had not sent the first event; crashes
-// before the head of the answer weigh less. It is cleared by each answer that
-// begins at any gate. Parts that were only seen together are blocked together, so
-// that prompts with some of them show which one is to blame. The quarantine is for
-// requests that share such a part, arrive at many gates, and would crash one
-// server after the other.
+// that answers them, and blocks them. A request is blamed for each crash of a
+// server that had it, and blocked by itself. A part is blamed for each crash of a
+// server that had a prompt with it; crashes for which others are as suspect weigh
+// less. Both are cleared by each answer, at any gate, that is whole or has been under
+// way for long: one that has only begun may crash its server yet. Parts that were only
+// seen together are blocked together, so that prompts with some of them show which one
+// is to blame. The quarantine is for requests that share such a part, arrive at many
+// gates, and would crash one server after the other.
 //
 // It is not safe for concurrent use.
 type Quarantine struct {
@@ -129,12 +128,12 @@
 }
 
 type crashMark struct {
-	server     uint32
-	at         time.Time
-	unanswered bool
+	server uint32
+	at     time.Time
+	weak   bool
 }
 
-// soundPart says when an answer to a prompt with the part last began, and when
+// soundPart says when a prompt with the part was last answered, and when
 // the gates last told each other.
 type soundPart struct{ seenAt, toldAt time.Time }
 
@@ -179,7 +178,7 @@
 	return q.blame(c, now)
 }
 
-// isSound reports whether an answer to a prompt with the part has begun lately.
+// isSound reports whether a prompt with the part was answered lately.
 func (q *Quarantine) isSound(part ident.PromptPart, now time.Time) bool {
 	s := q.sound[part]
 	return s != nil && now.Sub(s.seenAt) <= soundMemory
@@ -235,16 +234,16 @@
 
 // add adds a crash, unless it is one of those before.
 func (s *suspect) add(c Crash) {
-	if !slices.Contains(s.requests, c.Request) && len(s.requests) < minUnansweredRequests {
+	if !slices.Contains(s.requests, c.Request) && len(s.requests) < minWeakRequests {
 		s.requests = append(s.requests, c.Request)
 	}
 	for i := range s.crashes {
 		if m := &s.crashes[i]; m.isSame(c) {
-			m.unanswered = m.unanswered && c.Unanswered
+			m.weak = m.weak && c.Weak
 			return
 		}
 	}
-	s.crashes = append(s.crashes, crashMark{c.Server, c.At, c.Unanswered})
+	s.crashes = append(s.crashes, crashMark{c.Server, c.At, c.Weak})
 }
 
 // isSame reports whether a crash is the one of the mark, or has the same cause
@@ -257,14 +256,14 @@
 // isPartProven reports whether there are enough crashes to blame a part of
 // prompts.
 func (s *suspect) isPartProven() bool {
-	begun := 0
+	strong := 0
 	for _, m := range s.crashes {
-		if !m.unanswered {
-			begun++
+		if !m.weak {
+			strong++
 		}
 	}
-	return begun >= minCrashes && len(s.requests) >= minCrashingRequests ||
-		len(s.crashes) >= minUnansweredCrashes && len(s.requests) >= minUnansweredRequests
+	return strong >= minCrashes && len(s.requests) >= minCrashingRequests ||
+		len(s.crashes) >= minWeakCrashes && len(s.requests) >= minWeakRequests
 }
 
 // block blocks prompts with all the given suspects. When the block ends, one more
@@ -294,8 +293,8 @@
 	return length
 }
 
-// RecordSound records that an answer to a request with the parts in its prompt
-// has begun, and returns those whose quarantine ends with it.
+// RecordSound records that a request with the parts in its prompt was answered, and
+// returns those whose quarantine ends with it.
 func (q *Quarantine) RecordSound(parts []ident.PromptPart, request uint64, now time.Time) (released []ident.PromptPart) {
 	if q.suspects[ident.PromptPart(request)] != nil {
 		parts = Suspects(parts, request)
--- a/core/policy/quarantine_test.go
+++ b/core/policy/quarantine_test.go
@@ -24,12 +24,12 @@
 // requests hold; a sound part that shared their fate must not.
 func TestQuarantineBlame(t *testing.T) {
 	type step struct {
-		after      time.Duration
-		server     uint32 // that crashes; 0 for a sound answer
-		request    uint64
-		parts      []ident.PromptPart
-		unanswered bool          // the answer had not begun
-		ran        time.Duration // before the crash
+		after   time.Duration
+		server  uint32 // that crashes; 0 for a sound answer
+		request uint64
+		parts   []ident.PromptPart
+		weak    bool          // others look the same
+		ran     time.Duration // before the crash
 	}
 	const runTime = 100 * time.Millisecond
 	crash := func(after time.Duration, server uint32, request uint64, parts ...ident.PromptPart) step {
@@ -102,7 +102,7 @@
 				if s.server == 0 {
 					q.RecordSound(s.parts, s.request, now)
 				} else {
-					q.RecordCrash(Crash{Server: s.server, Request: s.request, Parts: s.parts, Unanswered: s.unanswered, Ran: s.ran}, now)
+					q.RecordCrash(Crash{Server: s.server, Request: s.request, Parts: s.parts, Weak: s.weak, Ran: s.ran}, now)
 				}
 			}
 			for _, prompt := range [][]ident.PromptPart{{base}, {deadly}, {rare}, {base, deadly}, {base, rare}, {deadly, rare}, {base, deadly, rare}} {
@@ -144,7 +144,7 @@
 			q, peer, now := NewQuarantine(), NewQuarantine(), time.Unix(1_000_000, 0)
 			for _, x := range c.crashes {
 				now = now.Add(pause)
-				q.RecordCrash(Crash{Server: x.server, Request: x.request, Parts: x.parts, Unanswered: x.parts == nil}, now)
+				q.RecordCrash(Crash{Server: x.server, Request: x.request, Parts: x.parts, Weak: x.parts == nil}, now)
 			}
 			if c.answered {
 				q.RecordSound(nil, deadlyRequest, now)
--- a/gate/conn/conn.go
+++ b/gate/conn/conn.go
@@ -18,6 +18,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"citronledge.example/core/crash"
 	"citronledge.example/core/link"
 	"citronledge.example/core/reply"
 )
@@ -111,7 +112,7 @@
 
 	probeMu  sync.Mutex // held during a probe
 	probedAt time.Time
-	probed   ProbeResult
+	probed   crash.Probe
 }
 
 // pooledConn is a connection that the pool may reuse.
--- a/gate/pool/do.go
+++ b/gate/pool/do.go
@@ -49,8 +49,8 @@
 	Usage *wire.Usage
 	// Complete is set if the reply ended without a fault.
 	Complete bool
-	// Broke is set if the backend server ended its connection before the first
-	// part of its answer.
+	// Broke is set if the process of the backend server ended while it had the
+	// request, or its connection before the first part of the answer.
 	Broke bool
 	// Chunks counts the received chunks, including those not passed to the sink.
 	Chunks int
--- a/gate/relay/attempt.go
+++ b/gate/relay/attempt.go
@@ -10,6 +10,7 @@
 	"syscall"
 	"time"
 
+	"citronledge.example/core/crash"
 	"citronledge.example/core/ident"
 	"citronledge.example/core/plan"
 	"citronledge.example/core/policy"
@@ -85,9 +86,11 @@
 	eventsSent    int // passed on to the caller
 	// longestPause is the longest time between two reads of a stream.
 	longestPause  time.Duration
-	speedRecorded bool // counted for the rollout of its version
-	brokenOff     bool // the server ended its connection in the middle of the answer
-	cutOff        bool // the server's process ended before the answer
+	speedRecorded bool       // counted for the rollout of its version
+	reused        bool       // the connection had carried a request before
+	brokenOff     bool       // the answer ended in the middle
+	end           *crash.End // how the server ended the connection before the end of the answer; nil if it didn't
+	cutOff        bool       // the server's process ended
 	// quarantinedOff is set when the gate ends the attempt because of its prompt.
 	quarantinedOff atomic.Bool
 	detail         string
@@ -188,6 +191,7 @@
 	}
 	defer a.Close()
 	x.assignment.AnswerStarted(time.Now())
+	x.reused = a.Reused
 	x.headLatency, x.status, x.confidence = time.Since(x.attemptStart), a.Status, verdict.Confidence
 	x.r.metrics.headLatency.WithLabelValues(x.route.Type.String()).Observe(x.headLatency.Seconds())
 	if !verdict.NotRun {
@@ -287,7 +291,10 @@
 		return retry{reason: "no connection"}, fleet.Unreached
 	}
 	var unanswered conn.UnansweredError
-	x.cutOff = ctx.Err() == nil && errors.As(err, &unanswered) && x.hasCrashed(ctx, unanswered)
+	if ctx.Err() == nil && errors.As(err, &unanswered) {
+		x.reused = unanswered.Reused
+		x.serverEnded(err, crash.None)
+	}
 	return retry{reason: "no answer"}, fleet.Broke
 }
 
--- a/gate/relay/body.go
+++ b/gate/relay/body.go
@@ -1,9 +1,11 @@
 package relay
 
 import (
+	"errors"
 	"io"
 	"net/http"
 
+	"citronledge.example/core/crash"
 	"citronledge.example/gate/conn"
 	"citronledge.example/gate/fleet"
 	"citronledge.example/platform"
@@ -33,6 +35,7 @@
 // is not passed on: the server has not said so.
 func (x *attempt) errorAnswer(a *conn.Answer) (decision, fleet.Outcome) {
 	body, err := io.ReadAll(io.LimitReader(a, maxBufferedBytes+1))
+	x.serverEnded(err, crash.Part)
 	x.detail = http.StatusText(a.Status)
 	outcome := fleet.Failed
 	if a.Status == http.StatusGatewayTimeout {
@@ -51,7 +54,7 @@
 	if a.Length <= maxBufferedBytes {
 		var err error
 		if body, err = io.ReadAll(io.LimitReader(a, maxBufferedBytes+1)); err != nil {
-			x.detail, x.brokenOff = "broke off: "+err.Error(), x.req.Context().Err() == nil
+			x.breakOff(err)
 			return retry{reason: "the answer broke off"}, fleet.Broke
 		}
 	}
@@ -78,12 +81,16 @@
 	x.beginAnswer()
 	n := int64(len(first))
 	_, err := x.w.Write(first)
+	from := &failingReader{r: a}
 	if err == nil {
 		var more int64
-		more, err = io.Copy(x.w, io.LimitReader(a, size-n+1))
+		more, err = io.Copy(x.w, io.LimitReader(from, size-n+1))
 		n += more
 	}
 	switch {
+	case from.err != nil:
+		x.breakOff(from.err)
+		return giveUp{"the answer broke off"}, fleet.Broke
 	case err != nil || n < a.Length:
 		x.detail = "broke off"
 		return giveUp{"the answer broke off"}, fleet.Broke
@@ -91,6 +98,22 @@
 		x.detail = "an answer without a length is too long"
 		return giveUp{x.detail}, fleet.Broke
 	}
+	x.recordSound()
 	x.recordEnd("served", a.Status)
 	return answered{}, fleet.Good
 }
+
+// failingReader keeps the error that ended its reads before their end.
+type failingReader struct {
+	r   io.Reader
+	err error
+}
+
+// Read implements io.Reader.
+func (f *failingReader) Read(b []byte) (int, error) {
+	n, err := f.r.Read(b)
+	if err != nil && !errors.Is(err, io.EOF) {
+		f.err = err
+	}
+	return n, err
+}
--- a/gate/relay/crash.go
+++ b/gate/relay/crash.go
@@ -11,10 +11,9 @@
 	"github.com/cespare/xxhash/v2"
 	"k8s.io/klog/v2"
 
+	"citronledge.example/core/crash"
 	"citronledge.example/core/ident"
-	"citronledge.example/core/plan"
 	"citronledge.example/core/policy"
-	"citronledge.example/gate/conn"
 	"citronledge.example/gate/fleet"
 )
 
@@ -80,74 +79,41 @@
 	return block, blocked
 }
 
-// minRunTime is the time from which the end of a connection without an answer
-// shows that the request had begun to run. A server that has too many connections
-// or closes an idle one ends it as soon as the request arrives.
-const minRunTime = 20 * time.Millisecond
-
-// confirmPauses are the pauses before a server is probed again that has ended a
-// connection and then another one: the process may just be ending, or have too
-// many connections.
-var confirmPauses = []time.Duration{30 * time.Millisecond, 120 * time.Millisecond}
-
-// hasCrashed reports whether the server's process ended while it had the request.
-// If that does not show yet, the crash is recorded once it does.
-func (x *attempt) hasCrashed(ctx context.Context, end conn.UnansweredError) bool {
-	if !end.Closed() && !end.Reset() {
-		return false
+// serverEnded records that the connection to the server ended with err, before the end
+// of the answer.
+func (x *attempt) serverEnded(err error, progress crash.Progress) {
+	if !crash.IsServerEnd(err) {
+		return
 	}
-	ran := time.Since(x.attemptStart)
-	probe := x.assignment.Conns().Probe(ctx)
-	klog.InfoS("Backend server ended a connection without an answer", "id", x.head.AttemptID, "backend", x.assignment.ID, "ran", ran, "reused", end.Reused, "probe", probe, "err", end.Cause)
-	switch {
-	case probe == conn.Refused:
-		x.crashes++
-		return true
-	case probe != conn.Ended && (ran >= minRunTime || !end.Reused):
-		return true // another process may listen for the one that has ended
+	now := time.Now()
+	x.end = &crash.End{Progress: progress, Ran: now.Sub(x.attemptStart), Reused: x.reused}
+	if x.headLatency > 0 {
+		x.end.Answering = x.end.Ran - x.headLatency
 	}
-	x.r.confirmCrash(x.crash(true, time.Now()), x.assignment, confirmPauses)
-	return false
 }
 
-// confirmCrash records a crash if no process listens at the server after one of
-// the pauses.
-func (r *Relay) confirmCrash(c policy.Crash, server *fleet.Assignment, pauses []time.Duration) {
-	if len(pauses) == 0 {
+// recordEndOfServer finds out whether the server's process has ended, and blames the
+// request if it has. If that does not show yet, the crash is recorded once it does.
+func (x *attempt) recordEndOfServer(ctx context.Context) {
+	if x.end == nil || x.quarantinedOff.Load() {
 		return
 	}
-	time.AfterFunc(pauses[0], func() {
-		if server.Conns().Probe(context.Background()) != conn.Refused {
-			r.confirmCrash(c, server, pauses[1:])
-			return
-		}
-		r.blame(c, server.ID)
-	})
-}
-
-// crash describes a crash of the server that has the request.
-func (x *attempt) crash(unanswered bool, now time.Time) policy.Crash {
-	return policy.Crash{
+	c := policy.Crash{
 		Server: fleet.HashBackend(x.assignment.ID), Request: x.contentHash(), Parts: x.promptParts(),
-		Unanswered: unanswered, At: now, Ran: now.Sub(x.attemptStart),
+		Weak: x.end.MayBeBystander(), At: x.attemptStart.Add(x.end.Ran), Ran: x.end.Ran,
 	}
-}
-
-// recordCrash records a server whose process ended without an answer, or as its
-// answer began: the request may have crashed it.
-func (x *attempt) recordCrash() {
-	if !x.cutOff && !x.brokenOff || x.quarantinedOff.Load() || x.eventsSent > 0 {
+	r, server := x.r, x.assignment.ID
+	verdict, probe := x.end.Watch(ctx, x.assignment.Conns().Probe, func() { r.blame(c, server) })
+	klog.InfoS("Backend server ended a connection before the end of the answer", "id", x.head.AttemptID, "try", x.attempts, "backend", server, "ran", x.end.Ran, "reused", x.end.Reused,
+		"head", x.headLatency, "events", x.eventsSent, "parts", partIDs(x.call), "probe", probe, "crashed", verdict == crash.Crashed)
+	if verdict != crash.Crashed {
 		return
 	}
-	c := x.crash(x.cutOff, time.Now())
-	if x.brokenOff {
-		if len(c.Parts) == 0 && x.route.Type != plan.RouteStream {
-			return // a short answer alone is no sign of a crash
-		}
+	x.cutOff = true
+	if !c.Weak || x.end.Progress == crash.None && probe == crash.Refused {
 		x.crashes++
 	}
-	klog.InfoS("Backend server ended as it had the request", "id", x.head.AttemptID, "try", x.attempts, "backend", x.assignment.ID, "head", x.headLatency, "events", x.eventsSent, "parts", partIDs(x.call))
-	x.r.blame(c, x.assignment.ID)
+	r.blame(c, server)
 }
 
 // blame records a crash and ends the attempts that must not crash further servers.
@@ -159,7 +125,7 @@
 		r.abandonQuarantined(now)
 	}
 	r.mu.Unlock()
-	klog.InfoS("Crash of a backend server recorded", "backend", server, "unanswered", c.Unanswered, "ran", c.Ran, "content", fmt.Sprintf("%016x", c.Request), "hashes", hashList(c.Parts))
+	klog.InfoS("Crash of a backend server recorded", "backend", server, "weak", c.Weak, "ran", c.Ran, "content", fmt.Sprintf("%016x", c.Request), "hashes", hashList(c.Parts))
 	for _, b := range blocks {
 		logBlock(b, "this gate")
 	}
@@ -226,7 +192,7 @@
 
 func logReleases(released []ident.PromptPart, seenBy string) {
 	for _, part := range released {
-		klog.InfoS("Quarantine ended: an answer has begun", "part", fmt.Sprintf("%016x", uint64(part)), "seen", seenBy)
+		klog.InfoS("Quarantine ended: a request was answered", "part", fmt.Sprintf("%016x", uint64(part)), "seen", seenBy)
 	}
 }
 
--- a/gate/relay/retry.go
+++ b/gate/relay/retry.go
@@ -104,13 +104,13 @@
 	if outcome == fleet.Broke && (x.quarantinedOff.Load() || errors.Is(context.Cause(ctx), errStopping)) {
 		outcome = fleet.Neutral // the server is not to blame
 	}
+	x.recordEndOfServer(ctx)
 	end := time.Now()
 	if x.cutOff || x.brokenOff {
 		assignment.RecordCutOff(end)
 	}
 	assignment.Release(outcome, end)
 	x.recordOutcome(outcome)
-	x.recordCrash()
 	c.r.metrics.attempts.WithLabelValues(c.route.Type.String(), outcome.String()).Inc()
 	if outcome != fleet.Good && outcome != fleet.Neutral {
 		c.excluded = append(c.excluded, assignment.ID)
--- a/gate/relay/stream.go
+++ b/gate/relay/stream.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"citronledge.example/core/crash"
 	"citronledge.example/core/plan"
 	"citronledge.example/gate/conn"
 	"citronledge.example/gate/fleet"
@@ -91,7 +92,7 @@
 			x.detail = "no event for " + stall.limit.String()
 			return x.streamBroken(errStalled)
 		case err != nil:
-			x.detail, x.brokenOff = "broke off: "+err.Error(), x.req.Context().Err() == nil
+			x.breakOff(err)
 			return x.streamBroken(err)
 		}
 	}
@@ -126,6 +127,23 @@
 	return control.Flush()
 }
 
+// breakOff records that the answer ended with err in the middle.
+func (x *attempt) breakOff(err error) {
+	x.detail = "broke off: " + err.Error()
+	if x.req.Context().Err() != nil {
+		return
+	}
+	x.brokenOff = true
+	if x.eventsSent > 0 {
+		return
+	}
+	progress := crash.Part
+	if x.route.Type == plan.RouteStream && x.eventsSent == 0 {
+		progress = crash.Head
+	}
+	x.serverEnded(err, progress)
+}
+
 // streamBroken decides what follows a stream that its backend server did not
 // end.
 func (x *attempt) streamBroken(err error) (decision, fleet.Outcome) {
--- a/gate/route/adaptive_test.go
+++ b/gate/route/adaptive_test.go
@@ -25,8 +25,10 @@
 	do    func(ctx context.Context, a pool.Attempt, sink pool.ReplySink) error
 	rate  func(q RatingRequest) (ident.Quality, time.Duration)
 	broke func(a pool.Attempt) bool // whether the backend server ends its connection; nil for never
-	mu    sync.Mutex
-	next  ident.Sequence
+	// brokeAfter is the number of chunks that arrive before that end.
+	brokeAfter int
+	mu         sync.Mutex
+	next       ident.Sequence
 }
 
 func (f *fakeServices) View() *conf.View { return f.view }
@@ -52,7 +54,7 @@
 
 func (f *fakeServices) Do(ctx context.Context, a pool.Attempt, sink pool.ReplySink) (pool.Outcome, error) {
 	if f.broke != nil && f.broke(a) {
-		return pool.Outcome{MayHaveRun: true, Broke: true}, fault.New(fault.Upstream, "broke")
+		return pool.Outcome{MayHaveRun: true, Broke: true, Chunks: f.brokeAfter}, fault.New(fault.Upstream, "broke")
 	}
 	err := f.do(ctx, a, sink)
 	return pool.Outcome{MayHaveRun: true, Complete: err == nil}, err
--- a/gate/route/crash.go
+++ b/gate/route/crash.go
@@ -37,17 +37,18 @@
 	return fault.New(fault.Busy, "the request crashes backend servers; change it before sending it again").WithRetryAfter(block.Left)
 }
 
-// recordCrash records whether the backend server ended as it had the request.
+// recordCrash records whether the backend server ended as it had the request, whatever
+// had come of the answer. Only a whole answer clears the request.
 func (x *execution) recordCrash(id ident.Backend, out pool.Outcome, took time.Duration, err error) {
 	now := time.Now()
 	x.r.quarantineMu.Lock()
 	defer x.r.quarantineMu.Unlock()
 	x.r.quarantine.Expire(now)
 	switch {
-	case err == nil || out.Chunks > 0:
+	case err == nil:
 		x.r.quarantine.RecordSound(nil, x.content, now)
 	case out.Broke:
-		c := policy.Crash{Server: uint32(xxhash.Sum64String(string(id))), Request: x.content, Unanswered: true, At: now, Ran: took}
+		c := policy.Crash{Server: uint32(xxhash.Sum64String(string(id))), Request: x.content, Weak: true, At: now, Ran: took}
 		blocks := x.r.quarantine.RecordCrash(c, now)
 		klog.InfoS("Backend server ended as it had the request", "id", x.req.ID, "backend", id, "ran", took, "content", fmt.Sprintf("%016x", x.content), "quarantined", len(blocks) > 0)
 	}
--- a/gate/route/crash_test.go
+++ b/gate/route/crash_test.go
@@ -16,8 +16,17 @@
 		repeats = 12
 		maxRuns = 4 // three crashes, the last of them with the attempt beside it
 	)
+	for name, chunks := range map[string]int{"before the answer": 0, "within the answer": 5} {
+		t.Run(name, func(t *testing.T) { playDeadlyRequest(t, repeats, maxRuns, chunks) })
+	}
+}
+
+// playDeadlyRequest sends a request again and again that ends its backend server after
+// a number of chunks of the answer.
+func playDeadlyRequest(t *testing.T, repeats, maxRuns, chunks int) {
 	withRouter(t, func(t *testing.T, fake *fakeServices, r *Router) {
 		runs := 0
+		fake.brokeAfter = chunks
 		fake.broke = func(a pool.Attempt) bool {
 			deadly := string(a.Work.GetBody()) == "deadly"
 			if deadly {
--- a/gate/share/news.go
+++ b/gate/share/news.go
@@ -95,7 +95,7 @@
 	l.Sessions = putSessions(w.sessions)
 	for _, c := range w.crashes {
 		l.Crashes = append(l.Crashes, &wire.Crash{
-			Server: c.Server, Request: c.Request, Parts: putParts(c.Parts), Unanswered: c.Unanswered,
+			Server: c.Server, Request: c.Request, Parts: putParts(c.Parts), Weak: c.Weak,
 			Age: uint32(max(0, now.Sub(c.At)) / time.Microsecond), Ran: uint32(max(0, c.Ran) / time.Microsecond),
 		})
 	}
@@ -106,7 +106,7 @@
 	w := news{sessions: getSessions(l.GetSessions()), sound: getParts(l.GetSound())}
 	for _, c := range l.GetCrashes() {
 		w.crashes = append(w.crashes, policy.Crash{
-			Server: c.GetServer(), Request: c.GetRequest(), Parts: getParts(c.GetParts()), Unanswered: c.GetUnanswered(),
+			Server: c.GetServer(), Request: c.GetRequest(), Parts: getParts(c.GetParts()), Weak: c.GetWeak(),
 			At: now.Add(-time.Duration(c.GetAge()) * time.Microsecond), Ran: time.Duration(c.GetRan()) * time.Microsecond,
 		})
 	}
--- a/gate/share/news_test.go
+++ b/gate/share/news_test.go
@@ -21,7 +21,7 @@
 		for i := range perGate {
 			part := ident.PromptPart(uint64(g*perGate+i) << 40)
 			w.sound = append(w.sound, part)
-			w.crashes = append(w.crashes, policy.Crash{Server: uint32(part), Request: uint64(part), Parts: []ident.PromptPart{part, part + 1, part + 2}, Unanswered: true, Ran: time.Second})
+			w.crashes = append(w.crashes, policy.Crash{Server: uint32(part), Request: uint64(part), Parts: []ident.PromptPart{part, part + 1, part + 2}, Weak: true, Ran: time.Second})
 		}
 		all.add(w)
 		all.add(w) // each gate sends its news twice
--- a/side/caller/caller.go
+++ b/side/caller/caller.go
@@ -18,6 +18,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"citronledge.example/core/crash"
 	"citronledge.example/core/fault"
 	"citronledge.example/core/ident"
 	"citronledge.example/core/reply"
@@ -145,10 +146,15 @@
 	out := engine.Outcome{Ran: true, Status: resp.StatusCode}
 	if err := streamAnswer(resp, sink); err != nil {
 		out.Fault = engine.FailedOutcome(ctx, err).Fault
+		out.Broke = crash.HasEnded(ctx, err, c.dialService)
 	}
 	return out
 }
 
+func (c *Client) dialService(ctx context.Context) (net.Conn, error) {
+	return c.dial(ctx, "tcp", dialAddress(c.base))
+}
+
 // Lookup asks the service whether an operation ran, with a GET request to path
 // followed by the operation's ServiceKey. Unlike the operation, a look-up may
 // be repeated.
@@ -224,7 +230,9 @@
 		err = errAnswerTooLarge
 	}
 	if err != nil {
-		return nil, unknownOutcome(engine.FailedOutcome(ctx, err))
+		out := engine.FailedOutcome(ctx, err)
+		out.Broke = crash.HasEnded(ctx, err, c.dialService)
+		return nil, unknownOutcome(out)
 	}
 	a := &Answer{Status: resp.StatusCode, Headers: WireHeaders(resp.Header), Body: body}
 	return a, engine.Outcome{Ran: true, Status: resp.StatusCode}
--- a/side/engine/chat.go
+++ b/side/engine/chat.go
@@ -3,15 +3,19 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 
 	"github.com/rotisserie/eris"
 
+	"citronledge.example/core/crash"
 	"citronledge.example/core/fault"
 	"citronledge.example/core/ident"
 	"citronledge.example/core/reply"
@@ -31,8 +35,9 @@
 	Output ident.Tokens // reported by the engine, or counted if the answer was truncated
 	Fault  *fault.Fault // nil only if the answer is complete
 	Status int          // HTTP status of the answer, 0 if there was none
-	// Broke is set if the backend server ended the connection before the first part
-	// of its answer: the request may have crashed it.
+	// Broke is set if the process of the backend server ended while it had the
+	// request, or its connection before the first part of the answer: the request may
+	// have crashed it.
 	Broke bool
 }
 
@@ -117,13 +122,17 @@
 	case !isAnswer(resp.StatusCode):
 		out.Fault = fault.New(fault.Upstream, "the engine answered with status "+strconv.Itoa(resp.StatusCode)+"; retry elsewhere")
 	case w.GetStream() && resp.StatusCode == http.StatusOK:
-		forwardStream(ctx, resp, sink, callerWantsUsage, &out)
+		c.forwardStream(ctx, resp, sink, callerWantsUsage, &out)
 	default:
-		forwardWhole(ctx, resp, sink, &out)
+		c.forwardWhole(ctx, resp, sink, &out)
 	}
 	return out
 }
 
+func (c *Client) dial(ctx context.Context) (net.Conn, error) {
+	return (&net.Dialer{}).DialContext(ctx, "tcp", c.addr)
+}
+
 // isAnswer reports whether the caller gets an answer with this status: a
 // success, or a fault of the request, for which every backend server would give
 // the same answer.
@@ -171,24 +180,28 @@
 	} `json:"usage"`
 }
 
-var errTruncated = eris.New("the answer ended early")
+var (
+	errTruncated = eris.New("the answer ended early")
+	errTooLong   = eris.New("an event is too long")
+)
 
 // forwardWhole forwards an answer that is not streamed, once it is complete.
-func forwardWhole(ctx context.Context, resp *http.Response, sink Sink, out *Outcome) {
+func (c *Client) forwardWhole(ctx context.Context, resp *http.Response, sink Sink, out *Outcome) {
 	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1))
+	out.Broke = crash.HasEnded(ctx, err, c.dial)
 	if err == nil && len(data) > maxAnswerBytes {
 		err = errTruncated
 	}
-	var c completion
+	var whole completion
 	if err == nil && resp.StatusCode == http.StatusOK {
-		err = json.Unmarshal(data, &c)
+		err = json.Unmarshal(data, &whole)
 	}
 	if err != nil {
 		out.recordFailure(ctx, err)
 		return
 	}
-	if c.Usage != nil {
-		out.Input, out.Output = c.Usage.Prompt, c.Usage.Completion
+	if whole.Usage != nil {
+		out.Input, out.Output = whole.Usage.Prompt, whole.Usage.Completion
 	}
 	if err := sink.Head(resp.StatusCode, resp.Header); err != nil {
 		out.recordFailure(ctx, err)
@@ -202,7 +215,7 @@
 // forwardStream forwards a stream event by event. The stream is complete only
 // with its [DONE] event: a closed connection doesn't show whether anything is
 // missing.
-func forwardStream(ctx context.Context, resp *http.Response, sink Sink, callerWantsUsage bool, out *Outcome) {
+func (c *Client) forwardStream(ctx context.Context, resp *http.Response, sink Sink, callerWantsUsage bool, out *Outcome) {
 	if err := sink.Head(resp.StatusCode, resp.Header); err != nil {
 		out.recordFailure(ctx, err)
 		return
@@ -212,7 +225,7 @@
 		event, err := readEvent(r)
 		if err != nil {
 			out.recordFailure(ctx, err)
-			out.Broke = !begun && ctx.Err() == nil
+			out.Broke = !begun && ctx.Err() == nil || crash.HasEnded(ctx, err, c.dial)
 			return
 		}
 		data := eventData(event)
@@ -257,7 +270,7 @@
 		event = append(event, part...)
 		bufferFull := errors.Is(err, bufio.ErrBufferFull)
 		if (err != nil && !bufferFull) || len(event) > maxEventBytes {
-			return nil, errTruncated
+			return nil, fmt.Errorf("%w: %w", errTruncated, cmp.Or(err, errTooLong))
 		}
 		blank := atLineStart && (string(part) == "\n" || string(part) == "\r\n")
 		atLineStart = !bufferFull
--- a/side/engine/chat_test.go
+++ b/side/engine/chat_test.go
@@ -111,31 +111,47 @@
 func (discardSink) Head(int, http.Header) error { return nil }
 func (discardSink) Chunk([]byte) error          { return nil }
 
-// An engine that ends before its answer begins must be told from one that fails
-// the request: only the first may have been ended by it.
+// An engine that ends, before its answer begins or within it, must be told from one
+// that fails the request or breaks off its answer: only the first may have been ended
+// by the request.
 func TestEndOfEngine(t *testing.T) {
 	end := func(http.ResponseWriter) { panic(http.ErrAbortHandler) }
+	part := func(content string) func(w http.ResponseWriter) {
+		return func(w http.ResponseWriter) {
+			_, _ = io.WriteString(w, content)
+			_ = http.NewResponseController(w).Flush()
+			end(w)
+		}
+	}
 	for name, x := range map[string]struct {
 		answer func(w http.ResponseWriter)
 		want   bool
+		whole  bool // no stream
+		exits  bool // the engine's process ends with the answer
 	}{
-		"before the head": {end, true},
-		"after the head": {func(w http.ResponseWriter) {
+		"before the head":                {answer: end, want: true},
+		"in the stream, process ended":   {answer: part("data: {}\n\n"), want: true, exits: true},
+		"inside an event, process ended": {answer: part("data: {}\n\nda"), want: true, exits: true},
+		"in the answer, process ended":   {answer: part("{"), want: true, whole: true, exits: true},
+		"in the answer":                  {answer: part("{"), whole: true},
+		"after the head": {answer: func(w http.ResponseWriter) {
 			w.WriteHeader(http.StatusOK)
 			_ = http.NewResponseController(w).Flush()
 			end(w)
-		}, true},
-		"in the stream": {func(w http.ResponseWriter) {
-			_, _ = io.WriteString(w, "data: {}\n\n")
-			_ = http.NewResponseController(w).Flush()
-			end(w)
-		}, false},
-		"failure": {func(w http.ResponseWriter) { w.WriteHeader(http.StatusInternalServerError) }, false},
+		}, want: true},
+		"in the stream": {answer: part("data: {}\n\n")},
+		"failure":       {answer: func(w http.ResponseWriter) { w.WriteHeader(http.StatusInternalServerError) }},
 	} {
 		t.Run(name, func(t *testing.T) {
-			srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { x.answer(w) }))
+			var srv *httptest.Server
+			srv = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				if x.exits {
+					_ = srv.Listener.Close()
+				}
+				x.answer(w)
+			}))
 			defer srv.Close()
-			out := New(srv.URL, http.DefaultTransport).Chat(t.Context(), &wire.Work{Body: []byte(`{"messages":[]}`), Model: "m", Version: "v1", Stream: true}, discardSink{})
+			out := New(srv.URL, http.DefaultTransport).Chat(t.Context(), &wire.Work{Body: []byte(`{"messages":[]}`), Model: "m", Version: "v1", Stream: !x.whole}, discardSink{})
 			if out.Broke != x.want {
 				t.Errorf("got broke %v, want %v (%v)", out.Broke, x.want, out.Fault)
 			}
--- a/side/engine/engine.go
+++ b/side/engine/engine.go
@@ -4,12 +4,14 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
 	"io"
 	"net"
 	"net/http"
+	"net/url"
 	"slices"
 	"strconv"
 	"sync"
@@ -47,6 +49,7 @@
 // Client calls one engine. It is safe for concurrent use.
 type Client struct {
 	url      string
+	addr     string // HOST:PORT, for probes
 	http     *http.Client
 	notifier guard.Notifier
 
@@ -57,7 +60,7 @@
 
 // New returns a client of the engine at a base URL. With a nil transport it
 // uses HTTP over TCP.
-func New(url string, transport http.RoundTripper) *Client {
+func New(base string, transport http.RoundTripper) *Client {
 	if transport == nil {
 		transport = reply.NewTransport(&http.Transport{
 			DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
@@ -65,13 +68,22 @@
 			DisableCompression: true, // answers are forwarded unchanged
 		})
 	}
-	return &Client{url: url, http: &http.Client{
+	return &Client{url: base, addr: address(base), http: &http.Client{
 		Transport: transport,
 		// A redirect would send the work to a server that is not configured.
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}}
 }
 
+// address returns the HOST:PORT of a base URL; empty if it has none.
+func address(base string) string {
+	u, err := url.Parse(base)
+	if err != nil {
+		return ""
+	}
+	return net.JoinHostPort(u.Hostname(), cmp.Or(u.Port(), map[string]string{"http": "80", "https": "443"}[u.Scheme]))
+}
+
 // LoadReport returns the last load report of the engine.
 func (c *Client) LoadReport() guard.LoadReport {
 	c.mu.Lock()
--- a/stub/runner/runner.go
+++ b/stub/runner/runner.go
@@ -46,10 +46,14 @@
 
 // Backend is a running stand-in for a backend server.
 type Backend struct {
-	ln    net.Listener
-	early bool // answers before it reads the body of a request
+	addr  string
+	early bool          // answers before it reads the body of a request
+	done  chan struct{} // closed by Close
 
-	mu       sync.Mutex
+	mu       sync.Mutex // guards the fields below
+	ln       net.Listener
+	crashed  bool // and not yet back
+	closed   bool
 	reply    Reply
 	requests []*Request
 	conns    map[net.Conn]bool
@@ -74,18 +78,22 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &Backend{ln: ln, early: early, reply: reply, conns: map[net.Conn]bool{}}
-	r.wait.Go(r.accept)
+	r := &Backend{addr: ln.Addr().String(), ln: ln, early: early, reply: reply, conns: map[net.Conn]bool{}, done: make(chan struct{})}
+	r.wait.Go(func() { r.accept(ln) })
 	return r, nil
 }
 
 // Addr returns the address at which the backend server listens.
-func (b *Backend) Addr() string { return b.ln.Addr().String() }
+func (b *Backend) Addr() string { return b.addr }
 
 // Close closes the listener and all connections, and waits until they are done.
 func (b *Backend) Close() {
-	_ = b.ln.Close()
 	b.mu.Lock()
+	if !b.closed {
+		b.closed = true
+		close(b.done)
+	}
+	_ = b.ln.Close()
 	for c := range b.conns {
 		_ = c.Close()
 	}
@@ -93,6 +101,40 @@
 	b.wait.Wait()
 }
 
+// Crash ends the listener and all connections, as the end of a process does, and
+// starts again on the same address after a while.
+func (b *Backend) Crash(down time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.crashed || b.closed {
+		return
+	}
+	b.crashed = true
+	_ = b.ln.Close()
+	for c := range b.conns {
+		_ = c.Close()
+	}
+	b.wait.Go(func() {
+		select {
+		case <-time.After(down):
+		case <-b.done:
+			return
+		}
+		ln, err := net.Listen("tcp", b.addr)
+		if err != nil {
+			return // the address was taken; the server stays down
+		}
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		if b.closed {
+			_ = ln.Close()
+			return
+		}
+		b.ln, b.crashed = ln, false
+		b.wait.Go(func() { b.accept(ln) })
+	})
+}
+
 // Requests returns the requests that have been read so far.
 func (b *Backend) Requests() []*Request {
 	b.mu.Lock()
@@ -114,9 +156,9 @@
 	b.reply = reply
 }
 
-func (b *Backend) accept() {
+func (b *Backend) accept(ln net.Listener) {
 	for {
-		c, err := b.ln.Accept()
+		c, err := ln.Accept()
 		if err != nil {
 			return
 		}
