gate/relay: streams report each end of a server; a begun answer clears nothing

Cause: an end after the first event was not counted, and the first event had cleared the part at all gates before the crash that followed.

Change: streams report the end of their connection to core/crash whatever had come of them. A request and its parts are cleared by an answer that is whole or has been under way for 5 s.

--- a/gate/relay/attempt.go
+++ b/gate/relay/attempt.go
@@ -91,6 +91,7 @@
 	brokenOff     bool       // the answer ended in the middle
 	end           *crash.End // how the server ended the connection before the end of the answer; nil if it didn't
 	cutOff        bool       // the server's process ended
+	sound         bool       // the answer has shown that the request crashes no servers
 	// quarantinedOff is set when the gate ends the attempt because of its prompt.
 	quarantinedOff atomic.Bool
 	detail         string
--- a/gate/relay/crash.go
+++ b/gate/relay/crash.go
@@ -131,8 +131,21 @@
 	}
 }
 
-// recordSound records that the answer has begun.
+// longAnswer is how long an answer has to be under way to be evidence that its request
+// crashes no servers. Endless streams would give none otherwise.
+const longAnswer = 5 * time.Second
+
+// recordProgress records a part of a stream.
+func (x *attempt) recordProgress() {
+	if !x.sound && time.Since(x.attemptStart) > x.headLatency+longAnswer {
+		x.recordSound()
+	}
+}
+
+// recordSound records that the request does not crash servers: its answer is whole, or
+// has been under way for long.
 func (x *attempt) recordSound() {
+	x.sound = true
 	x.r.mu.Lock()
 	released := x.r.quarantine.RecordSound(x.promptParts(), x.contentHash(), time.Now())
 	x.r.mu.Unlock()
--- a/gate/relay/ended_test.go
+++ b/gate/relay/ended_test.go
@@ -20,6 +20,19 @@
 // brokenOff writes a part of an answer.
 type brokenOff func(c net.Conn, q *runner.Request)
 
+// brokenEvents writes a stream up to an event, and then more.
+func brokenEvents(last int, more string) brokenOff {
+	return func(c net.Conn, q *runner.Request) {
+		runner.Write(c, runner.ResponseHead(http.StatusOK, q, "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"))
+		for i := q.LastEventID() + 1; i <= q.LastEventID()+last; i++ {
+			runner.Write(c, runner.Chunk(runner.Event(i)))
+		}
+		if more != "" {
+			runner.Write(c, runner.Chunk(more))
+		}
+	}
+}
+
 // brokenBody writes the head of an answer with further headers, and a part of its body.
 func brokenBody(status int, headers, part string) brokenOff {
 	return func(c net.Conn, q *runner.Request) {
@@ -33,6 +46,12 @@
 	write brokenOff
 	reset bool
 }{
+	"stream, after an event":          {"/stream/x", brokenEvents(1, ""), false},
+	"stream, after an event, reset":   {"/stream/x", brokenEvents(1, ""), true},
+	"stream, after two events":        {"/stream/x", brokenEvents(2, ""), false},
+	"stream, after five events":       {"/stream/x", brokenEvents(5, ""), false},
+	"stream, after twelve events":     {"/stream/x", brokenEvents(12, ""), true},
+	"stream, inside an event":         {"/stream/x", brokenEvents(1, "id: 99\nda"), false},
 	"repeatable, with a length":       {"/safe/x", brokenBody(http.StatusOK, "Content-Length: 800", "part"), false},
 	"repeatable, reset":               {"/safe/x", brokenBody(http.StatusOK, "Content-Length: 800", "part"), true},
 	"repeatable, in chunks":           {"/safe/x", brokenBody(http.StatusOK, "Transfer-Encoding: chunked", "4\r\npart\r\n"), false},
@@ -84,7 +103,7 @@
 }
 
 // Guards against a request, or a part of a prompt, that crashes each server in the
-// middle of its answer and is never held back (review/13). A server that only
+// middle of its answer and is never held back (review/13, review/14). A server that only
 // breaks off its answers shows nothing of the kind, and sound requests are served.
 func TestServerEndsWithinAnswer(t *testing.T) {
 	const (
@@ -133,3 +152,53 @@
 		}
 	}
 }
+
+// Guards bystanders: streams that are under way on servers that a part of other
+// prompts crashes go on at other servers, and their prompts are not held back.
+func TestBystandersOfCrashes(t *testing.T) {
+	const bystanders = 6
+	var r *rig
+	replies := make([]runner.Reply, 9)
+	for i := range replies {
+		replies[i] = func(c net.Conn, q *runner.Request) bool {
+			if isDeadly(q) {
+				brokenEvents(1, "")(c, q)
+				time.Sleep(5 * time.Millisecond)
+				r.runners[i].Crash(400 * time.Millisecond)
+				return false
+			}
+			return runner.Events(q.LastEventID()+1, 40, 25*time.Millisecond, "")(c, q)
+		}
+	}
+	r = newRig(t, replies...)
+	r.longRoutes(10 * time.Second)
+	got := make(chan answer)
+	send := func(id string, n int) answer {
+		return r.sendBody(http.MethodPost, "/stream/x", id, id, map[string]string{"Prefix-Hash": fmt.Sprintf("ba5e:100,b0b%x:20,%x:5", n%2, n), "Deadline-Ms": "8000"})
+	}
+	for i := range bystanders {
+		go func() { got <- send(fmt.Sprint("bystander", i), i) }()
+	}
+	time.Sleep(200 * time.Millisecond) // their answers are under way
+	for i := range 12 {
+		r.sendBody(http.MethodPost, "/stream/x", fmt.Sprint("deadly", i), fmt.Sprint("deadly", i), map[string]string{"Prefix-Hash": fmt.Sprintf(deadlyPrompt, i)})
+		time.Sleep(30 * time.Millisecond)
+	}
+	whole := 0
+	for range bystanders {
+		if a := <-got; a.status == http.StatusOK && a.body == events(1, 40) && a.err == nil {
+			whole++
+		}
+	}
+	if whole < bystanders-1 { // one may have met more crashes than the route allows attempts
+		t.Errorf("%d of %d bystanders have the whole answer", whole, bystanders)
+	}
+	for i := range 4 {
+		if a := send(fmt.Sprint("after", i), i); a.status != http.StatusOK {
+			t.Errorf("a prompt with the parts of bystanders: got status %d, want 200", a.status)
+		}
+	}
+	if n := r.deadlyRequests(); n > 8 {
+		t.Errorf("the deadly requests reached servers %d times, want at most 8", n)
+	}
+}
--- a/gate/relay/stream.go
+++ b/gate/relay/stream.go
@@ -86,6 +86,7 @@
 		switch {
 		case errors.Is(err, io.EOF):
 			a.Close()
+			x.recordSound()
 			x.recordEnd("served", a.Status)
 			return answered{}, fleet.Good
 		case err != nil && stall.stalled.Load():
@@ -111,8 +112,8 @@
 	}
 	if x.eventsSent == 0 {
 		x.answerBegun()
-		x.recordSound()
 	}
+	x.recordProgress()
 	if id := lastEventIDOf(events); id != "" {
 		x.lastEventID = id
 	}
@@ -134,9 +135,6 @@
 		return
 	}
 	x.brokenOff = true
-	if x.eventsSent > 0 {
-		return
-	}
 	progress := crash.Part
 	if x.route.Type == plan.RouteStream && x.eventsSent == 0 {
 		progress = crash.Head
