--- a/core/crash/crash.go
+++ b/core/crash/crash.go
@@ -16,11 +16,11 @@
 type Progress uint8
 
 const (
-	// None: nothing of the answer had come.
+	// None means that nothing of the answer had come.
 	None Progress = iota
-	// Head: the head of a stream had come, and no event.
+	// Head means that the head of a stream had come, and no event.
 	Head
-	// Part: an event of a stream had come, or any part of another answer.
+	// Part means that an event of a stream had come, or any part of another answer.
 	Part
 )
 
@@ -39,11 +39,11 @@
 type Verdict uint8
 
 const (
-	// Alive: the process has not ended.
+	// Alive means that the process has not ended.
 	Alive Verdict = iota
-	// Crashed: the process has ended.
+	// Crashed means that the process has ended.
 	Crashed
-	// Unclear: a later probe may show whether the process has ended.
+	// Unclear means that a later probe may show whether the process has ended.
 	Unclear
 )
 
