gate/relay: a prompt that repeats a part does not hang gates

Cause: Quarantine.block dropped the oldest crash of a part once for each time that the part was named, and panicked with the mutex of the relay held, which the deferred calls of the request wait for before net/http can recover. Readiness read atomics that no request waits for.

--- a/core/policy/quarantine.go
+++ b/core/policy/quarantine.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -41,6 +42,12 @@
 	// wait to be sent.
 	maxParts    = 8192
 	maxPartNews = 256
+	// maxBlamed limits the parts that are blamed for one crash: a prompt may have
+	// thousands, and those that others share come first.
+	maxBlamed = 128
+	// maxNewsParts limits the parts in all crashes, and in all blocks, that are sent
+	// at once.
+	maxNewsParts = 2048
 )
 
 // Crash is a server whose process ended while it had a request.
@@ -96,6 +103,8 @@
 	sound    map[ident.PromptPart]*soundPart
 	blocks   []*block
 	unsent   PartNews // without Blocks
+	// unsentParts is the number of parts in unsent.Crashes.
+	unsentParts int
 }
 
 // suspect is a part of a prompt that no answer has cleared since the crashes.
@@ -165,15 +174,18 @@
 	if c.At.IsZero() {
 		c.At = now
 	}
+	c.Parts = distinct(c.Parts)
 	isSound := func(part ident.PromptPart) bool { return q.isSound(part, now) }
 	if others := slices.DeleteFunc(slices.Clone(c.Parts), isSound); len(others) > 0 {
 		c.Parts = others
 	}
+	c.Parts = c.Parts[:min(len(c.Parts), maxBlamed)]
 	if len(c.Parts) == 0 && c.Request == 0 {
 		return nil
 	}
-	if len(q.unsent.Crashes) < maxPartNews {
+	if len(q.unsent.Crashes) < maxPartNews && q.unsentParts+len(c.Parts) <= maxNewsParts {
 		q.unsent.Crashes = append(q.unsent.Crashes, c)
+		q.unsentParts += len(c.Parts)
 	}
 	return q.blame(c, now)
 }
@@ -192,8 +204,22 @@
 	return b != nil && slices.ContainsFunc(b.parts, func(part ident.PromptPart) bool { return !q.isSound(part, now) })
 }
 
-// blame adds a crash to the record of its request and its parts, and returns the
-// blocks that follow. A request that is blocked for its parts is not blocked by
+// distinct returns the parts without repeats, in order. A prompt may have a part
+// several times, as a text that is pasted again.
+func distinct(parts []ident.PromptPart) []ident.PromptPart {
+	seen := make(map[ident.PromptPart]bool, len(parts))
+	list := make([]ident.PromptPart, 0, len(parts))
+	for _, part := range parts {
+		if !seen[part] {
+			seen[part] = true
+			list = append(list, part)
+		}
+	}
+	return list
+}
+
+// blame adds a crash to the record of its request and its distinct parts, and returns
+// the blocks that follow. A request that is blocked for its parts is not blocked by
 // itself too.
 func (q *Quarantine) blame(c Crash, now time.Time) (blocks []Block) {
 	var proven []ident.PromptPart
@@ -278,7 +304,7 @@
 	for _, part := range parts {
 		s := q.suspects[part]
 		s.blocks, s.blockedEnd = b.times, b.until
-		s.crashes = slices.Clone(s.crashes[1:])
+		s.crashes = slices.Clone(s.crashes[min(1, len(s.crashes)):])
 	}
 	return b.export(now)
 }
@@ -287,7 +313,7 @@
 // of times before.
 func quarantineLength(before int) time.Duration {
 	length := firstQuarantine
-	for range before {
+	for ; before > 0 && length < maxQuarantine; before-- {
 		length = min(2*length, maxQuarantine)
 	}
 	return length
@@ -346,10 +372,12 @@
 // blocks.
 func (q *Quarantine) TakeNews(now time.Time) PartNews {
 	news := q.unsent
-	q.unsent = PartNews{}
+	q.unsent, q.unsentParts = PartNews{}, 0
+	parts := 0
 	for _, b := range q.blocks {
-		if now.Before(b.until) && len(news.Blocks) < maxPartNews {
+		if now.Before(b.until) && len(news.Blocks) < maxPartNews && parts+len(b.parts) <= maxNewsParts {
 			news.Blocks = append(news.Blocks, b.export(now))
+			parts += len(b.parts)
 		}
 	}
 	return news
@@ -359,6 +387,8 @@
 // releases that follow.
 func (q *Quarantine) Merge(news PartNews, now time.Time) (blocks []Block, released []ident.PromptPart) {
 	for _, c := range news.Crashes {
+		c.Parts = distinct(c.Parts)
+		c.Parts = c.Parts[:min(len(c.Parts), maxBlamed)]
 		blocks = append(blocks, q.blame(c, now)...)
 	}
 	for _, part := range news.Sound {
@@ -380,6 +410,10 @@
 // adopt takes over a block that another gate has, as after a restart, and reports
 // whether it is new here. A gate that has seen an answer since says so instead.
 func (q *Quarantine) adopt(b Block, now time.Time) bool {
+	b.Parts, b.Left = distinct(b.Parts), min(max(0, b.Left), maxQuarantine)
+	if b.Times < 0 || b.Times > math.MaxInt32 || len(b.Parts) > maxBlamed {
+		return false
+	}
 	age := quarantineLength(b.Times-1) - b.Left
 	for _, part := range b.Parts {
 		if s := q.sound[part]; s != nil && now.Sub(s.seenAt) < age {
@@ -390,7 +424,7 @@
 	if len(b.Parts) == 0 || len(q.blocks) >= maxPartNews || q.findBlock(b.Parts, now) != nil {
 		return false
 	}
-	q.blocks = append(q.blocks, &block{slices.Clone(b.Parts), now.Add(b.Left), b.Times})
+	q.blocks = append(q.blocks, &block{b.Parts, now.Add(b.Left), b.Times})
 	return true
 }
 
--- a/core/policy/quarantine_test.go
+++ b/core/policy/quarantine_test.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"math"
 	"slices"
 	"testing"
 	"time"
@@ -245,3 +246,79 @@
 		t.Errorf("%d parts are remembered after a long silence, want none", n)
 	}
 }
+
+// TestQuarantineOddParts guards against prompts that name a part several times,
+// thousands of parts or none, and against news of such: a gate that panicked on one
+// answered nothing any more.
+func TestQuarantineOddParts(t *testing.T) {
+	many := make([]ident.PromptPart, 5000)
+	for i := range many {
+		many[i] = ident.PromptPart(i + 1)
+	}
+	for name, parts := range map[string][]ident.PromptPart{
+		"one part":        {7},
+		"four times":      {7, 7, 7, 7},
+		"as the last":     {7, 8, 8, 9, 7, 7, 8, 7},
+		"the request":     {7, 1, 2, 3, 4, 1},
+		"zero":            {0, 0, 0, 0},
+		"thousands":       many,
+		"thousand of one": slices.Repeat([]ident.PromptPart{7}, 5000),
+		"none":            nil,
+	} {
+		t.Run(name, func(t *testing.T) {
+			own, peer, now := NewQuarantine(), NewQuarantine(), time.Unix(1_000_000, 0)
+			wasBlocked := map[string]bool{}
+			for i := range 40 {
+				c := Crash{Server: uint32(i), Request: uint64(i%4 + 1), Parts: parts, Ran: time.Second}
+				own.RecordCrash(c, now)
+				news := own.TakeNews(now)
+				peer.Merge(news, now)
+				if n := countParts(news); n > 2*maxNewsParts {
+					t.Errorf("got news of %d parts, want at most %d", n, 2*maxNewsParts)
+				}
+				for gate, q := range map[string]*Quarantine{"own": own, "peer": peer} {
+					b, blocked := q.Blocked(Suspects(parts, 1), now)
+					if wasBlocked[gate] = wasBlocked[gate] || blocked; len(b.Parts) > maxBlamed {
+						t.Errorf("%s gate: blocked by %d parts, want at most %d", gate, len(b.Parts), maxBlamed)
+					}
+					if _, blocked := q.Blocked([]ident.PromptPart{1 << 40}, now); blocked {
+						t.Errorf("%s gate: another prompt is blocked", gate)
+					}
+				}
+				now = now.Add(2 * time.Second)
+			}
+			if !wasBlocked["own"] || !wasBlocked["peer"] {
+				t.Errorf("got blocked at %v, want at both gates", wasBlocked)
+			}
+		})
+	}
+}
+
+func countParts(news PartNews) (n int) {
+	for _, c := range news.Crashes {
+		n += len(c.Parts)
+	}
+	for _, b := range news.Blocks {
+		n += len(b.Parts)
+	}
+	return n
+}
+
+// TestQuarantineOddBlocks guards against blocks of another gate with counts and times
+// that no gate sends: adopting one must neither take long nor block for good.
+func TestQuarantineOddBlocks(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	for name, b := range map[string]Block{
+		"many times": {Parts: []ident.PromptPart{7}, Left: time.Minute, Times: math.MaxInt},
+		"uint32":     {Parts: []ident.PromptPart{7}, Left: time.Minute, Times: math.MaxUint32},
+		"negative":   {Parts: []ident.PromptPart{7}, Left: -time.Hour, Times: math.MinInt},
+		"for long":   {Parts: []ident.PromptPart{7, 7}, Left: math.MaxInt64, Times: math.MaxInt32},
+	} {
+		q := NewQuarantine()
+		q.RecordSound([]ident.PromptPart{7}, 0, now)
+		q.Merge(PartNews{Blocks: []Block{b}}, now.Add(time.Second))
+		if _, blocked := q.Blocked([]ident.PromptPart{7}, now.Add(maxQuarantine+2*time.Second)); blocked {
+			t.Errorf("%s: blocked for longer than %v", name, maxQuarantine)
+		}
+	}
+}
--- a/gate/fleet/list.go
+++ b/gate/fleet/list.go
@@ -51,16 +51,21 @@
 
 // SetList stores the list that this gate has read.
 func (f *Fleet) SetList(list []platform.ListedBackend, now time.Time) {
-	f.mu.Lock()
-	f.list.number++
-	list, cold := f.noteListedColds(list, now)
-	changed := f.setList(share.Reading{Digest: listDigest(list, cold), At: now, Reader: f.list.reader, Number: f.list.number}, list, cold)
-	f.mu.Unlock()
-	if changed {
+	if list, changed := f.storeReading(list, now); changed {
 		f.Update(list)
 	}
 }
 
+// storeReading stores the list that this gate has read, and reports whether it is
+// another one.
+func (f *Fleet) storeReading(list []platform.ListedBackend, now time.Time) (noted []platform.ListedBackend, changed bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.list.number++
+	noted, cold := f.noteListedColds(list, now)
+	return noted, f.setList(share.Reading{Digest: listDigest(noted, cold), At: now, Reader: f.list.reader, Number: f.list.number}, noted, cold)
+}
+
 // setList stores a reading and its list, and reports whether the list is
 // another one. It must be called with mu held.
 func (f *Fleet) setList(r share.Reading, list []platform.ListedBackend, cold listedColds) (changed bool) {
@@ -186,11 +191,18 @@
 
 // MergeBuckets implements share.ServerList.
 func (f *Fleet) MergeBuckets(r share.Reading, parts []*wire.Bucket) {
+	if list, complete := f.mergeParts(r, parts); complete {
+		f.Update(list)
+	}
+}
+
+// mergeParts stores parts of a newer list, and returns the list once it is complete.
+func (f *Fleet) mergeParts(r share.Reading, parts []*wire.Bucket) (list []platform.ListedBackend, complete bool) {
 	f.mu.Lock()
+	defer f.mu.Unlock()
 	l := &f.list
 	if r.Digest == l.reading.Digest || !l.isNews(r) || !r.At.After(l.reading.At.Add(minReadingGap)) {
-		f.mu.Unlock()
-		return
+		return nil, false
 	}
 	if l.partsDigest != r.Digest {
 		l.parts, l.partsCold, l.partsDigest = map[uint32][]platform.ListedBackend{}, listedColds{}, r.Digest
@@ -208,7 +220,6 @@
 		}
 		l.parts[b.GetIndex()] = part
 	}
-	var list []platform.ListedBackend
 	cold := listedColds{}
 	for i, part := range buckets(l.servers) {
 		from := l.cold
@@ -219,13 +230,11 @@
 		cold.copy(from, part)
 	}
 	if listDigest(list, cold) != r.Digest {
-		f.mu.Unlock() // parts are missing
-		return
+		return nil, false // parts are missing
 	}
 	l.note(r)
 	f.setList(r, list, cold)
-	f.mu.Unlock()
-	f.Update(list)
+	return list, true
 }
 
 // listDigest returns a digest of a list, whatever its order.
--- a/gate/pool/backend.go
+++ b/gate/pool/backend.go
@@ -265,24 +265,29 @@
 // recordLoad stores a load report and the time until the next one; 0 means the
 // interval of a link with work.
 func (b *backend) recordLoad(l *wire.Load, due time.Duration) {
-	now := time.Now()
+	if b.storeLoad(l, due, time.Now()) {
+		b.pool.refreshIndex()
+	}
+}
+
+// storeLoad stores a load report, and reports whether the backend server serves
+// something else than before.
+func (b *backend) storeLoad(l *wire.Load, due time.Duration, now time.Time) (changed bool) {
 	b.mu.Lock()
+	defer b.mu.Unlock()
 	l.Fill(b.load)
 	b.reportDue = due
 	if due <= ident.RenewInterval || b.running.Load() == 0 {
 		b.reportAwaitedSince.Store(nil) // the report of an idle link may have crossed with the work
 	}
-	changed := b.load == nil || b.load.GetService() != l.GetService() || !sameServed(b.load.GetServed(), l.GetServed())
+	changed = b.load == nil || b.load.GetService() != l.GetService() || !sameServed(b.load.GetServed(), l.GetServed())
 	if b.healthySince.IsZero() || (b.load != nil && !b.load.GetHealthy() && l.GetHealthy()) {
 		b.healthySince = now
 	}
 	b.load, b.reportedAt = l, now
 	b.peaks[b.peakNext] = peak{b.peakRunning.Swap(b.running.Load()), now}
 	b.peakNext = (b.peakNext + 1) % peakReports
-	b.mu.Unlock()
-	if changed {
-		b.pool.refreshIndex()
-	}
+	return changed
 }
 
 // foreignLoad returns the load that other gates put on the backend server, as
--- a/gate/relay/crash.go
+++ b/gate/relay/crash.go
@@ -21,6 +21,13 @@
 // gets no further attempt, whatever its prompt is blamed for.
 const maxRequestCrashes = 2
 
+// withQuarantine calls f with the quarantine. If f panics, the mutex is free again.
+func (r *Relay) withQuarantine(f func(q *policy.Quarantine)) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	f(r.quarantine)
+}
+
 // promptParts returns the hashes of the shared parts of the prompt with the
 // service. What crashes the servers of one service may be sound at another.
 func (c *call) promptParts() []ident.PromptPart {
@@ -66,9 +73,10 @@
 // quarantined returns the quarantine of the request or of a part of its prompt,
 // if there is one, and makes it the reason why the request ends.
 func (c *call) quarantined() (policy.Block, bool) {
-	c.r.mu.Lock()
-	block, blocked := c.r.quarantine.Blocked(c.suspects(), time.Now())
-	c.r.mu.Unlock()
+	suspects := c.suspects()
+	var block policy.Block
+	var blocked bool
+	c.r.withQuarantine(func(q *policy.Quarantine) { block, blocked = q.Blocked(suspects, time.Now()) })
 	if blocked {
 		c.r.metrics.quarantined.Inc()
 		c.reason = "the prompt has a part that crashes backend servers: " + hashList(block.Parts)
@@ -119,12 +127,12 @@
 // blame records a crash and ends the attempts that must not crash further servers.
 func (r *Relay) blame(c policy.Crash, server ident.Backend) {
 	now := time.Now()
-	r.mu.Lock()
-	blocks := r.quarantine.RecordCrash(c, now)
-	if len(blocks) > 0 {
-		r.abandonQuarantined(now)
-	}
-	r.mu.Unlock()
+	var blocks []policy.Block
+	r.withQuarantine(func(q *policy.Quarantine) {
+		if blocks = q.RecordCrash(c, now); len(blocks) > 0 {
+			r.abandonQuarantined(now)
+		}
+	})
 	klog.InfoS("Crash of a backend server recorded", "backend", server, "weak", c.Weak, "ran", c.Ran, "content", fmt.Sprintf("%016x", c.Request), "hashes", hashList(c.Parts))
 	for _, b := range blocks {
 		logBlock(b, "this gate")
@@ -146,9 +154,9 @@
 // has been under way for long.
 func (x *attempt) recordSound() {
 	x.sound = true
-	x.r.mu.Lock()
-	released := x.r.quarantine.RecordSound(x.promptParts(), x.contentHash(), time.Now())
-	x.r.mu.Unlock()
+	parts, content := x.promptParts(), x.contentHash()
+	var released []ident.PromptPart
+	x.r.withQuarantine(func(q *policy.Quarantine) { released = q.RecordSound(parts, content, time.Now()) })
 	logReleases(released, "this gate")
 }
 
@@ -187,12 +195,13 @@
 // MergePartNews implements share.PartTable.
 func (r *Relay) MergePartNews(news policy.PartNews) {
 	now := time.Now()
-	r.mu.Lock()
-	blocks, released := r.quarantine.Merge(news, now)
-	if len(blocks) > 0 {
-		r.abandonQuarantined(now)
-	}
-	r.mu.Unlock()
+	var blocks []policy.Block
+	var released []ident.PromptPart
+	r.withQuarantine(func(q *policy.Quarantine) {
+		if blocks, released = q.Merge(news, now); len(blocks) > 0 {
+			r.abandonQuarantined(now)
+		}
+	})
 	for _, b := range blocks {
 		logBlock(b, "another gate")
 	}
--- a/gate/relay/crash_test.go
+++ b/gate/relay/crash_test.go
@@ -250,3 +250,27 @@
 		})
 	}
 }
+
+// Guards against a prompt that lists a part several times, as a text that is pasted
+// again: it must not stop the gate after its crashes (review/6).
+func TestPromptRepeatsPart(t *testing.T) {
+	r := newRig(t, crashingReply, crashingReply, crashingReply, crashingReply, crashingReply, crashingReply)
+	done := make(chan bool)
+	go func() {
+		defer close(done)
+		for i := range 6 {
+			r.sendBody(http.MethodPost, "/stream/x", fmt.Sprint("deadly", i), fmt.Sprint("deadly", i), map[string]string{"Prefix-Hash": fmt.Sprintf("ba5e:100,dead:20,dead:20,dead:20,dead:20,dead:20,%x:5", i)})
+			if got := r.sendBody(http.MethodPost, "/stream/x", fmt.Sprint("sound", i), fmt.Sprint("sound", i), map[string]string{"Prefix-Hash": fmt.Sprintf(soundPrompt, i)}); got.status != http.StatusOK {
+				t.Errorf("sound request %d: got status %d (%v), want 200", i, got.status, got.err)
+			}
+		}
+	}()
+	select {
+	case <-done:
+	case <-time.After(20 * time.Second):
+		t.Fatal("the gate hangs")
+	}
+	if got := r.deadlyRuns(); got > 8 {
+		t.Errorf("%d requests with the deadly part reached servers, want at most 8", got)
+	}
+}
--- a/gate/relay/hold.go
+++ b/gate/relay/hold.go
@@ -163,15 +163,19 @@
 
 func (h *holder) setReady(now time.Time, took time.Duration) {
 	h.metrics.startSeconds.WithLabelValues("ready").Set(took.Seconds())
-	h.mu.Lock()
-	h.queue.SetReady(now)
-	h.mu.Unlock()
+	h.markReady(now)
 	h.served.Store(true)
 	if h.onStart != nil {
 		go h.onStart(took) // it writes to a disk, which may be slow
 	}
 }
 
+func (h *holder) markReady(now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.queue.SetReady(now)
+}
+
 // advance releases and refuses the requests that are due. It reports whether
 // nothing is held any more and nothing will be.
 func (h *holder) advance(now time.Time) bool {
--- a/gate/relay/metrics.go
+++ b/gate/relay/metrics.go
@@ -15,6 +15,7 @@
 	streamReads    prometheus.Counter
 	quarantined    prometheus.Counter
 	limited        prometheus.Counter
+	panics         prometheus.Counter
 	evacuatedZones prometheus.Gauge
 	prefixTokens   *prometheus.CounterVec
 	prefixAttempts *prometheus.CounterVec
@@ -31,6 +32,7 @@
 		streamReads:    prometheus.NewCounter(prometheus.CounterOpts{Name: "relay_stream_reads_total", Help: "Parts of streams passed on."}),
 		quarantined:    prometheus.NewCounter(prometheus.CounterOpts{Name: "relay_quarantined_requests_total", Help: "Requests ended because a part of their prompts crashes backend servers."}),
 		limited:        prometheus.NewCounter(prometheus.CounterOpts{Name: "relay_limited_attempts_total", Help: "Attempts that were not made because all backend servers limit their requests or pause."}),
+		panics:         prometheus.NewCounter(prometheus.CounterOpts{Name: "relay_panics_total", Help: "Requests ended because the gate panicked."}),
 		evacuatedZones: prometheus.NewGauge(prometheus.GaugeOpts{Name: "relay_evacuated_zones", Help: "Availability zones whose backend servers get no new attempts."}),
 		prefixTokens:   prometheus.NewCounterVec(prometheus.CounterOpts{Name: "relay_prefix_tokens_total", Help: "Tokens of prompts that were expected to be held, by what that rests on and whether they were."}, []string{"basis", "verdict"}),
 		prefixAttempts: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "relay_prefix_attempts_total", Help: "Attempts at servers that were expected to hold parts of the prompt, by what that rests on and whether they did."}, []string{"basis", "verdict"}),
@@ -38,7 +40,7 @@
 }
 
 func (m *metrics) register(reg prometheus.Registerer) {
-	reg.MustRegister(m.requests, m.attempts, m.requestLatency, m.headLatency, m.running, m.streamReads, m.quarantined, m.limited, m.evacuatedZones, m.prefixTokens, m.prefixAttempts)
+	reg.MustRegister(m.requests, m.attempts, m.requestLatency, m.headLatency, m.running, m.streamReads, m.quarantined, m.limited, m.panics, m.evacuatedZones, m.prefixTokens, m.prefixAttempts)
 }
 
 func (m *metrics) observeEnd(kind, end string, took time.Duration) {
--- a/gate/relay/relay.go
+++ b/gate/relay/relay.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"net/http"
+	"runtime/debug"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -53,6 +54,7 @@
 	holdMetrics holdMetrics
 	hold        *holder // nil if the gate holds no requests
 
+	swept   atomic.Pointer[time.Time] // last sweep; nil before the first
 	config  atomic.Pointer[activeConfig]
 	stopEnd atomic.Pointer[time.Time] // end of the planned stop under way; nil without one
 
@@ -160,7 +162,22 @@
 
 // Ready reports whether requests can be served.
 func (r *Relay) Ready() bool {
-	return r.config.Load() != nil && !r.fleet.ListReadAt().IsZero() && r.stopEnd.Load() == nil && (r.hold == nil || r.hold.served.Load())
+	return r.answers() && r.config.Load() != nil && !r.fleet.ListReadAt().IsZero() && r.stopEnd.Load() == nil && (r.hold == nil || r.hold.served.Load())
+}
+
+const (
+	sweepInterval = time.Second
+	// maxSweepPause is how long a gate may take from one sweep to the next until it
+	// says that it is not ready.
+	maxSweepPause = 4 * sweepInterval
+)
+
+// answers reports whether the last sweep, which takes the mutexes that all requests
+// take, is not too long ago. A gate in which one of them is never free again hangs,
+// though its process runs.
+func (r *Relay) answers() bool {
+	last := r.swept.Load()
+	return last == nil || time.Since(*last) < maxSweepPause
 }
 
 // leastFirstTokenTime returns the expected time to the first token of a prompt
@@ -270,8 +287,7 @@
 
 // Sweep removes expired sessions and connections until ctx ends.
 func (r *Relay) Sweep(ctx context.Context) error {
-	const interval = time.Second
-	tick := time.NewTicker(interval)
+	tick := time.NewTicker(sweepInterval)
 	defer tick.Stop()
 	for {
 		select {
@@ -279,14 +295,20 @@
 			return nil
 		case now := <-tick.C:
 			r.fleet.CloseExpired(now)
-			r.mu.Lock()
-			r.sessions.expire(now, r.sessionTTL())
-			r.quarantine.Expire(now)
-			r.mu.Unlock()
+			r.forget(now)
+			r.swept.Store(&now)
 		}
 	}
 }
 
+// forget removes what is too old of sessions and of the quarantine.
+func (r *Relay) forget(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.sessions.expire(now, r.sessionTTL())
+	r.quarantine.Expire(now)
+}
+
 // retryBudget returns the retry budget of a service. It must be called with mu
 // held.
 func (r *Relay) retryBudget(service ident.Service) *policy.WindowBudget {
@@ -327,9 +349,25 @@
 	if r.stopEnd.Load() != nil {
 		w.Header().Set("Connection", "close")
 	}
+	defer c.recoverPanic()
 	c.serve()
 }
 
+// recoverPanic ends a request in which the gate has panicked. It may have run, so it
+// gets no answer.
+func (c *call) recoverPanic() {
+	p := recover()
+	if p == nil {
+		return
+	}
+	if p == http.ErrAbortHandler {
+		panic(p)
+	}
+	c.r.metrics.panics.Inc()
+	klog.ErrorS(nil, "Request panicked; report this defect", "id", c.head.AttemptID, "panic", p, "stack", string(debug.Stack()))
+	intake.Abort(c.w, c.req)
+}
+
 // path returns the path of a raw request target.
 func path(target string) string {
 	if i := strings.IndexByte(target, '?'); i >= 0 {
--- a/gate/relay/session.go
+++ b/gate/relay/session.go
@@ -93,9 +93,7 @@
 	if !candidate {
 		return "", false
 	}
-	c.r.mu.Lock()
-	x, known := c.r.sessions.byHash[id]
-	c.r.mu.Unlock()
+	x, known := c.r.session(id)
 	if !known || time.Since(x.servedAt) > c.r.sessionTTL() {
 		return "", false
 	}
@@ -107,6 +105,13 @@
 	return "", false
 }
 
+func (r *Relay) session(id uint32) (sessionEntry, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	x, known := r.sessions.byHash[id]
+	return x, known
+}
+
 // sessionTTLMargin is added to the session timeout, since sessions served by
 // other gates are known here a little later.
 const sessionTTLMargin = time.Second
--- a/gate/route/admit.go
+++ b/gate/route/admit.go
@@ -153,47 +153,65 @@
 }
 
 func (q *admissionQueue) waitForSlot(ctx context.Context, x *execution, key slotTimeKey, t policy.Ticket) (uint64, error) {
-	now := time.Now()
-	q.mu.Lock()
-	q.resize(now, x.r)
-	q.lastID++
-	t.ID = q.lastID
-	t.SlotTime = q.slotTimes[key]
-	a := q.queue.Offer(now, t)
-	switch a.Action {
-	case policy.Run:
-		q.mu.Unlock()
-		return t.ID, nil
-	case policy.Refuse:
-		noSlots := q.slots == 0
-		q.mu.Unlock()
-		if noSlots {
-			x.r.metrics.countRefusal("none")
-			return 0, fault.New(fault.Unavailable, "no backend server for the request takes new work now; retry later").WithRetryAfter(time.Second)
-		}
-		x.r.metrics.countRefusal(string(a.Reason))
-		return 0, refusal(a.Reason, a.RetryAfter)
+	o := q.offer(x.r, key, t)
+	switch {
+	case o.Action == policy.Run:
+		return o.id, nil
+	case o.Action == policy.Refuse && o.noSlots:
+		x.r.metrics.countRefusal("none")
+		return 0, fault.New(fault.Unavailable, "no backend server for the request takes new work now; retry later").WithRetryAfter(time.Second)
+	case o.Action == policy.Refuse:
+		x.r.metrics.countRefusal(string(o.Reason))
+		return 0, refusal(o.Reason, o.RetryAfter)
 	}
-	decision := make(chan policy.Reason, 1)
-	q.waiters[t.ID] = decision
-	q.mu.Unlock()
 	select {
-	case reason := <-decision:
+	case reason := <-o.decision:
 		if reason != policy.ReasonFreeSlot {
 			x.r.metrics.countRefusal(string(reason))
 			return 0, refusal(reason, 0)
 		}
-		return t.ID, nil
+		return o.id, nil
 	case <-ctx.Done():
-		q.mu.Lock()
-		delete(q.waiters, t.ID)
-		q.queue.Cancel(t.ID)
-		q.dispatch(time.Now())
-		q.mu.Unlock()
+		q.cancel(o.id)
 		return 0, x.contextFault(ctx)
 	}
 }
 
+// offered is what the queue has decided on a request.
+type offered struct {
+	policy.Admission
+	id       uint64
+	noSlots  bool
+	decision <-chan policy.Reason // nil unless the request waits
+}
+
+// offer adds a request to the queue.
+func (q *admissionQueue) offer(r *Router, key slotTimeKey, t policy.Ticket) offered {
+	now := time.Now()
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.resize(now, r)
+	q.lastID++
+	t.ID = q.lastID
+	t.SlotTime = q.slotTimes[key]
+	o := offered{Admission: q.queue.Offer(now, t), id: t.ID, noSlots: q.slots == 0}
+	if o.Action == policy.Wait {
+		decision := make(chan policy.Reason, 1)
+		q.waiters[t.ID] = decision
+		o.decision = decision
+	}
+	return o
+}
+
+// cancel removes a request that waits or has just got a slot.
+func (q *admissionQueue) cancel(id uint64) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	delete(q.waiters, id)
+	q.queue.Cancel(id)
+	q.dispatch(time.Now())
+}
+
 func refusal(reason policy.Reason, retry time.Duration) error {
 	text := "the request would miss its deadline in the queue; retry later"
 	if reason == policy.ReasonQueueFull {
@@ -282,24 +300,32 @@
 			}
 			now := time.Now()
 			for _, q := range r.admission.list() {
-				q.mu.Lock()
-				q.resize(now, r)
-				q.dispatch(now)
-				q.mu.Unlock()
+				q.advance(now, r)
 			}
 		}
 	})
 	return g.Wait()
 }
 
+func (q *admissionQueue) advance(now time.Time, r *Router) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.resize(now, r)
+	q.dispatch(now)
+}
+
 // Queued returns the number of queued requests.
 func (r *Router) Queued() int {
 	n := 0
 	for _, q := range r.admission.list() {
-		q.mu.Lock()
-		waiting, _ := q.queue.Len()
-		q.mu.Unlock()
-		n += waiting
+		n += q.waiting()
 	}
 	return n
 }
+
+func (q *admissionQueue) waiting() int {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	waiting, _ := q.queue.Len()
+	return waiting
+}
--- a/side/engine/engine.go
+++ b/side/engine/engine.go
@@ -124,7 +124,15 @@
 	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
 	defer cancel()
 	l, err := c.fetchLoad(ctx)
+	if c.record(l, err) {
+		c.notifier.Notify()
+	}
+}
+
+// record stores what a poll has found, and reports whether it matters for routing.
+func (c *Client) record(l loadResponse, err error) (changed bool) {
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	old := c.report
 	if err != nil {
 		c.failedPolls++
@@ -135,11 +143,7 @@
 		c.failedPolls = 0
 		c.report = newReport(l, time.Now())
 	}
-	changed := !equalForRouting(old, c.report)
-	c.mu.Unlock()
-	if changed {
-		c.notifier.Notify()
-	}
+	return !equalForRouting(old, c.report)
 }
 
 func newReport(l loadResponse, now time.Time) guard.LoadReport {
--- a/side/usage/store.go
+++ b/side/usage/store.go
@@ -150,13 +150,17 @@
 
 // Settle removes the records of billed requests.
 func (s *Store) Settle(list []*wire.Billing) {
+	s.remove(list)
+	s.notifier.Notify()
+}
+
+func (s *Store) remove(list []*wire.Billing) {
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	for _, billing := range list {
 		s.settleRange(billing)
 	}
 	s.recordGauge.Set(float64(len(s.records)))
-	s.mu.Unlock()
-	s.notifier.Notify()
 }
 
 func (s *Store) settleRange(x *wire.Billing) {
--- a/state/raft/node.go
+++ b/state/raft/node.go
@@ -127,42 +127,46 @@
 // TransferLeadership before ctx ends. Run may be called once.
 func (n *Node) Run(ctx context.Context) error {
 	defer n.stop()
-	n.mu.Lock()
-	err := n.recoverState()
-	n.mu.Unlock()
-	if err != nil {
+	if err := n.locked(n.recoverState); err != nil {
 		return err
 	}
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
 		timer.Reset(time.Until(n.nextWake()))
+		handle := func() {}
 		select {
 		case <-ctx.Done():
 			return nil
 		case p := <-n.transport.Receive():
-			n.mu.Lock()
-			n.handlePacket(p)
+			handle = func() { n.handlePacket(p) }
 		case p := <-n.proposals:
-			n.mu.Lock()
-			n.batch = append(n.batch, p)
+			handle = func() { n.batch = append(n.batch, p) }
 		case f := <-n.calls:
-			n.mu.Lock()
-			f()
+			handle = f
 		case <-timer.C:
-			n.mu.Lock()
 		}
-		n.drainInputs()
-		n.tick()
-		n.flush()
-		err := n.err
-		n.mu.Unlock()
+		err := n.locked(func() error {
+			handle()
+			n.drainInputs()
+			n.tick()
+			n.flush()
+			return n.err
+		})
 		if err != nil {
 			return err
 		}
 	}
 }
 
+// locked calls f with mu held. If f panics, mu is free again: those that wait for it
+// would keep the process from ending.
+func (n *Node) locked(f func() error) error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return f()
+}
+
 // recoverState restores the state machine and the membership from the store.
 func (n *Node) recoverState() error {
 	n.term = n.store.HardState().Term
