--- a/Makefile
+++ b/Makefile
@@ -52,7 +52,11 @@
 	$(GO) test ./core/conf -run xxx -fuzz '^FuzzMerge$$' -fuzztime $(FUZZTIME) -fuzzminimizetime 1x
 	$(GO) test ./core/link -run xxx -fuzz '^FuzzRead$$' -fuzztime $(FUZZTIME) -fuzzminimizetime 1x
 	$(GO) test ./core/ledger -run xxx -fuzz '^FuzzApply$$' -fuzztime $(FUZZTIME) -fuzzminimizetime 1x
+	$(GO) test ./gate/share -run xxx -fuzz '^FuzzDatagram$$' -fuzztime $(FUZZTIME) -fuzzminimizetime 1x
 	$(GO) test ./platform -run xxx -fuzz '^FuzzDecodeRequest$$' -fuzztime $(FUZZTIME) -fuzzminimizetime 1x
+	$(GO) test ./platform -run xxx -fuzz '^FuzzDecodeAnswerHead$$' -fuzztime $(FUZZTIME) -fuzzminimizetime 1x
+	$(GO) test ./platform -run xxx -fuzz '^FuzzList$$' -fuzztime $(FUZZTIME) -fuzzminimizetime 1x
+	$(GO) test ./platform -run xxx -fuzz '^FuzzParseConfig$$' -fuzztime $(FUZZTIME) -fuzzminimizetime 1x
 	$(GO) test ./side/engine -run xxx -fuzz '^FuzzReadEvent$$' -fuzztime $(FUZZTIME) -fuzzminimizetime 1x
 	$(GO) test ./state/store -run xxx -fuzz '^FuzzRecoverLog$$' -fuzztime $(FUZZTIME) -fuzzminimizetime 1x
 	$(GO) test ./state/store -run xxx -fuzz '^FuzzRecord$$' -fuzztime $(FUZZTIME) -fuzzminimizetime 1x
--- a/gate/fleet/fleet.go
+++ b/gate/fleet/fleet.go
@@ -175,11 +175,12 @@
 
 // Incumbent returns the version of a service that is in use: the one that most
 // of its servers ran when this process first saw them, until a rollout
-// completes or its last server is gone.
+// completes or its last server is gone. The empty version stands for none.
 func (f *Fleet) Incumbent(service ident.Service) ident.Version {
 	counts := f.CountByVersion(service)
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	delete(counts, "")
 	current := f.incumbents[service]
 	if counts[current] > 0 {
 		return current
--- a/gate/fleet/fleet_test.go
+++ b/gate/fleet/fleet_test.go
@@ -203,6 +203,17 @@
 	}
 }
 
+// Servers that an older build lists without a version must not draw the traffic.
+func TestIncumbentWithoutVersion(t *testing.T) {
+	f := newFleet(0)
+	l := list(4)
+	l[1].Version, l[2].Version, l[3].Version = "", "", ""
+	f.Update(l)
+	if got := f.Incumbent("pool"); got != "v1" {
+		t.Errorf("got %q, want v1", got)
+	}
+}
+
 // A version that appears without a rollout must not get traffic.
 func TestIncumbent(t *testing.T) {
 	f := newFleet(2)
--- a/gate/share/limit.go
+++ b/gate/share/limit.go
@@ -1,6 +1,8 @@
 package share
 
 import (
+	"math"
+
 	"citronledge.example/core/ident"
 	"citronledge.example/core/wire"
 )
@@ -47,7 +49,23 @@
 
 func getLimits(list []*wire.ServerLimit) (limits []Limit) {
 	for _, x := range list {
-		limits = append(limits, Limit{x.GetServer(), ident.Rate(x.GetRate()), x.GetEnded(), x.GetEpoch()})
+		if isAmount(x.GetRate()) {
+			limits = append(limits, Limit{x.GetServer(), ident.Rate(x.GetRate()), x.GetEnded(), x.GetEpoch()})
+		}
 	}
 	return limits
 }
+
+// getLosses returns the losses on paths, without those that are no numbers of
+// datagrams.
+func getLosses(list []*wire.PathLoss) (losses []*wire.PathLoss) {
+	for _, x := range list {
+		if isAmount(float64(x.GetLost())) && isAmount(float64(x.GetReceived())) {
+			losses = append(losses, x)
+		}
+	}
+	return losses
+}
+
+// isAmount reports whether a number of a message can be calculated with.
+func isAmount(n float64) bool { return n >= 0 && n <= math.MaxFloat64 }
--- a/gate/share/receive.go
+++ b/gate/share/receive.go
@@ -69,7 +69,7 @@
 		}
 	case l.GetScope() == wire.Loads_REST && sameGroup && p.rank == n.relay:
 		r.Source = "rest"
-		n.cfg.Loads.SetPathLosses(l.GetLosses())
+		n.cfg.Loads.SetPathLosses(getLosses(l.GetLosses()))
 		n.cfg.Loads.MergeLoads(r, loadTTL)
 		return
 	default:
