gate/conn: one owner decides between an answer and its timeout

Cause: the timer of the head timeout paid for another server and cancelled the exchange, and the exchange took the head: nobody decided which of them was first. The stream that was cut had to pay again. On a busy gate the timer fires while the head waits in the socket.

Change: conn.Silence decides once, under its mutex, for heads and for stalled streams; bytes that have arrived and are not read yet are no silence.

--- a/gate/conn/conn.go
+++ b/gate/conn/conn.go
@@ -13,6 +13,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -64,6 +65,9 @@
 	// MaxIdle is how long a reused connection may have been idle; 0 means that
 	// any pooled connection will do.
 	MaxIdle time.Duration
+	// Head, which may be nil, ends the wait for the head of the answer. It is stopped
+	// when the head has come.
+	Head *Silence
 }
 
 // NotSentError reports that no byte of the request was sent.
@@ -210,21 +214,8 @@
 	if pc.r.Buffered() > 0 {
 		return false
 	}
-	sc, ok := pc.NetConn().(syscall.Conn)
-	if !ok {
-		return true
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return false
-	}
-	quiet := false
-	err = raw.Control(func(fd uintptr) {
-		var b [1]byte
-		_, _, e := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		quiet = e == unix.EAGAIN
-	})
-	return err == nil && quiet
+	_, err := pc.peek()
+	return errors.Is(err, unix.EAGAIN)
 }
 
 // putIdle returns a connection to the pool, to be reused within timeout.
@@ -253,6 +244,7 @@
 		}
 		pc = newPooledConn(c, p.addr)
 	}
+	q.Head.watch(pc.hasUnread)
 	a := &Answer{pool: p, conn: pc, Reused: reused}
 	a.stop = context.AfterFunc(ctx, func() { _ = pc.Close() })
 	if err := a.exchange(q); err != nil {
@@ -290,6 +282,7 @@
 	writeDone    chan writeResult // of a write in the background; nil without one
 	notReusable  bool             // the connection has carried an answer to another request
 	bodyComplete bool             // the body was read to its end
+	reading      atomic.Bool      // Read waits for the server
 }
 
 func (a *Answer) exchange(q *Request) error {
@@ -320,6 +313,9 @@
 			return UnansweredError{err, a.Reused}
 		}
 		if q.Matches == nil || q.Matches(resp.StatusCode, resp.Header, !a.Reused && skipped == 0) {
+			if q.Head.Stop() {
+				return UnansweredError{errSilent, a.Reused}
+			}
 			a.resp, a.Status, a.Header, a.Length = resp, resp.StatusCode, resp.Header, resp.ContentLength
 			return nil
 		}
@@ -337,6 +333,8 @@
 
 // Read reads the body; io.EOF means that it is complete.
 func (a *Answer) Read(b []byte) (int, error) {
+	a.reading.Store(true)
+	defer a.reading.Store(false)
 	n, err := a.resp.Body.Read(b)
 	if errors.Is(err, io.EOF) {
 		a.bodyComplete = true
--- a/gate/relay/attempt.go
+++ b/gate/relay/attempt.go
@@ -86,6 +86,7 @@
 	eventsSent    int // passed on to the caller
 	// longestPause is the longest time between two reads of a stream.
 	longestPause  time.Duration
+	stallTimeout  time.Duration
 	speedRecorded bool       // counted for the rollout of its version
 	reused        bool       // the connection had carried a request before
 	brokenOff     bool       // the answer ended in the middle
@@ -143,18 +144,14 @@
 	return ok && wait <= 0 && x.r.spendRetry(x.service, now)
 }
 
-// afterHeadTimeout calls abandon after the head timeout, if another server may
-// take the request. It returns a function that stops the timer.
-func (x *attempt) afterHeadTimeout(abandon func()) (stop func() bool) {
+// watchHead returns what ends the wait for the head of the answer if another server
+// may take the request; nil if the attempt waits until the deadline.
+func (x *attempt) watchHead() *conn.Silence {
 	limit := x.headTimeout()
 	if limit == 0 {
-		return func() bool { return false }
+		return nil
 	}
-	return time.AfterFunc(limit, func() {
-		if x.payForOtherServer() {
-			abandon()
-		}
-	}).Stop
+	return conn.NewSilence(limit, x.payForOtherServer, x.abandon)
 }
 
 // exchange sends the request to the assigned server and passes on the answer.
@@ -175,16 +172,15 @@
 	x.abandon = cancel
 	x.awaitFirstEvent()
 	defer x.answerBegun()
-	var timedOut atomic.Bool
-	stopTimer := x.afterHeadTimeout(func() { timedOut.Store(true); cancel() })
+	q.Head = x.watchHead()
 	a, err := x.assignment.Conns().Do(exchangeCtx, q)
-	stopTimer()
+	timedOut := q.Head.Stop()
 	var notSent conn.NotSentError
 	if errors.As(err, &notSent) || err == nil && verdict.NotRun {
 		x.run.SetNotRun()
 	}
 	if err != nil {
-		if timedOut.Load() && ctx.Err() == nil {
+		if timedOut && ctx.Err() == nil {
 			x.detail = "no answer for far longer than usual"
 			return retry{reason: x.detail, paid: true}, fleet.Broke
 		}
--- a/gate/relay/body.go
+++ b/gate/relay/body.go
@@ -71,6 +71,10 @@
 // relayLong passes on a long answer as it arrives; first is what has been read
 // of it.
 func (x *attempt) relayLong(a *conn.Answer, first []byte) (decision, fleet.Outcome) {
+	if !x.beginAnswer() {
+		x.detail = errStopping.Error()
+		return giveUp{x.detail}, fleet.Neutral
+	}
 	size := int64(maxUnsizedBytes)
 	platform.CopyAnswerHeaders(a.Header, x.w.Header())
 	if a.Length >= 0 {
@@ -78,7 +82,6 @@
 		x.w.Header()["Content-Length"] = a.Header["Content-Length"]
 	}
 	x.w.WriteHeader(a.Status)
-	x.beginAnswer()
 	n := int64(len(first))
 	_, err := x.w.Write(first)
 	from := &failingReader{r: a}
--- a/gate/relay/call.go
+++ b/gate/relay/call.go
@@ -161,11 +161,12 @@
 	c.runAttempts(ctx)
 }
 
-// beginAnswer records that the caller has the head of the answer: the rest of it
-// may arrive until the process ends, also in a planned stop.
-func (c *call) beginAnswer() {
-	c.headSent = true
-	c.keepPastStop()
+// beginAnswer records that the caller gets the head of the answer now: the rest of it
+// may arrive until the process ends, also in a planned stop. It reports false if the
+// planned stop has ended the request before.
+func (c *call) beginAnswer() bool {
+	c.headSent = c.keepPastStop()
+	return c.headSent
 }
 
 // readBody reads the whole body before the first attempt, so that a refusal can
--- a/gate/relay/rig_test.go
+++ b/gate/relay/rig_test.go
@@ -204,8 +204,11 @@
 }
 
 // withoutRetryBudget replaces the relay by one that allows no retries.
-func (r *rig) withoutRetryBudget() {
-	r.relay = relay.New(relay.WithFleet(r.fleet), relay.WithSettings(relay.Settings{RetryWindow: 10 * time.Second}))
+func (r *rig) withoutRetryBudget() { r.withRetries(0) }
+
+// withRetries replaces the relay by one that allows n retries.
+func (r *rig) withRetries(n float64) {
+	r.relay = relay.New(relay.WithFleet(r.fleet), relay.WithSettings(relay.Settings{RetrySlack: n, RetryWindow: 10 * time.Second}))
 	r.plan(1, nil)
 	srv := httptest.NewServer(r.relay)
 	r.t.Cleanup(srv.Close)
--- a/gate/relay/stall_test.go
+++ b/gate/relay/stall_test.go
@@ -180,3 +180,31 @@
 		})
 	}
 }
+
+// TestHeadComesWithTimeout guards against a head that comes while the gate gives it up:
+// one of the two counts, and no answer that has begun is cut for the timeout (review/9).
+func TestHeadComesWithTimeout(t *testing.T) {
+	t.Parallel()
+	const headTimeout, head, end = 700 * time.Millisecond, 800 * time.Millisecond, time.Second
+	r := newRig(t, runner.NeverReply, runner.NeverReply)
+	r.withRetries(1)
+	r.longRoutes(20 * time.Second)
+	late := func(c net.Conn, q *runner.Request) bool {
+		time.Sleep(head)
+		return runner.Events(1, 5, 100*time.Millisecond, "")(c, q)
+	}
+	for _, b := range r.runners {
+		b.SetReply(late)
+	}
+	time.AfterFunc(headTimeout-100*time.Millisecond, func() {
+		release := r.relay.HoldMutex() // the timer fires now, and can't decide yet
+		for _, b := range r.runners {
+			b.SetReply(runner.Events(1, 5, 0, ""))
+		}
+		time.AfterFunc(end-headTimeout+100*time.Millisecond, release)
+	})
+	got := r.send(http.MethodPost, "/stream/x", "1", map[string]string{"Deadline-Ms": "20000"})
+	if want := events(1, 5); got.err != nil || got.body != want {
+		t.Errorf("got %q (%v), want %q", got.body, got.err, want)
+	}
+}
--- a/gate/relay/stream.go
+++ b/gate/relay/stream.go
@@ -49,8 +49,8 @@
 // breaks off, an incomplete event is dropped: the next run sends it again.
 func (x *attempt) relayStream(a *conn.Answer) (decision, fleet.Outcome) {
 	control := http.NewResponseController(x.w)
-	stall := x.watchStall()
-	defer stall.stop()
+	stall := x.watchStall(a)
+	defer stall.Stop()
 	buf := make([]byte, 0, initialBufferBytes)
 	lastRead := time.Now()
 	for {
@@ -74,10 +74,14 @@
 			}
 		}
 		if isProgress(buf[:complete]) {
-			stall.progress()
+			stall.Heard()
 		}
 		if complete > 0 || errors.Is(err, io.EOF) && !x.headSent {
-			if e := x.writeEvents(control, a, buf[:complete]); e != nil {
+			switch e := x.writeEvents(control, a, buf[:complete]); {
+			case errors.Is(e, errStopping):
+				x.detail = e.Error()
+				return giveUp{x.detail}, fleet.Neutral
+			case e != nil:
 				x.detail = "caller: " + e.Error()
 				return giveUp{errCallerLeft.Error()}, fleet.Neutral
 			}
@@ -89,8 +93,8 @@
 			x.recordSound()
 			x.recordEnd("served", a.Status)
 			return answered{}, fleet.Good
-		case err != nil && stall.stalled.Load():
-			x.detail = "no event for " + stall.limit.String()
+		case err != nil && stall.Stop():
+			x.detail = "no event for " + x.stallTimeout.String()
 			return x.streamBroken(errStalled)
 		case err != nil:
 			x.breakOff(err)
@@ -105,9 +109,11 @@
 		// The head is sent only with the first events, since an earlier run may
 		// have broken off before them. The length is left out, as another run
 		// may resume the stream.
+		if !x.beginAnswer() {
+			return errStopping
+		}
 		platform.CopyAnswerHeaders(a.Header, x.w.Header())
 		x.w.WriteHeader(a.Status)
-		x.beginAnswer()
 		x.streamTimer.firstEvent()
 	}
 	if x.eventsSent == 0 {
