state/raft: a new voter is reported once its membership is settled

Cause: since a node needs a quorum of the membership before as well until it knows that the new one is committed. The leader reported the new voter when it had committed the change; the others learn that some milliseconds later, and then only the lost leader's vote was missing in the membership before.

Change: the status (MemberStatus.Settled, the peers of the status page, and whether a process of the platform is a voter) and the end of Promote and Remove wait until the membership is settled: its second entry, which proves the first one committed, is committed then, so that a quorum of the new membership has it.

--- a/state/cmd/state/platform.go
+++ b/state/cmd/state/platform.go
@@ -247,7 +247,7 @@
 	}
 	for _, m := range p.raft.Status().Members {
 		if m.Name == p.settings.Name {
-			return m.Voter
+			return m.Voter && m.Settled
 		}
 	}
 	return false
--- a/state/node/query.go
+++ b/state/node/query.go
@@ -109,7 +109,7 @@
 		Leader: s.Leader, Term: s.Term, Commit: s.CommitIndex, Revision: n.ledger.Revision(), Number: n.ledger.LastChangeNumber(),
 	}
 	for _, m := range s.Members {
-		st.Peers = append(st.Peers, &wire.Peer{Name: m.Name, Addr: m.Addr, Voter: m.Voter, Match: m.MatchIndex, Alive: m.Live})
+		st.Peers = append(st.Peers, &wire.Peer{Name: m.Name, Addr: m.Addr, Voter: m.Voter && m.Settled, Match: m.MatchIndex, Alive: m.Live})
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/state/raft/append.go
+++ b/state/raft/append.go
@@ -324,8 +324,18 @@
 			result = n.machine.Apply(e.Index, e.Data)
 		}
 		n.bytesSinceSnapshot += int64(len(e.Data))
-		if p := n.pending[e.Index]; p != nil {
-			delete(n.pending, e.Index)
+		p := n.pending[e.Index]
+		delete(n.pending, e.Index)
+		switch {
+		case e.Kind == kindRoster && !n.isSettled(e.Index):
+			if p != nil {
+				n.settling = append(n.settling, p)
+			}
+			continue
+		case e.Kind == kindRoster:
+			n.finishSettling(nil)
+		}
+		if p != nil {
 			p.finish(result, nil)
 		}
 	}
--- a/state/raft/change.go
+++ b/state/raft/change.go
@@ -182,7 +182,7 @@
 }
 
 // Promote makes a learner that has caught up a voter. It returns after the
-// change is committed.
+// change is committed and settled: a loss of another voter is borne then.
 func (n *Node) Promote(ctx context.Context, name string) error {
 	// A learner that lags by at most this many entries catches up within the
 	// next round trips.
@@ -201,7 +201,7 @@
 }
 
 // Remove removes a member other than the leader from the cluster. It returns
-// after the change is committed.
+// after the change is committed and settled.
 func (n *Node) Remove(ctx context.Context, name string) error {
 	return n.changeMembership(ctx, func(list []Member) ([]Member, error) {
 		if name == n.name {
--- a/state/raft/elect.go
+++ b/state/raft/elect.go
@@ -119,6 +119,7 @@
 		p.finish(nil, OutcomeUnknown{})
 		delete(n.pending, i)
 	}
+	n.finishSettling(OutcomeUnknown{})
 	for _, r := range n.replicas {
 		r.endSnapshot()
 	}
--- a/state/raft/node.go
+++ b/state/raft/node.go
@@ -52,6 +52,7 @@
 
 	batch              []*proposal
 	pending            map[uint64]*proposal // by index
+	settling           []*proposal          // committed changes of the membership that are not settled yet
 	reads              []*pendingRead
 	lastTicket         uint64
 	confirmReads       bool // a read waits for a round of heartbeats
@@ -354,7 +355,7 @@
 		FirstIndex: n.store.FirstIndex(), LastIndex: n.store.LastIndex(), CommitIndex: n.commitIndex, AppliedIndex: n.appliedIndex,
 	}
 	for _, m := range n.roster() {
-		ms := MemberStatus{Member: m}
+		ms := MemberStatus{Member: m, Settled: n.isSeatSettled(m)}
 		if p := n.lastProbes[m.Name]; p != nil {
 			ms.ReportedDiskID = p.Source
 		}
--- a/state/raft/quorum_test.go
+++ b/state/raft/quorum_test.go
@@ -156,6 +156,43 @@
 	}
 }
 
+// Guards against a voter that counts as one while its membership still depends on the
+// one before: when the leader is lost at that moment, no other member leads.
+func TestLeaderLostAsVoterCounts(t *testing.T) {
+	for seed := range uint64(24) {
+		simulate(t, 500+seed, 3, func(_ *testing.T, w *world) {
+			w.commitCommands("a", 3)
+			leader := w.waitForLeader()
+			name := w.others(leader)[0].name
+			w.stop(name)
+			w.start(name, store.NewMemoryFolder())
+			stop, counts := make(chan struct{}), make(chan struct{})
+			go func() {
+				defer close(counts)
+				isVoter := func(m MemberStatus) bool {
+					return m.Name == name && m.DiskID == m.ReportedDiskID && m.Voter && m.Settled
+				}
+				for !slices.ContainsFunc(leader.node.Status().Members, isVoter) {
+					select {
+					case <-time.After(100 * time.Microsecond):
+					case <-stop:
+						return
+					}
+				}
+				w.setIsolated(leader.name, true)
+			}()
+			w.replaceMember(name)
+			close(stop)
+			<-counts
+			w.stop(leader.name)
+			w.healNetwork()
+			w.commitCommands("b", 3)
+			w.restart(leader.name)
+			w.waitForConvergence()
+		})
+	}
+}
+
 // requireJoin makes processes that start from now on join the cluster, even if all
 // of them have empty disks.
 func (w *world) requireJoin() { w.options = append(slices.Clip(w.options), WithJoinOnly()) }
--- a/state/raft/raft.go
+++ b/state/raft/raft.go
@@ -79,6 +79,9 @@
 // members are known to the leader only.
 type MemberStatus struct {
 	Member
+	// Settled is set if the vote of the member counts whatever else is lost. That of a
+	// new voter does so shortly after its change is committed.
+	Settled    bool
 	MatchIndex uint64 // index of the last entry known to be durable on the member
 	Live       bool   // answered within the last election timeout
 	DiskFull   bool   // its disk refuses appends
--- a/state/raft/roster.go
+++ b/state/raft/roster.go
@@ -26,6 +26,9 @@
 	// settled is set if there is no membership before it that may have other
 	// quorums: that one has the same voters and is committed.
 	settled bool
+	// newVoter is the member that got its vote with this membership, or with the one
+	// that this one settles; empty if there is none.
+	newVoter string
 }
 
 func parseRoster(data []byte) ([]Member, error) {
@@ -75,11 +78,48 @@
 	}
 	// A leader appends a membership only after the one before is settled or
 	// committed.
-	settled := len(n.rosters) == 0 || haveSameVoters(n.roster(), roster)
-	n.rosters = append(n.rosters, rosterAtIndex{index: e.Index, roster: roster, settled: settled})
+	r := rosterAtIndex{index: e.Index, roster: roster, settled: len(n.rosters) == 0 || haveSameVoters(n.roster(), roster)}
+	if !r.settled {
+		r.newVoter = addedVoter(n.roster(), roster)
+	} else if i := len(n.rosters) - 1; i >= 0 && !(n.rosters[i].settled && n.rosters[i].index <= n.commitIndex) {
+		r.newVoter = n.rosters[i].newVoter
+	}
+	n.rosters = append(n.rosters, r)
 	return nil
 }
 
+// addedVoter returns the voter of a membership that was none in the one before, if
+// there is one.
+func addedVoter(before, roster []Member) string {
+	for _, m := range roster {
+		if m.Voter && !slices.Contains(before, m) {
+			return m.Name
+		}
+	}
+	return ""
+}
+
+// isSettled reports whether the membership at an index needs no quorum of the one
+// before it, in whatever logs it is.
+func (n *Node) isSettled(index uint64) bool {
+	return !slices.ContainsFunc(n.rosters, func(r rosterAtIndex) bool { return r.index == index && !r.settled })
+}
+
+// isSeatSettled reports whether the seat of a member no longer depends on the membership
+// before it: until then the loss of another voter may not be borne.
+func (n *Node) isSeatSettled(m Member) bool {
+	last := n.rosters[len(n.rosters)-1]
+	return m.Name != last.newVoter || last.settled && last.index <= n.commitIndex
+}
+
+// finishSettling ends the changes of the membership that wait to be settled.
+func (n *Node) finishSettling(err error) {
+	for _, p := range n.settling {
+		p.finish(nil, err)
+	}
+	n.settling = nil
+}
+
 func haveSameVoters(a, b []Member) bool {
 	isLearner := func(m Member) bool { return !m.Voter }
 	return slices.Equal(slices.DeleteFunc(slices.Clone(a), isLearner), slices.DeleteFunc(slices.Clone(b), isLearner))
