--- a/soak/crash_test.go
+++ b/soak/crash_test.go
@@ -181,7 +181,7 @@
 	block := uint16(rand.Uint32())
 	for i := range crashRunners {
 		addr := hostPort(loopbackAddr(block, 50+i), runnerPort)
-		entries = append(entries, users.ListedBackend{ID: fmt.Sprint("i-", i), Service: service, Address: addr})
+		entries = append(entries, users.ListedBackend{ID: fmt.Sprint("i-", i), Service: service, Address: addr, Zone: "a"})
 		wait.Go(func() { keepRunning(ctx, strings.Join([]string{addr, how, x.record}, "\n")) })
 	}
 	srv := &http.Server{ReadHeaderTimeout: time.Second, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _ = users.WriteList(w, entries) })}
