--- a/state/raft/quorum_test.go
+++ b/state/raft/quorum_test.go
@@ -165,12 +165,12 @@
 			leader := w.waitForLeader()
 			name := w.others(leader)[0].name
 			w.stop(name)
-			w.start(name, store.NewMemoryFolder())
+			disk := w.start(name, store.NewMemoryFolder()).store.DiskID()
 			stop, counts := make(chan struct{}), make(chan struct{})
 			go func() {
 				defer close(counts)
 				isVoter := func(m MemberStatus) bool {
-					return m.Name == name && m.DiskID == m.ReportedDiskID && m.Voter && m.Settled
+					return m.DiskID == disk && m.Voter && m.Settled
 				}
 				for !slices.ContainsFunc(leader.node.Status().Members, isVoter) {
 					select {
